--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -197,10 +197,11 @@
         mut workers: mpsc::Receiver<Change>,
     ) {
         let mut config = self.parts.config.clone();
-        let mut events = vec![begin];
+        let mut events = Vec::new();
         if let Some(config) = config.borrow_and_update().clone() {
             events.push(Event::Config { config });
         }
+        events.push(begin);
         loop {
             let pause = self.turn(&mut events);
             tokio::select! {
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -109,6 +109,7 @@
         max_hold: bounds.max_hold_ms,
         lease: defaults.lease.min(bounds.max_hold_ms),
         remember: bounds.status + Duration::from_secs(10),
+        harm_time: bounds.impact_ms,
         stop_time: bounds.stop_timeout_ms,
         ..defaults
     }
--- a/crates/planner/src/colocate.rs
+++ b/crates/planner/src/colocate.rs
@@ -1,89 +1,207 @@
 //! Tasks that fill beside tasks that serve.
 //!
-//! Pattern answered: tasks that fill use what tasks that serve leave, and slow them by amounts that
-//! differ by image, change within seconds and are seen late. Each worker therefore has a limit on
-//! the processors that tasks which fill may use beside those that serve: it is cut at once when a
-//! tail comes near its target, and raised a little with each account that shows the tails well
-//! below. Paces carry the limit out; placing respects it.
+//! Pattern answered: tasks that fill use what tasks that serve leave, and slow some of them by
+//! amounts that differ by image and change within seconds. [`crate::interfere`] learns which pairs
+//! press. Here that decides two things: a task that fills goes only where every serving task beside
+//! it is expected to stay below its target, also at the top of its load's swing; and where a tail
+//! comes near its target all the same, those that press on it are slowed down, and moved away if
+//! that lasts.
 
+use std::time::Duration;
+
+use cowslipchute_base::id::Time;
 use cowslipchute_ports::executor::Run;
+use cowslipchute_ports::job::Step;
 
 use crate::host::FULL_PACE;
+use crate::host::Hosted;
 use crate::host::Stage;
+use crate::host::Why;
+use crate::interfere::Image;
+use crate::interfere::Model;
+use crate::interfere::Shares;
 use crate::planner::Planner;
+use crate::worker::Worker;
 use crate::worker::WorkerId;
 
-/// Tail as a part of its target from which the limit is cut.
-const HIGH: f64 = 0.8;
-/// Tail as a part of its target below which the limit is raised.
-const LOW: f64 = 0.55;
-/// What is left of the limit after a cut.
-const CUT: f64 = 0.6;
-/// What is left of it when a tail is over its target: harm has to end within seconds.
-const DEEP_CUT: f64 = 0.25;
-/// What a raise adds, as a part of the worker's processors.
-const RAISE: f64 = 0.04;
+/// Logarithm of the part of its target that a tail may be expected to reach: nine tenths, since
+/// the figures are rough.
+const PLACE_LIMIT: f64 = -0.1;
+/// The same for slowing down what presses already.
+const PACE_LIMIT: f64 = -0.1;
+/// Weight of the newest reading in a task's own level: two or three readings, a second or two.
+const READING_PART: f64 = 0.4;
+/// A pair's weight counts this many standard deviations high when a task is placed, so that what
+/// is not known yet is tried a little at a time.
+const CAUTION: f64 = 0.5;
+/// A contribution below this is noise and isn't slowed down.
+const LEAST_PRESSURE: f64 = 0.03;
 /// Paces are whole multiples of this, so that small changes need no order.
-const PACE_STEP: u8 = 10;
-/// A limit below this part of the worker's processors counts as none at all.
-const LEAST_LIMIT: f64 = 0.02;
+const PACE_STEP: f64 = 20.0;
+/// A tail that stays over its target for this part of the time allowed, whatever the model says of
+/// the tasks beside it, has all of them stood still.
+const ALARM_PART: f64 = 0.45;
+/// A task that was slowed below this, in percent, for [`MOVE_AFTER`] is moved.
+const MOVE_PACE: u8 = 60;
+/// How long a task may be held back before it is moved: less than moving it costs gains nothing.
+const MOVE_AFTER: Duration = Duration::from_millis(800);
+
+const NO_IMAGE: &str = "";
+
+fn image(hosted: &Hosted) -> Image {
+    hosted.image.clone().unwrap_or_else(|| NO_IMAGE.into())
+}
+
+fn share(cpu_milli: u32, worker: &Worker) -> f64 {
+    f64::from(cpu_milli) / f64::from(worker.capacity.cpu_milli.max(1))
+}
+
+/// Adds up what filling images use, at the pace given by `pace`.
+fn shares(worker: &Worker, pace: impl Fn(&Hosted) -> u8) -> Shares {
+    let mut shares = Shares::new();
+    for hosted in worker.runs.values().filter(|hosted| hosted.fills) {
+        let part = share(hosted.demand.cpu_milli, worker) * f64::from(pace(hosted))
+            / f64::from(FULL_PACE);
+        let image = image(hosted);
+        match shares.iter_mut().find(|(known, _)| *known == image) {
+            Some((_, sum)) => *sum += part,
+            None => shares.push((image, part)),
+        }
+    }
+    shares
+}
+
+/// Level that a serving task is expected to reach without tasks that fill.
+fn expected(model: &Model, hosted: &Hosted) -> f64 {
+    let (level, spread) = model.level(&image(hosted));
+    hosted.level.map_or(level + spread, |own| own.max(level + spread))
+}
+
+/// Returns by how much a filling step would press on the most pressed serving task of a worker,
+/// or nothing if that is too much.
+pub(crate) fn added_pressure(model: &Model, worker: &Worker, step: &Step) -> Option<f64> {
+    let filling = step.image.clone().unwrap_or_else(|| NO_IMAGE.into());
+    let part = share(step.demand.cpu_milli, worker);
+    let present = shares(worker, |_| FULL_PACE);
+    let mut most: f64 = 0.0;
+    for hosted in worker.runs.values().filter(|hosted| hosted.serves()) {
+        let image = image(hosted);
+        let (weight, deviation) = model.weight(&image, &filling);
+        let added = (weight + CAUTION * deviation) * part;
+        let reached = expected(model, hosted) + model.pressure(&image, &present) + added;
+        if added > LEAST_PRESSURE && reached > PLACE_LIMIT {
+            return None;
+        }
+        most = most.max(added);
+    }
+    Some(most)
+}
 
 impl Planner {
-    /// Looks at a worker's tails and sets the limit and the paces that follow.
+    /// Learns from a worker's tails and sets the paces that follow.
     pub(crate) fn guard_targets(&mut self, worker: WorkerId) {
-        let state = &self.workers[worker];
-        if !state.serves() {
-            self.workers[worker].fill_limit = None;
-            self.set_paces(worker, FULL_PACE);
-            return;
-        }
-        let mut worst: f64 = 0.0;
-        let mut full = 0.0;
-        let mut used = 0.0;
-        for hosted in state.runs.values() {
-            if let (Some(target), Stage::Running { .. }) = (hosted.target, hosted.stage) {
-                worst = worst.max(f64::from(hosted.figure) / (target.as_secs_f64() * 1e3));
+        let now = self.now;
+        let state = &mut self.workers[worker];
+        let shares_now = shares(state, |hosted| hosted.paced);
+        let shares_before = std::mem::replace(&mut state.shares, shares_now.clone());
+        let beside = mean(&shares_before, &shares_now);
+        for hosted in state.runs.values_mut() {
+            let (Some(target), Stage::Running { .. }) = (hosted.target, hosted.stage) else {
+                continue;
+            };
+            if hosted.figure == 0 || hosted.percent < 100 {
+                continue;
             }
-            if hosted.fills {
-                let cpu = f64::from(hosted.demand.cpu_milli);
-                full += cpu;
-                used += cpu * f64::from(hosted.paced) / f64::from(FULL_PACE);
+            let reading = (f64::from(hosted.figure) / (target.as_secs_f64() * 1e3)).ln();
+            let image = image(hosted);
+            self.model.learn(&image, reading, &beside);
+            let own = reading - self.model.pressure(&image, &beside);
+            let level = hosted.level.unwrap_or(own);
+            hosted.level = Some(level + READING_PART * (own - level));
+            if reading <= 0.0 {
+                hosted.over_since = None;
+            } else {
+                hosted.over_since.get_or_insert(now);
             }
         }
-        let capacity = f64::from(state.capacity.cpu_milli);
-        let limit = state.fill_limit.map_or(capacity, f64::from);
-        let next = if full > 0.0 && worst > 1.0 {
-            limit.min(used) * DEEP_CUT
-        } else if full > 0.0 && worst > HIGH {
-            limit.min(used) * CUT
-        } else if worst < LOW {
-            (limit + capacity * RAISE).min(capacity)
-        } else {
-            limit
-        };
-        let next = if next < capacity * LEAST_LIMIT { 0.0 } else { next };
-        self.workers[worker].fill_limit = Some(next as u32);
-        if next > limit {
-            self.room_changed = true;
-        }
-        let share = if full > next { next / full } else { 1.0 };
-        let steps = (share * f64::from(FULL_PACE) / f64::from(PACE_STEP)).floor() as u8;
-        self.set_paces(worker, steps * PACE_STEP);
+        self.set_paces(worker);
+        self.move_held_back(worker);
     }
 
-    fn set_paces(&mut self, worker: WorkerId, pace: u8) {
-        let mut changed: Vec<Run> = Vec::new();
-        for (run, hosted) in &mut self.workers[worker].runs {
+    fn set_paces(&mut self, worker: WorkerId) {
+        let now = self.now;
+        let alarm = self.settings.harm_time.mul_f64(ALARM_PART);
+        let state = &self.workers[worker];
+        let full = shares(state, |_| FULL_PACE);
+        let mut paces: Vec<(Run, u8)> = Vec::new();
+        for (run, hosted) in &state.runs {
             if !hosted.fills || !matches!(hosted.stage, Stage::Running { .. }) {
                 continue;
             }
-            hosted.pace = pace;
-            if hosted.pace != hosted.paced && !hosted.pacing {
-                changed.push(*run);
+            let filling = image(hosted);
+            let part = share(hosted.demand.cpu_milli, state);
+            let mut pace: f64 = 1.0;
+            for served in state.runs.values().filter(|served| served.serves()) {
+                let pressed = image(served);
+                let over = served.over_since.is_some_and(|since| now >= since + alarm);
+                if over {
+                    pace = 0.0;
+                }
+                if self.model.weight(&pressed, &filling).0 * part < LEAST_PRESSURE {
+                    continue;
+                }
+                let total = self.model.pressure(&pressed, &full);
+                let level = served.level.unwrap_or_else(|| expected(&self.model, served));
+                pace = pace.min((PACE_LIMIT - level) / total);
             }
+            let steps = (pace.clamp(0.0, 1.0) * f64::from(FULL_PACE) / PACE_STEP).floor();
+            paces.push((*run, (steps * PACE_STEP) as u8));
+        }
+        for (run, pace) in paces {
+            self.set_pace(worker, run, pace, now);
+        }
+    }
+
+    fn set_pace(&mut self, worker: WorkerId, run: Run, pace: u8, now: Time) {
+        let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
+        hosted.pace = pace;
+        if pace >= MOVE_PACE {
+            hosted.held_back = None;
+        } else {
+            hosted.held_back.get_or_insert(now);
+        }
+        if hosted.pace != hosted.paced && !hosted.pacing {
+            self.schedule(worker, run, Duration::ZERO);
         }
-        for run in changed {
-            self.schedule(worker, run, std::time::Duration::ZERO);
+    }
+
+    /// Moves tasks that have been held back for long: elsewhere they work on.
+    fn move_held_back(&mut self, worker: WorkerId) {
+        let now = self.now;
+        let held = |hosted: &Hosted| {
+            hosted.checkpointing
+                && matches!(hosted.stage, Stage::Running { .. })
+                && hosted.held_back.is_some_and(|since| now >= since + MOVE_AFTER)
+        };
+        let runs: Vec<Run> = self.workers[worker]
+            .runs
+            .iter()
+            .filter(|(_, hosted)| held(hosted))
+            .map(|(run, _)| *run)
+            .collect();
+        for run in runs {
+            self.stop_run(worker, run, Why::Harmful);
+        }
+    }
+}
+
+fn mean(before: &Shares, now: &Shares) -> Shares {
+    let mut shares: Shares = now.iter().map(|(image, part)| (image.clone(), part / 2.0)).collect();
+    for (image, part) in before {
+        match shares.iter_mut().find(|(known, _)| known == image) {
+            Some((_, sum)) => *sum += part / 2.0,
+            None => shares.push((image.clone(), part / 2.0)),
         }
     }
+    shares
 }
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -5,6 +5,7 @@
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::TaskId;
 
+use crate::colocate::added_pressure;
 use crate::host::Hosted;
 use crate::planner::Planner;
 use crate::worker::Worker;
@@ -16,6 +17,13 @@
 /// little is shared rather than left unused.
 const FILL_PART: f64 = 0.8;
 
+/// Weight from which an image is worth a worker on which nothing serves.
+const USUAL_PRESS: f64 = 1.2;
+/// What such a worker is worth at most, against a whole worker's free processors.
+const QUIET_RATE: f64 = 0.4;
+/// What pressure on a serving task costs, against free processors.
+const PRESSURE_RATE: f64 = 3.0;
+
 impl Worker {
     /// Returns the thousandths of a processor that tasks which fill can still use.
     pub(crate) fn fill_room(&self) -> i64 {
@@ -32,8 +40,7 @@
             }
         }
         let free = f64::from(self.capacity.cpu_milli) - taken;
-        let limit = self.fill_limit.map_or(f64::INFINITY, f64::from);
-        (free.min(limit) - filled) as i64
+        (free - filled) as i64
     }
 
     fn count(&self, task: TaskId) -> u32 {
@@ -62,6 +69,7 @@
     pub(crate) fn may_take(&self, worker: &Worker, task: TaskId, step: &Step) -> bool {
         let reserved = Hosted::new(step, crate::host::Stage::Inherited, self.now).reserved();
         worker.fits(step, reserved)
+            && (!step.fills || added_pressure(&self.model, worker, step).is_some())
             && step.required_label.as_deref().is_none_or(|label| worker.has_label(label))
             && (step.max_per_worker == 0 || worker.count(task) < step.max_per_worker)
     }
@@ -69,16 +77,18 @@
     /// Rates a worker for a task that it may take; the highest is chosen.
     ///
     /// Tasks that reserve processors go where the least is left over, which keeps large gaps for
-    /// large tasks. Tasks that fill go where the most processors are free, and rather where nothing
-    /// serves that they could slow down.
+    /// large tasks. Tasks that fill go where the most processors are free and where they press least
+    /// on those that serve; workers on which nothing serves are kept for those that press hard.
     pub(crate) fn rate(&self, worker: &Worker, step: &Step) -> f64 {
         let capacity = f64::from(worker.capacity.cpu_milli.max(1));
         let away = step.data_rack.as_deref().is_some_and(|rack| !worker.has_label(rack));
         let near = if away { 0.0 } else { 10.0 };
         if step.fills {
             let free = worker.fill_room() as f64 / capacity;
-            let quiet = if worker.serves() { 0.0 } else { 1.0 };
-            return near + free + quiet;
+            let added = added_pressure(&self.model, worker, step).unwrap_or(f64::INFINITY);
+            let press = step.image.as_ref().map_or(0.0, |image| self.model.press(image));
+            let quiet = if worker.serves() { 0.0 } else { (press - USUAL_PRESS) * QUIET_RATE };
+            return near + free + quiet.clamp(-QUIET_RATE, QUIET_RATE) - added * PRESSURE_RATE;
         }
         let left = f64::from(worker.room().cpu_milli.saturating_sub(step.demand.cpu_milli));
         near - left / capacity
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -84,6 +84,12 @@
     /// When `percent` last rose.
     pub(crate) moved: Time,
     pub(crate) figure: u32,
+    /// Logarithm of a serving task's tail over its target, without what fills beside it.
+    pub(crate) level: Option<f64>,
+    /// Since when a serving task's tail has been over its target.
+    pub(crate) over_since: Option<Time>,
+    /// Since when a filling task has been slowed down much.
+    pub(crate) held_back: Option<Time>,
     /// The pace that it should have, in percent.
     pub(crate) pace: u8,
     /// The pace that the worker has confirmed.
@@ -106,6 +112,9 @@
             percent: 0,
             moved: now,
             figure: 0,
+            level: None,
+            over_since: None,
+            held_back: None,
             pace: FULL_PACE,
             paced: FULL_PACE,
             pacing: false,
--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -15,8 +15,9 @@
 use crate::record::Record;
 use crate::worker::WorkerId;
 
-/// Failed runs after which a job fails where no configuration names its queue any more.
-const DEFAULT_ATTEMPTS: u32 = 3;
+/// Failed runs after which a job fails where no configuration names its queue: none, since a job
+/// that is shown as failed too early is lost.
+const DEFAULT_ATTEMPTS: u32 = u32::MAX;
 /// Priority where no configuration names the job's queue any more: behind all others.
 const DEFAULT_PRIORITY: u8 = u8::MAX;
 
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -19,6 +19,7 @@
 mod health;
 mod hold;
 mod host;
+mod interfere;
 mod job;
 mod order;
 mod place;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -18,6 +18,7 @@
 use crate::action::Action;
 use crate::action::Note;
 use crate::event::Event;
+use crate::interfere::Model;
 use crate::job::Job;
 use crate::order::Timer;
 use crate::settings::Settings;
@@ -49,6 +50,8 @@
     pub(crate) names: HashMap<id::Instance, WorkerId>,
     /// Mean work of each queue's jobs, in core-seconds.
     pub(crate) works: HashMap<Arc<str>, f64>,
+    /// Which images slow which.
+    pub(crate) model: Model,
     /// What is due when.
     pub(crate) timers: BTreeSet<(Time, Timer)>,
     /// Whether a placing pass may find something that the last one did not.
@@ -75,6 +78,7 @@
             workers: Table::default(),
             names: HashMap::new(),
             works: HashMap::new(),
+            model: Model::default(),
             timers: BTreeSet::new(),
             room_changed: false,
             writing: Writing::default(),
--- a/crates/planner/src/settings.rs
+++ b/crates/planner/src/settings.rs
@@ -22,6 +22,8 @@
     pub write_gap: Duration,
     /// How long a finished job's state is remembered here; the store keeps it longer.
     pub remember: Duration,
+    /// How long a task that serves may be over its target because of tasks that fill.
+    pub harm_time: Duration,
     /// How long a stop may take until the worker's next answer should show it.
     pub stop_time: Duration,
 }
@@ -35,6 +37,7 @@
             watch_wait: Duration::from_millis(500),
             write_gap: Duration::from_millis(20),
             remember: Duration::from_secs(130),
+            harm_time: Duration::from_secs(4),
             stop_time: Duration::from_millis(900),
         }
     }
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -20,6 +20,7 @@
 
 use crate::health::Health;
 use crate::host::Hosted;
+use crate::interfere::Shares;
 
 /// Index of a worker in the planner's table.
 pub(crate) type WorkerId = Id<Worker>;
@@ -92,8 +93,8 @@
     /// The sum of what its runs reserve.
     pub(crate) reserved: Amount,
     pub(crate) health: Health,
-    /// Processors that tasks which fill may use beside those that serve, in thousandths.
-    pub(crate) fill_limit: Option<u32>,
+    /// What filling images used at the last account.
+    pub(crate) shares: Shares,
     /// Nothing is placed there before this.
     pub(crate) closed_until: Time,
 }
@@ -120,7 +121,7 @@
             runs: BTreeMap::new(),
             reserved: Amount::ZERO,
             health: Health::default(),
-            fill_limit: None,
+            shares: Shares::new(),
             closed_until: Time::ZERO,
         }
     }
