Model target over tail, and group serving tasks by image

Cause: tails grow like 1/(1-load), so a model of their logarithm missed pressing pairs near the target; and workers on which several images serve had room for no filling image.

--- a/bin/scheduler/src/log.rs
+++ b/bin/scheduler/src/log.rs
@@ -20,9 +20,12 @@
 const FLUSH: Duration = Duration::from_millis(300);
 /// Bytes that may wait to be written.
 const BUFFER: usize = 512 << 10;
+/// Most bytes of one write: a pipe takes so many as a whole, so that lines of several processes
+/// don't cut each other.
+const CHUNK: usize = 4096;
 /// Lines of one event a second; the busiest deployment known starts 880 tasks a second on many
 /// processes, and a log that told of each would take more of the processor than the starts.
-const BUDGET: u32 = 60;
+const BUDGET: u32 = 300;
 
 #[derive(Clone, Debug, Default)]
 struct Buffer {
@@ -88,9 +91,14 @@
         let mut bytes = buffer.bytes.lock().expect("nobody panics while holding the log's buffer");
         std::mem::take(&mut *bytes)
     };
-    if !bytes.is_empty() {
+    let mut rest = bytes.as_slice();
+    while !rest.is_empty() {
+        let end = rest.len().min(CHUNK);
+        let whole = rest[..end].iter().rposition(|&byte| byte == b'\n').map_or(end, |at| at + 1);
+        let (lines, later) = rest.split_at(whole);
         // Nobody is left to tell when standard output is gone.
-        let _ = io::stdout().write_all(&bytes);
+        let _ = io::stdout().write_all(lines);
+        rest = later;
     }
 }
 
--- a/crates/planner/src/colocate.rs
+++ b/crates/planner/src/colocate.rs
@@ -17,25 +17,27 @@
 use crate::host::Hosted;
 use crate::host::Stage;
 use crate::host::Why;
+use crate::interfere;
 use crate::interfere::Image;
 use crate::interfere::Model;
+use crate::interfere::Reading;
 use crate::interfere::Shares;
 use crate::planner::Planner;
 use crate::worker::Worker;
 use crate::worker::WorkerId;
 
-/// Logarithm of the part of its target that a tail may be expected to reach: nine tenths, since
-/// the figures are rough.
-const PLACE_LIMIT: f64 = -0.1;
-/// The same for slowing down what presses already.
-const PACE_LIMIT: f64 = -0.1;
-/// Weight of the newest reading in a task's own level: two or three readings, a second or two.
-const READING_PART: f64 = 0.4;
+/// Headroom that a serving task is to keep when another task is placed beside it: the figures are
+/// rough, and its load may rise while that one runs.
+const PLACE_HEADROOM: f64 = 1.5;
+/// Headroom that it is to keep by slowing down what presses on it.
+const PACE_HEADROOM: f64 = 1.15;
+/// Weight of the newest reading in a task's own headroom: two or three readings, a second or two.
+const READING_PART: f64 = 0.5;
 /// A pair's weight counts this many standard deviations high when a task is placed, so that what
 /// is not known yet is tried a little at a time.
 const CAUTION: f64 = 0.5;
-/// A contribution below this is noise and isn't slowed down.
-const LEAST_PRESSURE: f64 = 0.03;
+/// A pressure below this is noise and isn't slowed down.
+const LEAST_PRESSURE: f64 = 0.06;
 /// Paces are whole multiples of this, so that small changes need no order.
 const PACE_STEP: f64 = 20.0;
 /// A tail that stays over its target for this part of the time allowed, whatever the model says of
@@ -62,19 +64,14 @@
     for hosted in worker.runs.values().filter(|hosted| hosted.fills) {
         let part = share(hosted.demand.cpu_milli, worker) * f64::from(pace(hosted))
             / f64::from(FULL_PACE);
-        let image = image(hosted);
-        match shares.iter_mut().find(|(known, _)| *known == image) {
-            Some((_, sum)) => *sum += part,
-            None => shares.push((image, part)),
-        }
+        interfere::add(&mut shares, &image(hosted), part);
     }
     shares
 }
 
-/// Level that a serving task is expected to reach without tasks that fill.
+/// Headroom that a serving task is expected to have without tasks that fill.
 fn expected(model: &Model, hosted: &Hosted) -> f64 {
-    let (level, spread) = model.level(&image(hosted));
-    hosted.level.map_or(level + spread, |own| own.max(level + spread))
+    hosted.headroom.unwrap_or_else(|| model.headroom(&image(hosted)))
 }
 
 /// Returns by how much a filling step would press on the most pressed serving task of a worker,
@@ -88,8 +85,9 @@
         let image = image(hosted);
         let (weight, deviation) = model.weight(&image, &filling);
         let added = (weight + CAUTION * deviation) * part;
-        let reached = expected(model, hosted) + model.pressure(&image, &present) + added;
-        if added > LEAST_PRESSURE && reached > PLACE_LIMIT {
+        let least = expected(model, hosted);
+        let left = least - model.pressure(&image, &present) - added;
+        if added > LEAST_PRESSURE && left < PLACE_HEADROOM {
             return None;
         }
         most = most.max(added);
@@ -112,13 +110,15 @@
             if hosted.figure == 0 || hosted.percent < 100 {
                 continue;
             }
-            let reading = (f64::from(hosted.figure) / (target.as_secs_f64() * 1e3)).ln();
+            let headroom = target.as_secs_f64() * 1e3 / f64::from(hosted.figure);
+            let reading = Reading { headroom, shares: beside.clone() };
             let image = image(hosted);
-            self.model.learn(&image, reading, &beside);
-            let own = reading - self.model.pressure(&image, &beside);
-            let level = hosted.level.unwrap_or(own);
-            hosted.level = Some(level + READING_PART * (own - level));
-            if reading <= 0.0 {
+            self.model.learn(&image, hosted.reading.as_ref(), &reading);
+            let own = headroom + self.model.pressure(&image, &beside);
+            let before = hosted.headroom.unwrap_or(own);
+            hosted.headroom = Some(before + READING_PART * (own - before));
+            hosted.reading = Some(reading);
+            if headroom >= 1.0 {
                 hosted.over_since = None;
             } else {
                 hosted.over_since.get_or_insert(now);
@@ -151,8 +151,8 @@
                     continue;
                 }
                 let total = self.model.pressure(&pressed, &full);
-                let level = served.level.unwrap_or_else(|| expected(&self.model, served));
-                pace = pace.min((PACE_LIMIT - level) / total);
+                let spare = expected(&self.model, served) - PACE_HEADROOM;
+                pace = pace.min(spare / total);
             }
             let steps = (pace.clamp(0.0, 1.0) * f64::from(FULL_PACE) / PACE_STEP).floor();
             paces.push((*run, (steps * PACE_STEP) as u8));
@@ -196,12 +196,9 @@
 }
 
 fn mean(before: &Shares, now: &Shares) -> Shares {
-    let mut shares: Shares = now.iter().map(|(image, part)| (image.clone(), part / 2.0)).collect();
-    for (image, part) in before {
-        match shares.iter_mut().find(|(known, _)| known == image) {
-            Some((_, sum)) => *sum += part / 2.0,
-            None => shares.push((image.clone(), part / 2.0)),
-        }
+    let mut shares = Shares::new();
+    for (image, part) in before.iter().chain(now) {
+        interfere::add(&mut shares, image, part / 2.0);
     }
     shares
 }
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -1,9 +1,12 @@
 //! Which workers may take a task, and which takes it best.
 
+use std::sync::Arc;
+
 use cowslipchute_base::amount::Amount;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::TaskId;
+use smallvec::SmallVec;
 
 use crate::colocate::added_pressure;
 use crate::host::Hosted;
@@ -21,6 +24,9 @@
 const USUAL_PRESS: f64 = 1.2;
 /// What such a worker is worth at most, against a whole worker's free processors.
 const QUIET_RATE: f64 = 0.4;
+/// What each further image that serves on a worker costs: more than any gap that is left. An image
+/// that fills finds a worker on which it presses on none the easier, the fewer serve there.
+const MIXED_RATE: f64 = 2.0;
 /// What pressure on a serving task costs, against free processors.
 const PRESSURE_RATE: f64 = 3.0;
 
@@ -52,6 +58,17 @@
         self.runs.keys().filter(same).count() as u32
     }
 
+    /// Counts the images that serve there beside a step's own.
+    fn other_images(&self, step: &Step) -> usize {
+        let mut images: SmallVec<[&Option<Arc<str>>; 4]> = SmallVec::new();
+        for hosted in self.runs.values().filter(|hosted| hosted.serves()) {
+            if hosted.image != step.image && !images.contains(&&hosted.image) {
+                images.push(&hosted.image);
+            }
+        }
+        images.len()
+    }
+
     fn fits(&self, step: &Step, reserved: Amount) -> bool {
         reserved.fits(self.room())
             && (!step.fills
@@ -77,7 +94,7 @@
     /// Rates a worker for a task that it may take; the highest is chosen.
     ///
     /// Tasks that reserve processors go where the least is left over, which keeps large gaps for
-    /// large tasks. Tasks that fill go where the most processors are free and where they press least
+    /// large tasks. Tasks that serve go to others of their image. Tasks that fill go where the most processors are free and where they press least
     /// on those that serve; workers on which nothing serves are kept for those that press hard.
     pub(crate) fn rate(&self, worker: &Worker, step: &Step) -> f64 {
         let capacity = f64::from(worker.capacity.cpu_milli.max(1));
@@ -90,7 +107,8 @@
             let quiet = if worker.serves() { 0.0 } else { (press - USUAL_PRESS) * QUIET_RATE };
             return near + free + quiet.clamp(-QUIET_RATE, QUIET_RATE) - added * PRESSURE_RATE;
         }
+        let mixed = if step.target.is_some() { worker.other_images(step) } else { 0 };
         let left = f64::from(worker.room().cpu_milli.saturating_sub(step.demand.cpu_milli));
-        near - left / capacity
+        near - left / capacity - MIXED_RATE * mixed as f64
     }
 }
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -8,6 +8,8 @@
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::job::Step;
 
+use crate::interfere::Reading;
+
 /// Pace of a run that works at its full speed, in percent.
 pub(crate) const FULL_PACE: u8 = 100;
 
@@ -84,8 +86,10 @@
     /// When `percent` last rose.
     pub(crate) moved: Time,
     pub(crate) figure: u32,
-    /// Logarithm of a serving task's tail over its target, without what fills beside it.
-    pub(crate) level: Option<f64>,
+    /// A serving task's target over its tail, without what fills beside it.
+    pub(crate) headroom: Option<f64>,
+    /// Its last reading.
+    pub(crate) reading: Option<Reading>,
     /// Since when a serving task's tail has been over its target.
     pub(crate) over_since: Option<Time>,
     /// Since when a filling task has been slowed down much.
@@ -112,7 +116,8 @@
             percent: 0,
             moved: now,
             figure: 0,
-            level: None,
+            headroom: None,
+            reading: None,
             over_since: None,
             held_back: None,
             pace: FULL_PACE,
--- a/crates/planner/src/interfere.rs
+++ b/crates/planner/src/interfere.rs
@@ -1,11 +1,14 @@
 //! How much tasks that fill slow tasks that serve, learnt by pairs of images.
 //!
 //! Pattern answered: most pairs hardly touch each other, a few press hard, and which ones do can't
-//! be known beforehand; tails are noisy and swing with the load. So the logarithm of a tail over
-//! its target is taken as a level of the image's own, plus a weight for each pair times the part of
-//! the worker's processors that the filling image uses. The weights are followed by a filter of
-//! Kalman's kind that keeps a variance for each pair and no covariances: a few dozen readings, a
-//! few seconds of a busy cell, tell the pairs that press from those that don't.
+//! be known beforehand; tails are rough and swing with the load. A queue's response times grow like
+//! one over what is left of its capacity, so a tail's inverse falls in proportion to the load, its
+//! own and what others press on it. The model therefore works with the *headroom*, the target over
+//! the tail: one is just at the target, and each filling image takes away a weight of the pair
+//! times the part of the worker's processors that it uses. Weights are followed by a filter of
+//! Kalman's kind that keeps a variance for each and no covariances. Each reading is used twice:
+//! against the image's usual headroom, and against the same task's reading before, whose load is
+//! nearly the same.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -17,58 +20,118 @@
 /// Parts of a worker's processors that filling images use.
 pub(crate) type Shares = SmallVec<[(Image, f64); 8]>;
 
-/// Weight that a pair is given before anything is known of it: an image that fills a third of a
-/// worker then raises a tail by a third.
-const FIRST_WEIGHT: f64 = 1.0;
-/// Variance of a pair's weight before anything is known: weights from none to seven were seen.
-const FIRST_VARIANCE: f64 = 9.0;
-/// Variance of one reading: the load's swing and the roughness of the figure, as measured on a
-/// cell without any filling task (standard deviation 0.4 to 0.5).
-const READING_VARIANCE: f64 = 0.25;
-/// Added to a pair's variance with each reading, since what tasks do changes with time.
-const DRIFT: f64 = 0.0005;
-/// Weight of one reading in an image's own level; a cell gives some hundred a second.
-const LEVEL_PART: f64 = 0.01;
-/// Level of an image before anything is known: a tail at four tenths of its target.
-const FIRST_LEVEL: f64 = -0.9;
-/// Spread of an image's level before anything is known.
-const FIRST_SPREAD: f64 = 0.35;
+/// Weight that a pair is given before anything is known of it.
+const FIRST_WEIGHT: f64 = 2.0;
+/// Variance of a pair's weight before anything is known: weights from none to a dozen were seen.
+const FIRST_VARIANCE: f64 = 16.0;
+/// Headroom of an image before anything is known: half the capacity left, target at six times the
+/// unloaded tail.
+const FIRST_HEADROOM: f64 = 2.5;
+/// Its variance.
+const HEADROOM_VARIANCE: f64 = 1.0;
+/// Swing of an image's headroom before anything is known.
+const FIRST_SWING: f64 = 0.8;
+/// Weight of one reading in an image's swing.
+const SWING_PART: f64 = 0.01;
+/// How many swings below the usual the load takes the headroom at its peak: a sine's peak is 1.6
+/// times its mean distance from the middle.
+const PEAK_SWINGS: f64 = 1.6;
+/// Variance of a reading around its image's usual headroom, from the load's swing.
+const READING_VARIANCE: f64 = 1.0;
+/// Variance of the difference of two readings half a second apart.
+const STEP_VARIANCE: f64 = 0.3;
+/// Added to a variance with each reading, since what tasks do changes with time.
+const DRIFT: f64 = 0.002;
+/// Below this the queue is full: a lower headroom can't be told from this one.
+const FULL: f64 = 0.25;
 
 #[derive(Clone, Copy, Debug)]
-struct Weight {
+struct Estimate {
     mean: f64,
     variance: f64,
 }
 
-impl Default for Weight {
-    fn default() -> Weight {
-        Weight { mean: FIRST_WEIGHT, variance: FIRST_VARIANCE }
+impl Estimate {
+    /// Takes in an error of the whole, of which this estimate had the part `share`; `total` is the
+    /// variance of the whole.
+    fn correct(&mut self, error: f64, share: f64, total: f64) {
+        let gain = self.variance * share / total;
+        self.mean = (self.mean + gain * error).max(0.0);
+        self.variance = self.variance * (1.0 - gain * share) + DRIFT;
     }
 }
 
+const FIRST: Estimate = Estimate { mean: FIRST_WEIGHT, variance: FIRST_VARIANCE };
+
 #[derive(Clone, Debug)]
 struct Serving {
-    level: f64,
-    spread: f64,
-    weights: HashMap<Image, Weight>,
+    headroom: Estimate,
+    /// How far the headroom swings with the load: mean distance from the usual.
+    swing: f64,
+    weights: HashMap<Image, Estimate>,
 }
 
 impl Default for Serving {
     fn default() -> Serving {
-        Serving { level: FIRST_LEVEL, spread: FIRST_SPREAD, weights: HashMap::new() }
+        let headroom = Estimate { mean: FIRST_HEADROOM, variance: HEADROOM_VARIANCE };
+        Serving { headroom, swing: FIRST_SWING, weights: HashMap::new() }
     }
 }
 
 impl Serving {
+    fn weight(&self, image: &Image) -> Estimate {
+        self.weights.get(image).copied().unwrap_or(FIRST)
+    }
+
     fn pressure(&self, shares: &Shares) -> f64 {
         shares.iter().map(|(image, share)| self.weight(image).mean * share).sum()
     }
 
-    fn weight(&self, image: &Image) -> Weight {
-        self.weights.get(image).copied().unwrap_or_default()
+    /// Corrects the weights for an error in the headroom, which falls with each share.
+    fn correct(&mut self, error: f64, shares: &Shares, noise: f64) {
+        let mut total = noise;
+        for (filling, share) in shares {
+            total += self.weight(filling).variance * share * share;
+        }
+        for (filling, share) in shares {
+            let weight = self.weights.entry(filling.clone()).or_insert(FIRST);
+            weight.correct(error, -share, total);
+        }
+    }
+
+    fn learn_level(&mut self, reading: &Reading) {
+        let expected = self.headroom.mean - self.pressure(&reading.shares);
+        let error = reading.headroom - expected;
+        // A full queue shows no less, however hard it is pressed.
+        if reading.headroom <= FULL && error > 0.0 {
+            return;
+        }
+        let total = READING_VARIANCE + self.headroom.variance;
+        self.correct(error, &reading.shares, total);
+        self.headroom.correct(error, 1.0, total);
+        self.swing += SWING_PART * (error.abs() - self.swing);
+    }
+
+    fn learn_step(&mut self, before: &Reading, reading: &Reading) {
+        if before.headroom <= FULL || reading.headroom <= FULL {
+            return;
+        }
+        let change = difference(&reading.shares, &before.shares);
+        let expected = -self.pressure(&change);
+        let error = reading.headroom - before.headroom - expected;
+        self.correct(error, &change, STEP_VARIANCE);
     }
 }
 
+/// One reading of a serving task.
+#[derive(Clone, Debug)]
+pub(crate) struct Reading {
+    /// Its target over its tail.
+    pub(crate) headroom: f64,
+    /// What filled beside it.
+    pub(crate) shares: Shares,
+}
+
 /// What is known of all pairs.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Model {
@@ -76,26 +139,16 @@
 }
 
 impl Model {
-    /// Learns from one reading: the logarithm of a tail over its target, beside these shares.
-    pub(crate) fn learn(&mut self, image: &Image, reading: f64, shares: &Shares) {
+    /// Learns from a reading, and from what changed since the one before.
+    pub(crate) fn learn(&mut self, image: &Image, before: Option<&Reading>, reading: &Reading) {
         let serving = self.images.entry(image.clone()).or_default();
-        let error = reading - serving.level - serving.pressure(shares);
-        let mut total = READING_VARIANCE;
-        for (filling, share) in shares {
-            total += serving.weight(filling).variance * share * share;
+        if let Some(before) = before {
+            serving.learn_step(before, reading);
         }
-        for (filling, share) in shares {
-            let weight = serving.weights.entry(filling.clone()).or_default();
-            let gain = weight.variance * share / total;
-            weight.mean = (weight.mean + gain * error).max(0.0);
-            weight.variance = weight.variance * (1.0 - gain * share) + DRIFT;
-        }
-        let rest = reading - serving.pressure(shares);
-        serving.level += LEVEL_PART * (rest - serving.level);
-        serving.spread += LEVEL_PART * ((rest - serving.level).abs() - serving.spread);
+        serving.learn_level(reading);
     }
 
-    /// Returns by how much these shares raise the logarithm of an image's tail.
+    /// Returns how much of an image's headroom these shares take away.
     pub(crate) fn pressure(&self, image: &Image, shares: &Shares) -> f64 {
         match self.images.get(image) {
             Some(serving) => serving.pressure(shares),
@@ -105,16 +158,20 @@
 
     /// Returns a pair's weight and its standard deviation.
     pub(crate) fn weight(&self, image: &Image, filling: &Image) -> (f64, f64) {
-        let weight = self.images.get(image).map(|serving| serving.weight(filling));
-        let weight = weight.unwrap_or_default();
+        let weight = self.images.get(image).map_or(FIRST, |serving| serving.weight(filling));
         (weight.mean, weight.variance.sqrt())
     }
 
-    /// Returns an image's usual level without tasks that fill, and how far it swings.
-    pub(crate) fn level(&self, image: &Image) -> (f64, f64) {
+    /// Returns an image's usual headroom without tasks that fill.
+    pub(crate) fn headroom(&self, image: &Image) -> f64 {
+        self.images.get(image).map_or(FIRST_HEADROOM, |serving| serving.headroom.mean)
+    }
+
+    /// Returns the headroom that an image has at the peak of its load, without tasks that fill.
+    pub(crate) fn least_headroom(&self, image: &Image) -> f64 {
         match self.images.get(image) {
-            Some(serving) => (serving.level, serving.spread),
-            None => (FIRST_LEVEL, FIRST_SPREAD),
+            Some(serving) => serving.headroom.mean - PEAK_SWINGS * serving.swing,
+            None => FIRST_HEADROOM - PEAK_SWINGS * FIRST_SWING,
         }
     }
 
@@ -127,3 +184,20 @@
         sum / self.images.len() as f64
     }
 }
+
+/// Returns the first shares less the second.
+fn difference(now: &Shares, before: &Shares) -> Shares {
+    let mut shares = now.clone();
+    for (image, part) in before {
+        add(&mut shares, image, -part);
+    }
+    shares
+}
+
+/// Adds a part to an image's share.
+pub(crate) fn add(shares: &mut Shares, image: &Image, part: f64) {
+    match shares.iter_mut().find(|(known, _)| known == image) {
+        Some((_, sum)) => *sum += part,
+        None => shares.push((image.clone(), part)),
+    }
+}
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -131,9 +131,10 @@
         match self.jobs.get_mut(&job) {
             Some(state) => state.accepted = accepted,
             None => {
+                let queue = accepted.queue.to_string();
                 self.insert_job(job, accepted);
                 self.room_changed = true;
-                self.note(Number::JobKnown, Some(job), None, None, "");
+                self.note(Number::JobKnown, Some(job), None, None, queue);
             }
         }
         if self.jobs[&job].end.is_none() && self.jobs[&job].accepted.cancelled {
