--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod planner;
 mod rank;
 pub mod record;
+mod reserve;
 pub mod settings;
 mod takeover;
 mod worker;
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -63,7 +63,15 @@
             .filter(|(_, task)| task.place == Place::Waiting && task.not_before <= self.now)
             .map(|(index, _)| index as u32)
             .collect();
+        let mut spare = match spec.long_running {
+            true => self.spare_for_lasting(&open),
+            false => f64::INFINITY,
+        };
         for index in tasks {
+            spare -= f64::from(spec.demand.cpu_milli);
+            if spare < 0.0 {
+                return;
+            }
             let task = TaskId { job, occurrence: 0, step, index };
             let Some(worker) = self.choose(task, spec, &open) else {
                 if plain {
@@ -75,6 +83,19 @@
         }
     }
 
+    /// Returns the thousandths of a processor that tasks which last may still take.
+    fn spare_for_lasting(&self, open: &[WorkerId]) -> f64 {
+        let mut capacity = 0.0;
+        let mut taken = 0.0;
+        for &worker in open {
+            let worker = &self.workers[worker];
+            capacity += f64::from(worker.capacity.cpu_milli);
+            let lasting = worker.runs.values().filter(|hosted| hosted.lasts && !hosted.fills);
+            taken += lasting.map(|hosted| f64::from(hosted.demand.cpu_milli)).sum::<f64>();
+        }
+        capacity - taken - self.reserve.milli(self.now, capacity)
+    }
+
     /// Returns the service whose workers run a job: what the operator says now, or said last.
     fn service(&self, job: JobId) -> cowslipchute_base::id::Service {
         let accepted = &self.jobs[&job].accepted;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -21,6 +21,7 @@
 use crate::interfere::Model;
 use crate::job::Job;
 use crate::order::Timer;
+use crate::reserve::Reserve;
 use crate::settings::Settings;
 use crate::worker::Worker;
 use crate::worker::WorkerId;
@@ -50,6 +51,8 @@
     pub(crate) names: HashMap<id::Instance, WorkerId>,
     /// Mean work of each queue's jobs, in core-seconds.
     pub(crate) works: HashMap<Arc<str>, f64>,
+    /// Room kept for short tasks.
+    pub(crate) reserve: Reserve,
     /// Which images slow which.
     pub(crate) model: Model,
     /// What is due when.
@@ -78,6 +81,7 @@
             workers: Table::default(),
             names: HashMap::new(),
             works: HashMap::new(),
+            reserve: Reserve::default(),
             model: Model::default(),
             timers: BTreeSet::new(),
             room_changed: false,
--- /dev/null
+++ b/crates/planner/src/reserve.rs
@@ -0,0 +1,63 @@
+//! Room that tasks which last leave to those that don't.
+//!
+//! Pattern answered: tasks that last come first and stay, until the cell is full of them and the
+//! short tasks of equal priority, worth several times as much for each core-second, find no room
+//! for the rest of the day. So the processors that short tasks have needed lately, and some more
+//! for their bursts, stay free of tasks that last. Where no short task comes, the reserve fades.
+
+use std::time::Duration;
+
+use cowslipchute_base::id::Time;
+use cowslipchute_ports::job::Spec;
+
+/// Work of the last so many seconds decides: a few times what a short job takes.
+const MEMORY: Duration = Duration::from_secs(8);
+/// Reserve over the mean need, for bursts and for gaps that are too small to use.
+const BURST: f64 = 1.7;
+/// Part of the cell reserved before anything is known of short tasks.
+const FIRST_PART: f64 = 0.12;
+/// How fast that fades.
+const FIRST_MEMORY: Duration = Duration::from_secs(20);
+/// The reserve never takes more of the cell than this: what lasts is also served.
+const MOST_PART: f64 = 0.2;
+
+/// What short tasks have needed lately.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Reserve {
+    /// Core-seconds, fading.
+    work: f64,
+    at: Time,
+    since: Time,
+}
+
+impl Reserve {
+    pub(crate) fn open(now: Time) -> Reserve {
+        Reserve { work: 0.0, at: now, since: now }
+    }
+
+    fn faded(&self, now: Time) -> f64 {
+        self.work * fade(now.saturating_sub(self.at), MEMORY)
+    }
+
+    /// Counts the work of a job that has come.
+    pub(crate) fn count(&mut self, now: Time, spec: &Spec) {
+        let short = spec.steps.iter().filter(|step| !step.long_running && !step.fills);
+        let work = short.map(|step| {
+            let cores = f64::from(step.demand.cpu_milli) / 1e3;
+            f64::from(step.count) * cores * step.estimate.as_secs_f64()
+        });
+        self.work = self.faded(now) + work.sum::<f64>();
+        self.at = now;
+    }
+
+    /// Returns the thousandths of a processor to keep free of tasks that last, of `capacity`.
+    pub(crate) fn milli(&self, now: Time, capacity: f64) -> f64 {
+        let need = self.faded(now) / MEMORY.as_secs_f64() * 1e3 * BURST;
+        let first = FIRST_PART * capacity * fade(now.saturating_sub(self.since), FIRST_MEMORY);
+        need.max(first).min(MOST_PART * capacity)
+    }
+}
+
+fn fade(passed: Duration, memory: Duration) -> f64 {
+    (-passed.as_secs_f64() / memory.as_secs_f64()).exp()
+}
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -22,6 +22,7 @@
 use crate::planner::Planner;
 use crate::record;
 use crate::record::Record;
+use crate::reserve::Reserve;
 use crate::worker::Hold;
 use crate::worker::Worker;
 use crate::worker::WorkerId;
@@ -41,6 +42,7 @@
         self.disown();
         self.epoch = Some(epoch);
         self.owned_at = self.now;
+        self.reserve = Reserve::open(self.now);
         for (job, accepted) in jobs {
             self.insert_job(job, accepted);
         }
@@ -72,6 +74,7 @@
         self.arrivals += 1;
         let terms = Terms::of(self.config.as_deref(), &accepted.queue);
         let state = Job::new(accepted, terms, self.now, self.arrivals);
+        self.reserve.count(self.now, &state.accepted.spec);
         Planner::learn_work(&mut self.works, &state.accepted.queue, state.work());
         self.jobs.insert(job, state);
         self.waiting.insert(job);
