Remember a refused demand for its own image only

Cause: one image that found no worker without pressing on some task kept every larger filling task waiting for the rest of the pass.

--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -6,6 +6,7 @@
 use cowslipchute_base::amount::Amount;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::JobId;
+use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::StepIndex;
 use cowslipchute_ports::job::TaskId;
 
@@ -15,12 +16,28 @@
 use crate::planner::Planner;
 use crate::worker::WorkerId;
 
-/// A demand for which no room was found in this pass; a larger one needs no second look.
+/// A demand for which no room was found in this pass; a larger one of the same kind needs no second
+/// look.
 struct Refused {
-    fills: bool,
+    /// The image of a step that fills: where it finds room depends on whom it presses.
+    filling: Option<Option<Arc<str>>>,
+    /// Whether the step lasts.
+    lasts: bool,
     demand: Amount,
 }
 
+impl Refused {
+    fn new(spec: &Step) -> Refused {
+        let filling = spec.fills.then(|| spec.image.clone());
+        Refused { filling, lasts: spec.long_running, demand: spec.demand }
+    }
+
+    fn covers(&self, spec: &Step) -> bool {
+        let same = self.filling.as_ref() == spec.fills.then_some(&spec.image);
+        same && self.lasts == spec.long_running && self.demand.fits(spec.demand)
+    }
+}
+
 impl Planner {
     pub(crate) fn place(&mut self) {
         let mut refused: Vec<Refused> = Vec::new();
@@ -45,8 +62,7 @@
         let accepted = self.jobs[&job].accepted.clone();
         let spec = &accepted.spec.steps[usize::from(step)];
         let plain = spec.max_per_worker == 0 && spec.required_label.is_none();
-        let hopeless = |seen: &Refused| seen.fills == spec.fills && seen.demand.fits(spec.demand);
-        if refused.iter().any(hopeless) {
+        if refused.iter().any(|seen| seen.covers(spec)) {
             return;
         }
         let service = self.service(job);
@@ -75,7 +91,7 @@
             let task = TaskId { job, occurrence: 0, step, index };
             let Some(worker) = self.choose(task, spec, &open) else {
                 if plain {
-                    refused.push(Refused { fills: spec.fills, demand: spec.demand });
+                    refused.push(Refused::new(spec));
                 }
                 return;
             };
@@ -106,7 +122,7 @@
     fn choose(
         &self,
         task: TaskId,
-        spec: &cowslipchute_ports::job::Step,
+        spec: &Step,
         open: &[WorkerId],
     ) -> Option<WorkerId> {
         let shunned = self.jobs[&task.job].task(task).and_then(|task| task.shunned);
