Estimate what serving tasks use from their headroom, and alarm only those that may press

Cause: a fixed 0.6 of what serving tasks reserve left processors unused, and an alarm stood harmless tasks still beside one that was over its target by its own load.

--- a/crates/planner/src/colocate.rs
+++ b/crates/planner/src/colocate.rs
@@ -40,8 +40,8 @@
 const LEAST_PRESSURE: f64 = 0.06;
 /// Paces are whole multiples of this, so that small changes need no order.
 const PACE_STEP: f64 = 20.0;
-/// A tail that stays over its target for this part of the time allowed, whatever the model says of
-/// the tasks beside it, has all of them stood still.
+/// A tail that stays over its target for this part of the time allowed has all tasks beside it stand
+/// still that may be the cause.
 const ALARM_PART: f64 = 0.45;
 /// A task that was slowed below this, in percent, for [`MOVE_AFTER`] is moved.
 const MOVE_PACE: u8 = 60;
@@ -50,7 +50,8 @@
 
 const NO_IMAGE: &str = "";
 
-fn image(hosted: &Hosted) -> Image {
+/// Returns what a run runs.
+pub(crate) fn image(hosted: &Hosted) -> Image {
     hosted.image.clone().unwrap_or_else(|| NO_IMAGE.into())
 }
 
@@ -143,11 +144,12 @@
             let mut pace: f64 = 1.0;
             for served in state.runs.values().filter(|served| served.serves()) {
                 let pressed = image(served);
+                let (weight, deviation) = self.model.weight(&pressed, &filling);
                 let over = served.over_since.is_some_and(|since| now >= since + alarm);
-                if over {
+                if over && (weight + deviation) * part >= LEAST_PRESSURE {
                     pace = 0.0;
                 }
-                if self.model.weight(&pressed, &filling).0 * part < LEAST_PRESSURE {
+                if weight * part < LEAST_PRESSURE {
                     continue;
                 }
                 let total = self.model.pressure(&pressed, &full);
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -9,13 +9,16 @@
 use smallvec::SmallVec;
 
 use crate::colocate::added_pressure;
+use crate::colocate::image;
 use crate::host::Hosted;
+use crate::interfere::Model;
 use crate::planner::Planner;
 use crate::worker::Worker;
 
-/// Part of its processors that a task which serves uses on average, until it is known better; the
-/// rest is what tasks that fill may use.
-const SERVING_USE: f64 = 0.6;
+/// Least and most of its processors that a task which serves is taken to use.
+const SERVING_USE: std::ops::RangeInclusive<f64> = 0.2..=0.9;
+/// Added to that, since its load may rise while a task that fills runs.
+const SERVING_RISE: f64 = 0.05;
 /// Tasks that fill are placed where at least this part of their processors is free, so that a
 /// little is shared rather than left unused.
 const FILL_PART: f64 = 0.8;
@@ -30,9 +33,18 @@
 /// What pressure on a serving task costs, against free processors.
 const PRESSURE_RATE: f64 = 3.0;
 
+/// Estimates the part of its processors that a serving task uses, from its headroom: none is left
+/// at full use, and its image's usual headroom goes with half of it.
+fn serving_use(model: &Model, hosted: &Hosted) -> f64 {
+    let usual = model.headroom(&image(hosted)).max(0.1);
+    let own = hosted.headroom.unwrap_or(usual);
+    let used = 1.0 - own / (2.0 * usual) + SERVING_RISE;
+    used.clamp(*SERVING_USE.start(), *SERVING_USE.end())
+}
+
 impl Worker {
     /// Returns the thousandths of a processor that tasks which fill can still use.
-    pub(crate) fn fill_room(&self) -> i64 {
+    pub(crate) fn fill_room(&self, model: &Model) -> i64 {
         let mut taken = 0.0;
         let mut filled = 0.0;
         for hosted in self.runs.values() {
@@ -40,7 +52,7 @@
             if hosted.fills {
                 filled += cpu;
             } else if hosted.serves() {
-                taken += cpu * SERVING_USE;
+                taken += cpu * serving_use(model, hosted);
             } else {
                 taken += cpu;
             }
@@ -69,10 +81,10 @@
         images.len()
     }
 
-    fn fits(&self, step: &Step, reserved: Amount) -> bool {
+    fn fits(&self, model: &Model, step: &Step, reserved: Amount) -> bool {
         reserved.fits(self.room())
             && (!step.fills
-                || self.fill_room() as f64 >= f64::from(step.demand.cpu_milli) * FILL_PART)
+                || self.fill_room(model) as f64 >= f64::from(step.demand.cpu_milli) * FILL_PART)
     }
 }
 
@@ -85,7 +97,7 @@
     /// Tells whether a worker may take a task of a step.
     pub(crate) fn may_take(&self, worker: &Worker, task: TaskId, step: &Step) -> bool {
         let reserved = Hosted::new(step, crate::host::Stage::Inherited, self.now).reserved();
-        worker.fits(step, reserved)
+        worker.fits(&self.model, step, reserved)
             && (!step.fills || added_pressure(&self.model, worker, step).is_some())
             && step.required_label.as_deref().is_none_or(|label| worker.has_label(label))
             && (step.max_per_worker == 0 || worker.count(task) < step.max_per_worker)
@@ -101,7 +113,7 @@
         let away = step.data_rack.as_deref().is_some_and(|rack| !worker.has_label(rack));
         let near = if away { 0.0 } else { 10.0 };
         if step.fills {
-            let free = worker.fill_room() as f64 / capacity;
+            let free = worker.fill_room(&self.model) as f64 / capacity;
             let added = added_pressure(&self.model, worker, step).unwrap_or(f64::INFINITY);
             let press = step.image.as_ref().map_or(0.0, |image| self.model.press(image));
             let quiet = if worker.serves() { 0.0 } else { (press - USUAL_PRESS) * QUIET_RATE };
