--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -47,6 +47,9 @@
 pub struct Parts<S, F> {
     /// The store.
     pub store: S,
+    /// The store, for watching the workers' directory: each of them writes there every second or
+    /// two, so its changes are gathered for longer.
+    pub directory: S,
     /// The workers.
     pub fleet: F,
     /// The configuration in force.
@@ -63,6 +66,7 @@
     fn clone(&self) -> Parts<S, F> {
         Parts {
             store: self.store.clone(),
+            directory: self.directory.clone(),
             fleet: self.fleet.clone(),
             config: self.config.clone(),
             planner: self.planner.clone(),
@@ -110,7 +114,8 @@
         Some(loaded.revision),
         parts.log.clone(),
     );
-    let workers = watcher::spawn(parts.store.clone(), directory::PREFIX, None, parts.log.clone());
+    let workers =
+        watcher::spawn(parts.directory.clone(), directory::PREFIX, None, parts.log.clone());
     let owner = Owner { parts, epoch, events: sender, writes, tasks, listed: HashSet::new() };
     let begin = Event::Owned { epoch, jobs: loaded.jobs, records: loaded.records };
     owner.serve(begin, receiver, jobs, workers).await;
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -41,6 +41,10 @@
 /// Part of that time after which the process ends, whatever is left.
 const END_PART: f64 = 0.85;
 
+/// How long changes of the workers' directory are gathered: a leaving worker has to get nothing new
+/// after two seconds, and each look is a call that the platform counts.
+const DIRECTORY_GAP: Duration = Duration::from_millis(350);
+
 /// Serves until a stop is asked for.
 ///
 /// # Errors
@@ -73,6 +77,7 @@
         .with_context(|| format!("can't bind {readiness}"))?;
     event!(log, Event::Started, "clients" => clients.to_string(), "peers" => own.to_string());
     let parts = Parts {
+        directory: store.clone().with_watch_gap(DIRECTORY_GAP),
         store,
         fleet: Executors::open(client),
         config: in_force,
--- a/crates/planner/src/settings.rs
+++ b/crates/planner/src/settings.rs
@@ -35,7 +35,7 @@
             lease: Duration::from_secs(5),
             hold_wait: Duration::from_millis(1000),
             watch_wait: Duration::from_millis(500),
-            write_gap: Duration::from_millis(20),
+            write_gap: Duration::from_millis(35),
             remember: Duration::from_secs(130),
             harm_time: Duration::from_secs(4),
             stop_time: Duration::from_millis(900),
