--- a/bin/entry/src/main.rs
+++ b/bin/entry/src/main.rs
@@ -14,9 +14,9 @@
 use cowslipchute_entry::settings;
 use cowslipchute_entry::settings::Peers;
 use cowslipchute_entry::settings::Settings;
-use cowslipchute_peer::identity::Identity;
 use cowslipchute_gateway::kv;
 use cowslipchute_gateway::list;
+use cowslipchute_peer::identity::Identity;
 use slog::Logger;
 use slog::o;
 
--- a/bin/scheduler/src/desk.rs
+++ b/bin/scheduler/src/desk.rs
@@ -166,9 +166,8 @@
 }
 
 fn decode<T: for<'de> serde::Deserialize<'de>>(entry: &kv::Entry) -> Result<T, Rejection> {
-    record::decode(&entry.value).map_err(|error| {
-        Rejection::new(Code::StoreDown, format!("{}: {error}", entry.key))
-    })
+    record::decode(&entry.value)
+        .map_err(|error| Rejection::new(Code::StoreDown, format!("{}: {error}", entry.key)))
 }
 
 /// Says why a job would never start here, if so.
--- a/bin/scheduler/src/journal.rs
+++ b/bin/scheduler/src/journal.rs
@@ -76,9 +76,8 @@
                     return Ok(());
                 }
                 Ok(verdict) => {
-                    let ours = |entry: &kv::Entry| {
-                        entry.key == keys::SEAT && entry.revision == self.epoch
-                    };
+                    let ours =
+                        |entry: &kv::Entry| entry.key == keys::SEAT && entry.revision == self.epoch;
                     if !verdict.current.iter().any(ours) {
                         return Err(Outranked);
                     }
@@ -138,12 +137,7 @@
 
     /// Tells whether an earlier try, whose answer was lost, was carried out: then every record is
     /// as this try would have left it.
-    fn adopt(
-        &mut self,
-        changes: &[Change],
-        wanted: &[kv::Change],
-        current: &[kv::Entry],
-    ) -> bool {
+    fn adopt(&mut self, changes: &[Change], wanted: &[kv::Change], current: &[kv::Entry]) -> bool {
         let found = |key: &str| current.iter().find(|entry| entry.key == key);
         let progress = changes.iter().filter_map(|change| match change {
             Change::Progress { job, .. } => Some(keys::of(keys::RECORDS, *job)),
--- a/bin/scheduler/src/log.rs
+++ b/bin/scheduler/src/log.rs
@@ -75,7 +75,8 @@
         .build()
         .filter_level(level);
     let drain = Mutex::new(json).ignore_res();
-    let logger = Logger::root(drain, o!("process" => "scheduler", "instance" => instance.to_owned()));
+    let logger =
+        Logger::root(drain, o!("process" => "scheduler", "instance" => instance.to_owned()));
     let writer = buffer.clone();
     std::thread::Builder::new().name(String::from("log")).spawn(move || {
         loop {
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -102,18 +102,13 @@
     };
     event!(parts.log, Number::CellLoaded, "epoch" => epoch, "jobs" => loaded.jobs.len(),
         "records" => loaded.records.len(), "revision" => loaded.revision);
-    let journal =
-        Journal::open(parts.store.clone(), epoch, loaded.revisions, parts.log.clone());
+    let journal = Journal::open(parts.store.clone(), epoch, loaded.revisions, parts.log.clone());
     let (sender, receiver) = inbox;
     let (writes, write_receiver) = mpsc::unbounded_channel();
     let mut tasks = JoinSet::new();
     tasks.spawn(write(journal, write_receiver, sender.clone(), parts.words.clone()));
-    let jobs = watcher::spawn(
-        parts.store.clone(),
-        keys::JOBS,
-        Some(loaded.revision),
-        parts.log.clone(),
-    );
+    let jobs =
+        watcher::spawn(parts.store.clone(), keys::JOBS, Some(loaded.revision), parts.log.clone());
     let workers =
         watcher::spawn(parts.directory.clone(), directory::PREFIX, None, parts.log.clone());
     let owner = Owner { parts, epoch, events: sender, writes, tasks, listed: HashSet::new() };
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -58,12 +58,13 @@
     let in_force = config::spawn(store.clone(), log.clone());
     let planner = Arc::new(Mutex::new(Planner::open(figures(&settings))));
     let own = SocketAddr::new(settings.ip, settings.internal_ports.0);
-    let link = link::bind(own, planner.clone()).await.with_context(|| format!("can't bind {own}"))?;
-    let holder = Holder { instance: settings.node_name.clone(), address: own, life: rand::random() };
+    let link =
+        link::bind(own, planner.clone()).await.with_context(|| format!("can't bind {own}"))?;
+    let holder =
+        Holder { instance: settings.node_name.clone(), address: own, life: rand::random() };
     let seat = seat::spawn(store.clone(), holder, settings.limits.cpu_share, log.clone());
     let intake = intake::spawn(store.clone(), log.clone());
-    let desk =
-        Desk::open(store.clone(), in_force.clone(), intake, link, seat.holder, log.clone());
+    let desk = Desk::open(store.clone(), in_force.clone(), intake, link, seat.holder, log.clone());
     let (stop, stopping) = watch::channel(false);
     let (wanted, want) = watch::channel(true);
     let clients = settings.listen.clients;
@@ -127,10 +128,7 @@
 }
 
 /// Runs the cell whenever this process owns it.
-async fn hold_seat(
-    parts: Parts<Keys, Executors>,
-    mut turns: mpsc::UnboundedReceiver<Turn>,
-) {
+async fn hold_seat(parts: Parts<Keys, Executors>, mut turns: mpsc::UnboundedReceiver<Turn>) {
     let mut tenure: Option<Tenure> = None;
     while let Some(turn) = turns.recv().await {
         match turn {
--- a/bin/scheduler/src/seat.rs
+++ b/bin/scheduler/src/seat.rs
@@ -160,9 +160,9 @@
             Change::Deleted { key, revision } if key == keys::SEAT => (revision, None),
             Change::Put(_) | Change::Deleted { .. } => return None,
         };
-        let holder = entry.as_ref().and_then(|entry| {
-            cowslipchute_planner::record::decode::<Holder>(&entry.value).ok()
-        });
+        let holder = entry
+            .as_ref()
+            .and_then(|entry| cowslipchute_planner::record::decode::<Holder>(&entry.value).ok());
         self.holder.send_replace(holder);
         Some(Event::Seen { at, entry })
     }
--- a/crates/planner/src/colocate.rs
+++ b/crates/planner/src/colocate.rs
@@ -63,8 +63,8 @@
 fn shares(worker: &Worker, pace: impl Fn(&Hosted) -> u8) -> Shares {
     let mut shares = Shares::new();
     for hosted in worker.runs.values().filter(|hosted| hosted.fills) {
-        let part = share(hosted.demand.cpu_milli, worker) * f64::from(pace(hosted))
-            / f64::from(FULL_PACE);
+        let part =
+            share(hosted.demand.cpu_milli, worker) * f64::from(pace(hosted)) / f64::from(FULL_PACE);
         interfere::add(&mut shares, &image(hosted), part);
     }
     shares
--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -176,7 +176,8 @@
         let name = state.name.clone();
         let hosted = state.runs.get(&ended.run).cloned();
         if ended.how == How::Failed {
-            let blamed = hosted.as_ref().is_some_and(|hosted| self.blames_worker(ended.run, hosted));
+            let blamed =
+                hosted.as_ref().is_some_and(|hosted| self.blames_worker(ended.run, hosted));
             if blamed {
                 self.strike(worker);
             }
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -12,9 +12,9 @@
 //! - an end is acknowledged to a worker only after the store holds what follows from it.
 
 pub mod action;
-pub mod event;
 mod colocate;
 mod end;
+pub mod event;
 mod fit;
 mod health;
 mod hold;
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -141,7 +141,13 @@
             Ok(_) => {
                 hosted.stage = Stage::Running { since: now };
                 hosted.moved = now;
-                self.note(Number::RunStarted, Some(run.task.job), Some(run), Some(name.clone()), "");
+                self.note(
+                    Number::RunStarted,
+                    Some(run.task.job),
+                    Some(run),
+                    Some(name.clone()),
+                    "",
+                );
             }
             Err(Failure::Refused(Refusal::OtherLife, _)) => self.life_over(worker),
             Err(Failure::Unknown | Failure::Refused(Refusal::Fenced, _)) => {
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -119,12 +119,7 @@
         queue.map_or_else(|| accepted.service.clone(), |queue| queue.service.clone())
     }
 
-    fn choose(
-        &self,
-        task: TaskId,
-        spec: &Step,
-        open: &[WorkerId],
-    ) -> Option<WorkerId> {
+    fn choose(&self, task: TaskId, spec: &Step, open: &[WorkerId]) -> Option<WorkerId> {
         let shunned = self.jobs[&task.job].task(task).and_then(|task| task.shunned);
         let mut best: Option<(bool, f64, WorkerId)> = None;
         for &id in open {
--- a/crates/planner/src/record.rs
+++ b/crates/planner/src/record.rs
@@ -74,4 +74,3 @@
         _ => Err(Error::Version),
     }
 }
-
--- a/crates/tenure/src/seat.rs
+++ b/crates/tenure/src/seat.rs
@@ -127,12 +127,29 @@
     /// Somebody else owns it, or it is not known who does.
     Watching,
     /// Nobody owns it; it is claimed at a time.
-    Vacant { claim_at: Time },
-    Granting { sent: Sent },
-    Claiming { lease: kv::LeaseId, until: Time, sent: Ticket },
+    Vacant {
+        claim_at: Time,
+    },
+    Granting {
+        sent: Sent,
+    },
+    Claiming {
+        lease: kv::LeaseId,
+        until: Time,
+        sent: Ticket,
+    },
     /// The claim's answer was lost; the watch will tell, or the lease runs out.
-    Unsettled { lease: kv::LeaseId, until: Time },
-    Owning { lease: kv::LeaseId, epoch: Revision, until: Time, renew_at: Time, sent: Option<Sent> },
+    Unsettled {
+        lease: kv::LeaseId,
+        until: Time,
+    },
+    Owning {
+        lease: kv::LeaseId,
+        epoch: Revision,
+        until: Time,
+        renew_at: Time,
+        sent: Option<Sent>,
+    },
 }
 
 /// Decides whether this process owns the cell.
