Let writes overlap, and move runs that stand still or crawl

Cause: with the store at 250 ms an answer each start waited for the write before its own; tasks on a hanging worker were held for ever.

--- a/bin/scheduler/src/journal.rs
+++ b/bin/scheduler/src/journal.rs
@@ -5,6 +5,9 @@
 //! when a newer record is in its place.
 
 use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use cowslipchute_base::event::Event;
@@ -23,21 +26,19 @@
 
 /// Pause before a write that did not come through is made again.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
-/// The most entries that one change takes: a guard and three changes.
-const CHANGE_ENTRIES: usize = 4;
 
 /// The ownership was lost: another owner's key stands where ours was.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Outranked;
 
 /// Writes for one ownership.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Journal<S> {
     store: S,
     /// Revision of the seat's key, which guards every write.
     epoch: Revision,
-    /// Revisions of the records in the store.
-    revisions: HashMap<JobId, Revision>,
+    /// Revisions of the records in the store. Writes that overlap are of different jobs.
+    revisions: Arc<Mutex<HashMap<JobId, Revision>>>,
     log: Log,
 }
 
@@ -49,7 +50,7 @@
         revisions: HashMap<JobId, Revision>,
         log: Log,
     ) -> Journal<S> {
-        Journal { store, epoch, revisions, log }
+        Journal { store, epoch, revisions: Arc::new(Mutex::new(revisions)), log }
     }
 
     /// Writes changes until they are surely in the store.
@@ -57,15 +58,17 @@
     /// # Errors
     ///
     /// [`Outranked`] when the cell has another owner; then some may be in the store.
-    pub async fn write(&mut self, changes: &[Change]) -> Result<(), Outranked> {
-        let each = (TXN_ENTRIES - 1) / CHANGE_ENTRIES;
-        for part in changes.chunks(each) {
+    pub async fn write(&self, changes: &[Change]) -> Result<(), Outranked> {
+        let mut rest = changes;
+        while !rest.is_empty() {
+            let (part, later) = rest.split_at(whole_part(rest));
             self.write_part(part).await?;
+            rest = later;
         }
         Ok(())
     }
 
-    async fn write_part(&mut self, changes: &[Change]) -> Result<(), Outranked> {
+    async fn write_part(&self, changes: &[Change]) -> Result<(), Outranked> {
         let mut unsettled = false;
         loop {
             let txn = self.txn(changes);
@@ -96,13 +99,17 @@
         }
     }
 
+    fn lock(&self) -> MutexGuard<'_, HashMap<JobId, Revision>> {
+        self.revisions.lock().expect("nobody panics while holding the revisions")
+    }
+
     fn txn(&self, changes: &[Change]) -> kv::Txn {
         let mut txn = kv::Txn::default();
         txn.guards.push(Guard::Unchanged(keys::SEAT.to_owned(), self.epoch));
         for change in changes {
             let (Change::Progress { job, .. } | Change::End { job, .. }) = change;
             let key = keys::of(keys::RECORDS, *job);
-            let known = self.revisions.get(job).copied();
+            let known = self.lock().get(job).copied();
             txn.guards.push(match known {
                 Some(revision) => Guard::Unchanged(key.clone(), revision),
                 None => Guard::Missing(key.clone()),
@@ -126,18 +133,18 @@
         txn
     }
 
-    fn applied(&mut self, changes: &[Change], revision: Revision) {
+    fn applied(&self, changes: &[Change], revision: Revision) {
         for change in changes {
             match change {
-                Change::Progress { job, .. } => self.revisions.insert(*job, revision),
-                Change::End { job, .. } => self.revisions.remove(job),
+                Change::Progress { job, .. } => self.lock().insert(*job, revision),
+                Change::End { job, .. } => self.lock().remove(job),
             };
         }
     }
 
     /// Tells whether an earlier try, whose answer was lost, was carried out: then every record is
     /// as this try would have left it.
-    fn adopt(&mut self, changes: &[Change], wanted: &[kv::Change], current: &[kv::Entry]) -> bool {
+    fn adopt(&self, changes: &[Change], wanted: &[kv::Change], current: &[kv::Entry]) -> bool {
         let found = |key: &str| current.iter().find(|entry| entry.key == key);
         let progress = changes.iter().filter_map(|change| match change {
             Change::Progress { job, .. } => Some(keys::of(keys::RECORDS, *job)),
@@ -161,14 +168,29 @@
     }
 
     /// Takes over the revisions that the store shows.
-    fn relearn(&mut self, changes: &[Change], current: &[kv::Entry]) {
+    fn relearn(&self, changes: &[Change], current: &[kv::Entry]) {
         for change in changes {
             let (Change::Progress { job, .. } | Change::End { job, .. }) = change;
             let key = keys::of(keys::RECORDS, *job);
             match current.iter().find(|entry| entry.key == key) {
-                Some(entry) => self.revisions.insert(*job, entry.revision),
-                None => self.revisions.remove(job),
+                Some(entry) => self.lock().insert(*job, entry.revision),
+                None => self.lock().remove(job),
             };
         }
     }
 }
+
+/// Returns how many of the first changes one transaction can hold beside the guard of the seat.
+fn whole_part(changes: &[Change]) -> usize {
+    let mut entries = 1;
+    let fitting = changes.iter().take_while(|change| {
+        entries += match change {
+            // A guard and the record.
+            Change::Progress { .. } => 2,
+            // A guard, the end, and the job and its record to be removed.
+            Change::End { .. } => 4,
+        };
+        entries <= TXN_ENTRIES
+    });
+    fitting.count()
+}
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -29,6 +29,7 @@
 use crate::config::InForce;
 use crate::event;
 use crate::journal::Journal;
+use crate::journal::Outranked;
 use crate::keys;
 use crate::log::Log;
 use crate::seat::Word;
@@ -158,22 +159,26 @@
     Ok(Some((job, Arc::new(accepted))))
 }
 
-/// Writes one batch after the other.
+/// Writes batches as they come; those that overlap are of different jobs.
 async fn write<S: Store>(
-    mut journal: Journal<S>,
+    journal: Journal<S>,
     mut batches: mpsc::UnboundedReceiver<(Batch, Vec<Record>)>,
     events: mpsc::UnboundedSender<Event>,
     words: mpsc::UnboundedSender<Word>,
 ) {
+    let mut writes = JoinSet::new();
     while let Some((batch, changes)) = batches.recv().await {
-        if journal.write(&changes).await.is_err() {
-            // The seat is gone only when the process is ending.
-            let _ = words.send(Word::Refused);
-            return;
-        }
-        if events.send(Event::Written { batch }).is_err() {
-            return;
-        }
+        let journal = journal.clone();
+        let events = events.clone();
+        let words = words.clone();
+        writes.spawn(async move {
+            // The receivers are gone only when the ownership or the process is ending.
+            match journal.write(&changes).await {
+                Ok(()) => drop(events.send(Event::Written { batch })),
+                Err(Outranked) => drop(words.send(Word::Refused)),
+            }
+        });
+        while writes.try_join_next().is_some() {}
     }
 }
 
--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -165,6 +165,7 @@
         }
         self.settle_absent(worker, sent, &listed);
         self.guard_targets(worker);
+        self.watch_progress(worker);
     }
 
     fn take_end(&mut self, worker: WorkerId, ended: Ended) {
@@ -182,6 +183,9 @@
                 self.strike(worker);
             }
         }
+        if let (How::Done, Some(hosted)) = (ended.how, &hosted) {
+            self.learn_speed(hosted);
+        }
         let job = ended.run.task.job;
         let detail = how_text(ended.how);
         self.note(Number::RunEnded, Some(job), Some(ended.run), Some(name), detail);
@@ -201,6 +205,7 @@
             Stage::Starting { .. } | Stage::Inherited => {
                 hosted.stage = Stage::Running { since: now };
                 hosted.moved = now;
+                hosted.first_percent = running.percent;
             }
             // The order was lost with an earlier owner or is on its way; it is listed all the same.
             Stage::Intended { .. } | Stage::Running { .. } | Stage::Stopping { .. } => {}
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -83,6 +83,8 @@
     pub(crate) estimate: Duration,
     pub(crate) checkpoint: Option<id::Checkpoint>,
     pub(crate) percent: u8,
+    /// `percent` when it was first listed.
+    pub(crate) first_percent: u8,
     /// When `percent` last rose.
     pub(crate) moved: Time,
     pub(crate) figure: u32,
@@ -114,6 +116,7 @@
             estimate: step.estimate,
             checkpoint: None,
             percent: 0,
+            first_percent: 0,
             moved: now,
             figure: 0,
             headroom: None,
--- a/crates/planner/src/interfere.rs
+++ b/crates/planner/src/interfere.rs
@@ -29,13 +29,6 @@
 const FIRST_HEADROOM: f64 = 2.5;
 /// Its variance.
 const HEADROOM_VARIANCE: f64 = 1.0;
-/// Swing of an image's headroom before anything is known.
-const FIRST_SWING: f64 = 0.8;
-/// Weight of one reading in an image's swing.
-const SWING_PART: f64 = 0.01;
-/// How many swings below the usual the load takes the headroom at its peak: a sine's peak is 1.6
-/// times its mean distance from the middle.
-const PEAK_SWINGS: f64 = 1.6;
 /// Variance of a reading around its image's usual headroom, from the load's swing.
 const READING_VARIANCE: f64 = 1.0;
 /// Variance of the difference of two readings half a second apart.
@@ -66,15 +59,13 @@
 #[derive(Clone, Debug)]
 struct Serving {
     headroom: Estimate,
-    /// How far the headroom swings with the load: mean distance from the usual.
-    swing: f64,
     weights: HashMap<Image, Estimate>,
 }
 
 impl Default for Serving {
     fn default() -> Serving {
         let headroom = Estimate { mean: FIRST_HEADROOM, variance: HEADROOM_VARIANCE };
-        Serving { headroom, swing: FIRST_SWING, weights: HashMap::new() }
+        Serving { headroom, weights: HashMap::new() }
     }
 }
 
@@ -109,7 +100,6 @@
         let total = READING_VARIANCE + self.headroom.variance;
         self.correct(error, &reading.shares, total);
         self.headroom.correct(error, 1.0, total);
-        self.swing += SWING_PART * (error.abs() - self.swing);
     }
 
     fn learn_step(&mut self, before: &Reading, reading: &Reading) {
@@ -167,14 +157,6 @@
         self.images.get(image).map_or(FIRST_HEADROOM, |serving| serving.headroom.mean)
     }
 
-    /// Returns the headroom that an image has at the peak of its load, without tasks that fill.
-    pub(crate) fn least_headroom(&self, image: &Image) -> f64 {
-        match self.images.get(image) {
-            Some(serving) => serving.headroom.mean - PEAK_SWINGS * serving.swing,
-            None => FIRST_HEADROOM - PEAK_SWINGS * FIRST_SWING,
-        }
-    }
-
     /// Returns how hard an image presses on those that serve, on average.
     pub(crate) fn press(&self, filling: &Image) -> f64 {
         if self.images.is_empty() {
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -25,6 +25,7 @@
 mod place;
 pub mod planner;
 mod rank;
+mod progress;
 pub mod record;
 mod reserve;
 pub mod settings;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -51,6 +51,8 @@
     pub(crate) names: HashMap<id::Instance, WorkerId>,
     /// Mean work of each queue's jobs, in core-seconds.
     pub(crate) works: HashMap<Arc<str>, f64>,
+    /// Logarithm of the speed of the cell's short runs, as a part of what was estimated.
+    pub(crate) speed: f64,
     /// Room kept for short tasks.
     pub(crate) reserve: Reserve,
     /// Which images slow which.
@@ -81,6 +83,7 @@
             workers: Table::default(),
             names: HashMap::new(),
             works: HashMap::new(),
+            speed: 0.0,
             reserve: Reserve::default(),
             model: Model::default(),
             timers: BTreeSet::new(),
--- a/crates/planner/src/write.rs
+++ b/crates/planner/src/write.rs
@@ -1,6 +1,7 @@
-//! What the store has to hold, written in batches, one at a time.
+//! What the store has to hold, written in batches, a few at a time.
 
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 
 use cowslipchute_base::event::Event as Number;
 use cowslipchute_base::id;
@@ -19,6 +20,10 @@
 use crate::worker::Hold;
 use crate::worker::WorkerId;
 
+/// Writes that may be on their way together: enough that a store that takes a few hundred
+/// milliseconds an answer delays each job by its own write only.
+const FLIGHTS: usize = 12;
+
 /// A write on its way.
 #[derive(Debug)]
 struct Flight {
@@ -33,7 +38,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct Writing {
     last: Batch,
-    flight: Option<Flight>,
+    /// Writes on their way, each of other jobs, so that the order in which they end is of no
+    /// matter.
+    flights: Vec<Flight>,
+    /// Jobs that are part of a write on its way.
+    busy: HashSet<JobId>,
     dirty: BTreeSet<JobId>,
     intents: Vec<(WorkerId, Run)>,
     next_at: Time,
@@ -59,23 +68,27 @@
     }
 
     pub(crate) fn write_due(&self) -> Option<Time> {
-        let wanted = self.room_changed || !self.writing.dirty.is_empty();
-        (wanted && self.writing.flight.is_none()).then_some(self.writing.next_at)
+        let changed = self.writing.dirty.iter().any(|job| !self.writing.busy.contains(job));
+        let wanted = self.room_changed || changed;
+        (wanted && self.writing.flights.len() < FLIGHTS).then_some(self.writing.next_at)
     }
 
-    /// Places what can be placed and writes what has changed, if no write is on its way.
+    /// Places what can be placed and writes what has changed of jobs that aren't being written.
     pub(crate) fn write(&mut self) {
-        if self.writing.flight.is_some() || self.now < self.writing.next_at {
+        if self.writing.flights.len() >= FLIGHTS || self.now < self.writing.next_at {
             return;
         }
         if self.room_changed {
             self.room_changed = false;
             self.place();
         }
-        if self.writing.dirty.is_empty() {
+        let busy = &self.writing.busy;
+        let (later, dirty): (BTreeSet<JobId>, BTreeSet<JobId>) =
+            std::mem::take(&mut self.writing.dirty).into_iter().partition(|job| busy.contains(job));
+        self.writing.dirty = later;
+        if dirty.is_empty() {
             return;
         }
-        let dirty = std::mem::take(&mut self.writing.dirty);
         let mut jobs = Vec::with_capacity(dirty.len());
         let mut changes = Vec::with_capacity(dirty.len());
         for job in dirty {
@@ -89,8 +102,12 @@
         self.writing.last += 1;
         self.writing.next_at = self.now + self.settings.write_gap;
         let batch = self.writing.last;
-        let intents = std::mem::take(&mut self.writing.intents);
-        self.writing.flight = Some(Flight { batch, jobs, intents });
+        let written = |&(_, run): &(WorkerId, Run)| jobs.iter().any(|job| job.0 == run.task.job);
+        let (intents, later) =
+            std::mem::take(&mut self.writing.intents).into_iter().partition(written);
+        self.writing.intents = later;
+        self.writing.busy.extend(jobs.iter().map(|job| job.0));
+        self.writing.flights.push(Flight { batch, jobs, intents });
         self.actions.push(Action::Write { batch, changes });
     }
 
@@ -100,11 +117,12 @@
 
     /// A write is in the store: what depended on it may happen.
     pub(crate) fn written(&mut self, batch: Batch) {
-        if self.writing.flight.as_ref().is_none_or(|flight| flight.batch != batch) {
+        let Some(at) = self.writing.flights.iter().position(|flight| flight.batch == batch) else {
             return;
-        }
-        let Some(flight) = self.writing.flight.take() else { return };
+        };
+        let flight = self.writing.flights.swap_remove(at);
         for (job, version, end) in flight.jobs {
+            self.writing.busy.remove(&job);
             match end {
                 Some(state) => self.forget(job, state),
                 None => {
