--- a/crates/planner/src/end.rs
+++ b/crates/planner/src/end.rs
@@ -99,6 +99,7 @@
             if kept.is_some() {
                 task.checkpoint = kept;
             }
+            task.waiting_since = now;
             task.not_before = restart_time(now, how);
             if how == How::Failed {
                 task.shunned = Some(worker);
--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -43,6 +43,8 @@
     pub(crate) checkpoint: Option<id::Checkpoint>,
     /// Where it is.
     pub(crate) place: Place,
+    /// Since when it has been waiting, if it is.
+    pub(crate) waiting_since: Time,
     /// It isn't started again before this.
     pub(crate) not_before: Time,
     /// The worker on which it last failed or stood still.
@@ -50,12 +52,13 @@
 }
 
 impl Task {
-    fn new() -> Task {
+    fn new(now: Time) -> Task {
         Task {
             attempt: 0,
             failed: Attempts::new(),
             checkpoint: None,
             place: Place::Waiting,
+            waiting_since: now,
             not_before: Time::ZERO,
             shunned: None,
         }
@@ -131,7 +134,7 @@
 impl Job {
     pub(crate) fn new(accepted: Arc<Accepted>, terms: Terms, since: Time, order: u64) -> Job {
         let steps = accepted.spec.steps.iter().map(|step| Step {
-            tasks: (0..step.count).map(|_| Task::new()).collect(),
+            tasks: (0..step.count).map(|_| Task::new(since)).collect(),
             waiting: step.count,
             done: 0,
             open: false,
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cowslipchute_base::amount::Amount;
 use cowslipchute_ports::executor::Run;
@@ -13,9 +14,16 @@
 use crate::host::Hosted;
 use crate::host::Stage;
 use crate::job::Place;
+use crate::order::Timer;
 use crate::planner::Planner;
 use crate::worker::WorkerId;
 
+/// How long a task that lasts may wait beside free room, which is kept for short ones: after three
+/// seconds it counts as lost.
+const RESERVE_WAIT: Duration = Duration::from_millis(2000);
+/// How often such a task is looked at again.
+const RESERVE_LOOK: Duration = Duration::from_millis(500);
+
 /// A demand for which no room was found in this pass; a larger one of the same kind needs no second
 /// look.
 struct Refused {
@@ -85,7 +93,8 @@
         };
         for index in tasks {
             spare -= f64::from(spec.demand.cpu_milli);
-            if spare < 0.0 {
+            if spare < 0.0 && !self.has_waited(job, step, index) {
+                self.timers.insert((self.now + RESERVE_LOOK, Timer::Place));
                 return;
             }
             let task = TaskId { job, occurrence: 0, step, index };
@@ -112,6 +121,12 @@
         capacity - taken - self.reserve.milli(self.now, capacity)
     }
 
+    /// Tells whether a task that lasts has waited for as long as the reserve may keep it waiting.
+    fn has_waited(&self, job: JobId, step: StepIndex, index: u32) -> bool {
+        let task = &self.jobs[&job].steps[usize::from(step)].tasks[index as usize];
+        self.now >= task.waiting_since + RESERVE_WAIT
+    }
+
     /// Returns the service whose workers run a job: what the operator says now, or said last.
     fn service(&self, job: JobId) -> cowslipchute_base::id::Service {
         let accepted = &self.jobs[&job].accepted;
--- a/crates/planner/src/reserve.rs
+++ b/crates/planner/src/reserve.rs
@@ -3,7 +3,8 @@
 //! Pattern answered: tasks that last come first and stay, until the cell is full of them and the
 //! short tasks of equal priority, worth several times as much for each core-second, find no room
 //! for the rest of the day. So the processors that short tasks have needed lately, and some more
-//! for their bursts, stay free of tasks that last. Where no short task comes, the reserve fades.
+//! for their bursts, stay free of tasks that last for a moment. Where no short task comes, the
+//! reserve fades; and a task that lasts never waits for long beside room that stays free.
 
 use std::time::Duration;
 
