--- a/bin/scheduler/src/desk.rs
+++ b/bin/scheduler/src/desk.rs
@@ -170,19 +170,6 @@
         .map_err(|error| Rejection::new(Code::StoreDown, format!("{}: {error}", entry.key)))
 }
 
-/// Says why a job would never start here, if so.
-fn unserved(queue: &Queue, spec: &Spec) -> Option<&'static str> {
-    if queue.advised {
-        Some("queues whose starts need leave of an advisory service are not served yet")
-    } else if spec.schedule.is_some() {
-        Some("repeated jobs are not served yet")
-    } else if spec.steps.iter().any(|step| step.gang) {
-        Some("steps whose tasks work only together are not served yet")
-    } else {
-        None
-    }
-}
-
 impl<S: Store> job::Desk for Desk<S> {
     fn config(&self) -> Option<Arc<Config>> {
         self.config.borrow().clone()
@@ -195,9 +182,6 @@
         spec: Spec,
         within: Duration,
     ) -> Result<(), Rejection> {
-        if let Some(reason) = unserved(queue, &spec) {
-            return Err(Rejection::new(Code::Unserved, reason));
-        }
         let accepted = Accepted {
             queue: queue.name.clone(),
             service: queue.service.clone(),
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -17,6 +17,7 @@
 use cowslipchute_planner::planner::Planner;
 use cowslipchute_planner::record;
 use cowslipchute_platform::directory;
+use cowslipchute_ports::executor::Advisor;
 use cowslipchute_ports::executor::Fleet;
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
@@ -45,7 +46,7 @@
 pub type Shared = Arc<Mutex<Planner>>;
 
 /// What an ownership needs.
-pub struct Parts<S, F> {
+pub struct Parts<S, F, A> {
     /// The store.
     pub store: S,
     /// The store, for watching the workers' directory: each of them writes there every second or
@@ -53,6 +54,8 @@
     pub directory: S,
     /// The workers.
     pub fleet: F,
+    /// The advisory service.
+    pub advisor: A,
     /// The configuration in force.
     pub config: InForce,
     /// The planner.
@@ -63,12 +66,13 @@
     pub log: Log,
 }
 
-impl<S: Clone, F: Clone> Clone for Parts<S, F> {
-    fn clone(&self) -> Parts<S, F> {
+impl<S: Clone, F: Clone, A: Clone> Clone for Parts<S, F, A> {
+    fn clone(&self) -> Parts<S, F, A> {
         Parts {
             store: self.store.clone(),
             directory: self.directory.clone(),
             fleet: self.fleet.clone(),
+            advisor: self.advisor.clone(),
             config: self.config.clone(),
             planner: self.planner.clone(),
             words: self.words.clone(),
@@ -87,8 +91,8 @@
 }
 
 /// Runs the cell until the ownership is lost or `inbox` is closed.
-pub async fn run<S: Store, F: Fleet>(
-    parts: Parts<S, F>,
+pub async fn run<S: Store, F: Fleet, A: Advisor>(
+    parts: Parts<S, F, A>,
     epoch: Revision,
     inbox: (mpsc::UnboundedSender<Event>, mpsc::UnboundedReceiver<Event>),
 ) {
@@ -182,8 +186,8 @@
     }
 }
 
-struct Owner<S, F> {
-    parts: Parts<S, F>,
+struct Owner<S, F, A> {
+    parts: Parts<S, F, A>,
     epoch: Revision,
     events: mpsc::UnboundedSender<Event>,
     writes: mpsc::UnboundedSender<(Batch, Vec<Record>)>,
@@ -193,7 +197,7 @@
     listed: HashSet<id::Instance>,
 }
 
-impl<S: Store, F: Fleet> Owner<S, F> {
+impl<S: Store, F: Fleet, A: Advisor> Owner<S, F, A> {
     async fn serve(
         mut self,
         begin: Event,
@@ -240,6 +244,7 @@
         let pause = {
             let mut planner = lock(&self.parts.planner);
             let now = clock::now();
+            planner.step(now, Event::Wall { wall: clock::wall() }, &mut actions);
             for event in events.drain(..) {
                 planner.step(now, event, &mut actions);
             }
@@ -340,6 +345,13 @@
                     let _ = events.send(Event::Held { worker: target.name, outcome });
                 });
             }
+            Action::Advise { step, workers, within } => {
+                let advisor = self.parts.advisor.clone();
+                self.tasks.spawn(async move {
+                    let outcome = advisor.advise(step, workers, within).await;
+                    let _ = events.send(Event::Advised { step, outcome });
+                });
+            }
             Action::Write { batch, changes } => {
                 // The writer is gone only after it has said that the ownership is lost.
                 let _ = self.writes.send((batch, changes));
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -10,6 +10,7 @@
 use cowslipchute_planner::event::Event as Fact;
 use cowslipchute_planner::planner::Planner;
 use cowslipchute_planner::settings::Settings as Figures;
+use cowslipchute_platform::advisor::Advice;
 use cowslipchute_platform::client::Client;
 use cowslipchute_platform::executor::Executors;
 use cowslipchute_platform::front;
@@ -80,7 +81,8 @@
     let parts = Parts {
         directory: store.clone().with_watch_gap(DIRECTORY_GAP),
         store,
-        fleet: Executors::open(client),
+        fleet: Executors::open(client.clone()),
+        advisor: Advice::open(client, settings.advisor),
         config: in_force,
         planner,
         words: seat.words.clone(),
@@ -115,6 +117,7 @@
         max_hold: bounds.max_hold_ms,
         lease: defaults.lease.min(bounds.max_hold_ms),
         remember: bounds.status + Duration::from_secs(10),
+        remote_factor: bounds.remote_factor,
         harm_time: bounds.impact_ms,
         stop_time: bounds.stop_timeout_ms,
         ..defaults
@@ -128,7 +131,10 @@
 }
 
 /// Runs the cell whenever this process owns it.
-async fn hold_seat(parts: Parts<Keys, Executors>, mut turns: mpsc::UnboundedReceiver<Turn>) {
+async fn hold_seat(
+    parts: Parts<Keys, Executors, Advice>,
+    mut turns: mpsc::UnboundedReceiver<Turn>,
+) {
     let mut tenure: Option<Tenure> = None;
     while let Some(turn) = turns.recv().await {
         match turn {
@@ -154,7 +160,7 @@
 }
 
 fn begin(
-    parts: &Parts<Keys, Executors>,
+    parts: &Parts<Keys, Executors, Advice>,
     epoch: cowslipchute_base::id::Revision,
     until: cowslipchute_base::id::Time,
 ) -> Tenure {
--- a/crates/planner/src/action.rs
+++ b/crates/planner/src/action.rs
@@ -1,6 +1,7 @@
 //! What a planner wants done.
 
 use std::borrow::Cow;
+use std::time::Duration;
 
 use cowslipchute_base::event::Event;
 use cowslipchute_base::id;
@@ -10,6 +11,7 @@
 use cowslipchute_ports::executor::Target;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
+use cowslipchute_ports::job::StepId;
 
 use crate::event::Batch;
 use crate::record::Record;
@@ -81,6 +83,15 @@
         /// The order.
         hold: Hold,
     },
+    /// Ask the advisory service which of some workers may run a step.
+    Advise {
+        /// The step.
+        step: StepId,
+        /// The workers.
+        workers: Vec<id::Instance>,
+        /// Bound on the answer.
+        within: Duration,
+    },
     /// Write to the store until it is surely there, then say `Written`.
     Write {
         /// Number of the write.
--- a/crates/planner/src/end.rs
+++ b/crates/planner/src/end.rs
@@ -29,16 +29,11 @@
         debug_assert!(ending.end.is_none(), "a job ends once");
         ending.end = Some(state);
         let mut places = Vec::new();
-        for (step, tasks) in ending.steps.iter().enumerate() {
-            for (index, task) in tasks.tasks.iter().enumerate() {
+        for (id, step) in ending.steps(job) {
+            for (index, task) in step.tasks.iter().enumerate() {
                 if let Place::At(worker) = task.place {
-                    let id = cowslipchute_ports::job::TaskId {
-                        job,
-                        occurrence: 0,
-                        step: step as u16,
-                        index: index as u32,
-                    };
-                    places.push((worker, Run { task: id, attempt: task.attempt }));
+                    let run = Run { task: id.task(index as u32), attempt: task.attempt };
+                    places.push((worker, run));
                 }
             }
         }
@@ -83,16 +78,23 @@
             return;
         }
         let lasts = job.spec(run.task.step).long_running;
+        let gang = job.spec(run.task.step).gang;
         let task = job.task_mut(run.task);
         let current = task.place == Place::At(worker) && task.attempt == run.attempt;
         if task.place == Place::Done {
             return;
         }
-        if how == How::Failed && !lasts && !task.failed.contains(&run.attempt) {
-            task.failed.push(run.attempt);
+        // A gang fails as a whole, whichever member it was; the first keeps the count.
+        let counted = if gang { run.task.step_id().task(0) } else { run.task };
+        let counting = job.task_mut(counted);
+        if how == How::Failed && !lasts && !counting.failed.contains(&run.attempt) {
+            counting.failed.push(run.attempt);
         }
-        let failures = task.failed.len() as u32;
-        if how == How::Done && !lasts {
+        let failures = counting.failed.len() as u32;
+        let task = job.task_mut(run.task);
+        if how == How::Done && !lasts && gang {
+            self.complete_gang(worker, run);
+        } else if how == How::Done && !lasts {
             self.complete(worker, run, current);
         } else if current {
             let kept = checkpoint.or_else(|| hosted.and_then(|hosted| hosted.checkpoint));
@@ -107,6 +109,9 @@
             job.move_task(run.task, Place::Waiting);
             self.waiting.insert(run.task.job);
             self.timers.insert((restart_time(now, how), Timer::Place));
+            if gang {
+                self.stop_gang(run);
+            }
         }
         self.touch(run.task.job);
         let job = &self.jobs[&run.task.job];
@@ -114,6 +119,8 @@
             self.finish(run.task.job, State::Failed);
         } else if job.is_done() {
             self.finish(run.task.job, State::Completed);
+        } else if let Some(job) = self.jobs.get_mut(&run.task.job) {
+            job.drop_done();
         }
     }
 
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -1,6 +1,7 @@
 //! What a planner is told.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
@@ -10,8 +11,10 @@
 use cowslipchute_ports::executor::Report;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::executor::Stamp;
+use cowslipchute_ports::executor::Ticket;
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
+use cowslipchute_ports::job::StepId;
 
 use crate::record::Record;
 
@@ -98,6 +101,18 @@
         /// What came back.
         outcome: Result<Stamp, Failure>,
     },
+    /// The advisory service answered, or did not.
+    Advised {
+        /// The step.
+        step: StepId,
+        /// Workers that may run it, each with its ticket.
+        outcome: Result<Vec<(id::Instance, Ticket)>, Failure>,
+    },
+    /// A reading of the time of day.
+    Wall {
+        /// Time since 1970.
+        wall: Duration,
+    },
     /// A write is in the store.
     Written {
         /// Its number.
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -61,7 +61,7 @@
         (free - filled) as i64
     }
 
-    fn count(&self, task: TaskId) -> u32 {
+    pub(crate) fn count(&self, task: TaskId) -> u32 {
         let same = |run: &&Run| {
             run.task.job == task.job
                 && run.task.step == task.step
@@ -110,7 +110,7 @@
     /// on those that serve; workers on which nothing serves are kept for those that press hard.
     pub(crate) fn rate(&self, worker: &Worker, step: &Step) -> f64 {
         let capacity = f64::from(worker.capacity.cpu_milli.max(1));
-        let away = step.data_rack.as_deref().is_some_and(|rack| !worker.has_label(rack));
+        let away = step.data_rack.is_some() && step.data_rack != worker.rack;
         let near = if away { 0.0 } else { 10.0 };
         if step.fills {
             let free = worker.fill_room(&self.model) as f64 / capacity;
--- /dev/null
+++ b/crates/planner/src/gang.rs
@@ -0,0 +1,128 @@
+//! Steps whose tasks work only together.
+//!
+//! Pattern answered: half a gang holds room and does nothing. So a gang gets room for the whole or
+//! none at all, all its runs share one attempt, and when one of them ends otherwise than done the
+//! rest is stopped at once. One end that is done stands for all.
+
+use cowslipchute_base::amount::Amount;
+use cowslipchute_base::id;
+use cowslipchute_ports::executor::Run;
+use cowslipchute_ports::job::Step;
+use cowslipchute_ports::job::StepId;
+
+use crate::host::Why;
+use crate::job::Place;
+use crate::planner::Planner;
+use crate::worker::WorkerId;
+
+impl Planner {
+    /// Places a whole gang, or nothing of it; tells whether it did.
+    pub(crate) fn place_gang(&mut self, step: StepId, spec: &Step, open: &[WorkerId]) -> bool {
+        let Some(state) = self.jobs[&step.job].step(step) else { return false };
+        let ready = state
+            .tasks
+            .iter()
+            .all(|task| task.place == Place::Waiting && task.not_before <= self.now);
+        if !ready || self.slots(step, spec, open) < u64::from(spec.count) {
+            return false;
+        }
+        let attempt = state.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
+        let checkpoint = state.tasks.iter().find_map(|task| task.checkpoint.clone());
+        let mut placed = Vec::with_capacity(spec.count as usize);
+        for index in 0..spec.count {
+            let task = step.task(index);
+            let Some(worker) = self.choose(task, spec, open) else {
+                // What presses on serving tasks is only known one by one.
+                self.undo(&placed);
+                return false;
+            };
+            if let Some(job) = self.jobs.get_mut(&step.job) {
+                let member = job.task_mut(task);
+                member.attempt = attempt - 1;
+                member.checkpoint = checkpoint.clone();
+            }
+            self.intend(task, worker);
+            placed.push((worker, Run { task, attempt }));
+        }
+        true
+    }
+
+    /// Takes back places that were given in this pass.
+    fn undo(&mut self, placed: &[(WorkerId, Run)]) {
+        for &(worker, run) in placed {
+            self.workers[worker].release(run);
+            if let Some(job) = self.jobs.get_mut(&run.task.job) {
+                job.task_mut(run.task).attempt = run.attempt - 1;
+                job.move_task(run.task, Place::Waiting);
+            }
+        }
+    }
+
+    /// Counts the tasks of a step for which there is room.
+    pub(crate) fn slots(&self, step: StepId, spec: &Step, open: &[WorkerId]) -> u64 {
+        let slots = open.iter().map(|&id| {
+            let worker = &self.workers[id];
+            if !self.may_take(worker, step.task(0), spec) {
+                return 0;
+            }
+            let room = fitting(spec, worker.room());
+            match spec.max_per_worker {
+                0 => room,
+                most => room.min(u64::from(most.saturating_sub(worker.count(step.task(0))))),
+            }
+        });
+        slots.sum()
+    }
+
+    /// Stops what is left of a gang after a member has ended.
+    pub(crate) fn stop_gang(&mut self, ended: Run) {
+        for (worker, run) in self.members(ended) {
+            self.stop_run(worker, run, Why::Gang);
+        }
+    }
+
+    /// A member has ended done, and with it the whole.
+    pub(crate) fn complete_gang(&mut self, worker: WorkerId, ended: Run) {
+        let Some(job) = self.jobs.get_mut(&ended.task.job) else { return };
+        let step = ended.task.step_id();
+        let count = job.step(step).map_or(0, |state| state.tasks.len());
+        for index in 0..count {
+            let task = step.task(index as id::TaskIndex);
+            if job.task(task).is_some_and(|task| task.place != Place::Done) {
+                job.move_task(task, Place::Done);
+            }
+        }
+        job.open_steps();
+        if job.has_waiting() {
+            self.waiting.insert(step.job);
+        }
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.health.succeed();
+        }
+    }
+
+    /// Returns the other members of a gang that have a place.
+    fn members(&self, ended: Run) -> Vec<(WorkerId, Run)> {
+        let step = ended.task.step_id();
+        let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
+        let tasks = state.into_iter().flat_map(|state| state.tasks.iter().enumerate());
+        tasks
+            .filter_map(|(index, task)| match task.place {
+                Place::At(worker) => {
+                    let id = step.task(index as id::TaskIndex);
+                    Some((worker, Run { task: id, attempt: task.attempt }))
+                }
+                Place::Waiting | Place::Done => None,
+            })
+            .collect()
+    }
+}
+
+/// Counts how often a step's demand fits into some room.
+fn fitting(spec: &Step, room: Amount) -> u64 {
+    let part = |room: u32, each: u32| if each == 0 { u64::MAX } else { u64::from(room / each) };
+    let cpu = if spec.fills { u64::MAX } else { part(room.cpu_milli, spec.demand.cpu_milli) };
+    let memory = part(room.memory_mib, spec.demand.memory_mib);
+    let accelerators = part(room.accelerators.into(), spec.demand.accelerators.into());
+    cpu.min(memory).min(accelerators).min(u64::from(spec.count))
+}
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -26,6 +26,8 @@
     Unsettled,
     /// The worker's account doesn't hold it any more.
     Missing,
+    /// Another member of its gang has ended.
+    Gang,
     /// It slows a task that serves more than its pace can mend.
     Harmful,
 }
@@ -38,6 +40,7 @@
             Why::Stalled => "no progress",
             Why::Unsettled => "an unanswered start was refused when repeated",
             Why::Missing => "missing from the worker's account",
+            Why::Gang => "another member of its gang has ended",
             Why::Harmful => "it slows a task that serves",
         }
     }
--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -8,8 +8,10 @@
 use cowslipchute_ports::deployment::Config;
 use cowslipchute_ports::job;
 use cowslipchute_ports::job::Accepted;
+use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
 
+use crate::advice::Leave;
 use crate::record;
 use crate::record::Attempts;
 use crate::record::Record;
@@ -75,6 +77,8 @@
     pub(crate) done: u32,
     /// Whether every earlier step that it names is done.
     pub(crate) open: bool,
+    /// Where the advisory service lets it run, as far as it was asked.
+    pub(crate) leave: Option<Leave>,
 }
 
 impl Step {
@@ -111,6 +115,52 @@
     }
 }
 
+/// One occurrence of a job; a job that isn't repeated has one.
+#[derive(Clone, Debug)]
+pub(crate) struct Occurrence {
+    pub(crate) number: job::Occurrence,
+    /// When this owner found it due.
+    pub(crate) since: Time,
+    pub(crate) steps: Vec<Step>,
+}
+
+impl Occurrence {
+    fn new(spec: &job::Spec, number: job::Occurrence, since: Time) -> Occurrence {
+        let steps = spec.steps.iter().map(|step| Step {
+            tasks: (0..step.count).map(|_| Task::new(since)).collect(),
+            waiting: step.count,
+            done: 0,
+            open: false,
+            leave: None,
+        });
+        let mut occurrence = Occurrence { number, since, steps: steps.collect() };
+        occurrence.open_steps(spec);
+        occurrence
+    }
+
+    fn open_steps(&mut self, spec: &job::Spec) {
+        for index in 0..self.steps.len() {
+            let after = &spec.steps[index].after;
+            let open = after.iter().all(|&earlier| self.steps[usize::from(earlier)].is_done());
+            self.steps[index].open |= open;
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        self.steps.iter().all(Step::is_done)
+    }
+
+    fn record(&self, name: &impl Fn(WorkerId) -> Option<id::Instance>) -> record::Occurrence {
+        let steps = self.steps.iter().map(|step| {
+            if step.tasks.iter().all(|task| task.attempt == 0) {
+                return Vec::new();
+            }
+            step.tasks.iter().map(|task| stored(task, name)).collect()
+        });
+        record::Occurrence { number: self.number, steps: steps.collect() }
+    }
+}
+
 /// A job that has not ended, or whose end is on its way to the store.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
@@ -122,7 +172,10 @@
     pub(crate) order: u64,
     /// Whether a task has ever started.
     pub(crate) started: bool,
-    pub(crate) steps: Vec<Step>,
+    /// How many occurrences have become due.
+    pub(crate) opened: u32,
+    /// Those of them that aren't done.
+    pub(crate) occurrences: Vec<Occurrence>,
     /// Rises with each change that the store has to hold.
     pub(crate) version: u64,
     /// The version that the store surely holds.
@@ -133,28 +186,52 @@
 
 impl Job {
     pub(crate) fn new(accepted: Arc<Accepted>, terms: Terms, since: Time, order: u64) -> Job {
-        let steps = accepted.spec.steps.iter().map(|step| Step {
-            tasks: (0..step.count).map(|_| Task::new(since)).collect(),
-            waiting: step.count,
-            done: 0,
-            open: false,
-        });
-        let steps = steps.collect();
         let mut job = Job {
             accepted,
             terms,
             since,
             order,
             started: false,
-            steps,
+            opened: 0,
+            occurrences: Vec::new(),
             version: 0,
             stored: 0,
             end: None,
         };
-        job.open_steps();
+        if job.accepted.spec.schedule.is_none() {
+            job.open_occurrence(since);
+        }
         job
     }
 
+    /// Returns how many occurrences the job has in all.
+    fn total(&self) -> u32 {
+        self.accepted.spec.schedule.map_or(1, |schedule| schedule.count)
+    }
+
+    /// Returns when the next occurrence is due, since 1970.
+    pub(crate) fn next_due(&self) -> Option<Duration> {
+        let schedule = self.accepted.spec.schedule?;
+        let open = self.end.is_none() && self.opened < schedule.count;
+        open.then(|| schedule.start + schedule.interval * self.opened)
+    }
+
+    pub(crate) fn open_occurrence(&mut self, now: Time) {
+        let occurrence = Occurrence::new(&self.accepted.spec, self.opened, now);
+        self.occurrences.push(occurrence);
+        self.opened += 1;
+    }
+
+    /// Begins from a record in place of what a new job begins with.
+    pub(crate) fn restore(&mut self, record: &Record) {
+        self.started = record.started;
+        self.opened = record.opened;
+        let numbers = record.occurrences.iter().map(|occurrence| occurrence.number);
+        let spec = &self.accepted.spec;
+        let since = self.since;
+        self.occurrences = numbers.map(|number| Occurrence::new(spec, number, since)).collect();
+    }
+
     /// Returns what the client handed in about a step.
     pub(crate) fn spec(&self, step: job::StepIndex) -> &job::Step {
         &self.accepted.spec.steps[usize::from(step)]
@@ -162,20 +239,41 @@
 
     /// Opens the steps whose predecessors are done.
     pub(crate) fn open_steps(&mut self) {
-        for index in 0..self.steps.len() {
-            let after = &self.accepted.spec.steps[index].after;
-            let open = after.iter().all(|&earlier| self.steps[usize::from(earlier)].is_done());
-            self.steps[index].open |= open;
+        for occurrence in &mut self.occurrences {
+            occurrence.open_steps(&self.accepted.spec);
         }
     }
 
+    /// Forgets the occurrences that are done.
+    pub(crate) fn drop_done(&mut self) {
+        self.occurrences.retain(|occurrence| !occurrence.is_done());
+    }
+
+    pub(crate) fn step(&self, step: job::StepId) -> Option<&Step> {
+        let mut occurrences = self.occurrences.iter();
+        let occurrence = occurrences.find(|occurrence| occurrence.number == step.occurrence)?;
+        occurrence.steps.get(usize::from(step.step))
+    }
+
+    pub(crate) fn step_mut(&mut self, step: job::StepId) -> Option<&mut Step> {
+        let mut occurrences = self.occurrences.iter_mut();
+        let occurrence = occurrences.find(|occurrence| occurrence.number == step.occurrence)?;
+        occurrence.steps.get_mut(usize::from(step.step))
+    }
+
     pub(crate) fn task(&self, task: job::TaskId) -> Option<&Task> {
-        self.steps.get(usize::from(task.step))?.tasks.get(task.index as usize)
+        self.step(task.step_id())?.tasks.get(task.index as usize)
     }
 
-    /// Moves a task, keeping the step's counts.
+    /// Returns a task that is known to be there.
+    pub(crate) fn task_mut(&mut self, task: job::TaskId) -> &mut Task {
+        let step = self.step_mut(task.step_id()).expect("the task was looked up before");
+        &mut step.tasks[task.index as usize]
+    }
+
+    /// Moves a task that is known to be there, keeping the step's counts.
     pub(crate) fn move_task(&mut self, task: job::TaskId, to: Place) {
-        let step = &mut self.steps[usize::from(task.step)];
+        let step = self.step_mut(task.step_id()).expect("the task was looked up before");
         let place = &mut step.tasks[task.index as usize].place;
         debug_assert!(*place != Place::Done, "a finished task stays finished");
         match *place {
@@ -191,17 +289,35 @@
         }
     }
 
-    pub(crate) fn task_mut(&mut self, task: job::TaskId) -> &mut Task {
-        &mut self.steps[usize::from(task.step)].tasks[task.index as usize]
+    /// Returns every step with its identity.
+    pub(crate) fn steps(&self, id: JobId) -> impl Iterator<Item = (job::StepId, &Step)> {
+        self.occurrences.iter().flat_map(move |occurrence| {
+            let number = occurrence.number;
+            let steps = occurrence.steps.iter().enumerate();
+            steps.map(move |(index, step)| {
+                let index = index as job::StepIndex;
+                (job::StepId { job: id, occurrence: number, step: index }, step)
+            })
+        })
+    }
+
+    /// Returns the steps of which a task could be placed.
+    pub(crate) fn waiting_steps(&self, id: JobId) -> Vec<job::StepId> {
+        if self.end.is_some() {
+            return Vec::new();
+        }
+        let waiting = self.steps(id).filter(|(_, step)| step.open && step.waiting > 0);
+        waiting.map(|(step, _)| step).collect()
     }
 
     /// Tells whether a task may be started now or later without anything else happening first.
     pub(crate) fn has_waiting(&self) -> bool {
-        self.end.is_none() && self.steps.iter().any(|step| step.open && step.waiting > 0)
+        let mut steps = self.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+        self.end.is_none() && steps.any(|step| step.open && step.waiting > 0)
     }
 
     pub(crate) fn is_done(&self) -> bool {
-        self.steps.iter().all(Step::is_done)
+        self.opened == self.total() && self.occurrences.iter().all(Occurrence::is_done)
     }
 
     /// Returns the state that a client may be shown: what the store holds, or will be found to
@@ -213,37 +329,45 @@
         }
     }
 
-    /// Returns the core-seconds that are left, by the client's estimate.
+    /// Returns since when its oldest open occurrence has been due.
+    pub(crate) fn due_since(&self) -> Time {
+        self.occurrences.first().map_or(self.since, |occurrence| occurrence.since)
+    }
+
+    /// Returns the core-seconds that are left of its oldest open occurrence, by the client's
+    /// estimate.
     pub(crate) fn work_left(&self) -> f64 {
-        let steps = self.steps.iter().zip(&self.accepted.spec.steps);
+        let Some(occurrence) = self.occurrences.first() else { return 0.0 };
+        let steps = occurrence.steps.iter().zip(&self.accepted.spec.steps);
         steps.map(|(state, step)| f64::from(step.count - state.done) * task_work(step)).sum()
     }
 
-    /// Returns the core-seconds of the whole job, by the client's estimate.
+    /// Returns the core-seconds of one occurrence, by the client's estimate.
     pub(crate) fn work(&self) -> f64 {
         self.accepted.spec.steps.iter().map(|step| f64::from(step.count) * task_work(step)).sum()
     }
 
-    /// Returns the longest chain of work, by the client's estimate, counting only steps that are
-    /// not done if `left`.
+    /// Returns the longest chain of work of its oldest open occurrence, by the client's estimate,
+    /// counting only steps that are not done if `left`.
     pub(crate) fn chain(&self, left: bool) -> Duration {
-        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
-        for (state, step) in self.steps.iter().zip(&self.accepted.spec.steps) {
+        let states = self.occurrences.first().map(|occurrence| &occurrence.steps);
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.accepted.spec.steps.len());
+        for (index, step) in self.accepted.spec.steps.iter().enumerate() {
             let begin = step.after.iter().map(|&earlier| ends[usize::from(earlier)]).max();
-            let own = if left && state.is_done() { Duration::ZERO } else { step.estimate };
+            let done = states.is_some_and(|steps| steps[index].is_done());
+            let own = if left && done { Duration::ZERO } else { step.estimate };
             ends.push(begin.unwrap_or_default() + own);
         }
         ends.into_iter().max().unwrap_or_default()
     }
 
     pub(crate) fn record(&self, name: impl Fn(WorkerId) -> Option<id::Instance>) -> Record {
-        let steps = self.steps.iter().map(|step| {
-            if step.tasks.iter().all(|task| task.attempt == 0) {
-                return Vec::new();
-            }
-            step.tasks.iter().map(|task| stored(task, &name)).collect()
-        });
-        Record { started: self.started, steps: steps.collect() }
+        let open = self.occurrences.iter().filter(|occurrence| !occurrence.is_done());
+        Record {
+            started: self.started,
+            opened: self.opened,
+            occurrences: open.map(|occurrence| occurrence.record(&name)).collect(),
+        }
     }
 }
 
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -12,20 +12,24 @@
 //! - an end is acknowledged to a worker only after the store holds what follows from it.
 
 pub mod action;
+mod advice;
 mod colocate;
 mod end;
 pub mod event;
 mod fit;
+mod gang;
 mod health;
 mod hold;
 mod host;
 mod interfere;
 mod job;
+mod locality;
+mod occurrence;
 mod order;
 mod place;
 pub mod planner;
-mod rank;
 mod progress;
+mod rank;
 pub mod record;
 mod reserve;
 pub mod settings;
--- /dev/null
+++ b/crates/planner/src/locality.rs
@@ -0,0 +1,73 @@
+//! Tasks that are slower away from their data or from each other.
+//!
+//! Pattern answered: many jobs want the same rack. Working elsewhere takes a known factor longer,
+//! waiting takes as long as it takes; so a task waits for the near workers for half of what it
+//! would lose elsewhere, and then goes where there is room.
+
+use std::time::Duration;
+
+use cowslipchute_base::id;
+use cowslipchute_ports::job::Step;
+use cowslipchute_ports::job::StepId;
+
+use crate::job::Place;
+use crate::planner::Planner;
+use crate::worker::WorkerId;
+
+/// Part of what is lost elsewhere for which a task waits for a near worker: on average the wait is
+/// then as long again, were it continued.
+const WAIT_PART: f64 = 0.5;
+
+impl Planner {
+    /// Narrows the open workers down to those near a step's data or near its other tasks, unless
+    /// its tasks have waited for that long enough.
+    pub(crate) fn near(&self, step: StepId, spec: &Step, open: Vec<WorkerId>) -> Vec<WorkerId> {
+        if spec.data_rack.is_none() && !spec.same_rack {
+            return open;
+        }
+        let rack = match &spec.data_rack {
+            Some(rack) => Some(rack.clone()),
+            None => self.common_rack(step, spec, &open),
+        };
+        let Some(rack) = rack else { return open };
+        let near: Vec<WorkerId> = open
+            .iter()
+            .copied()
+            .filter(|&worker| self.workers[worker].rack.as_ref() == Some(&rack))
+            .collect();
+        if near.is_empty() || self.has_waited_near(step, spec) { open } else { near }
+    }
+
+    /// Tells whether a step's tasks have waited for near workers for as long as that pays.
+    fn has_waited_near(&self, step: StepId, spec: &Step) -> bool {
+        let lost = spec.estimate.mul_f64((self.settings.remote_factor - 1.0).max(0.0) * WAIT_PART);
+        let state = self.jobs[&step.job].step(step);
+        let tasks = state.into_iter().flat_map(|state| &state.tasks);
+        let since =
+            tasks.filter(|task| task.place == Place::Waiting).map(|task| task.waiting_since).min();
+        since.is_some_and(|since| self.now >= since + lost.max(Duration::from_millis(1)))
+    }
+
+    /// Returns the rack of a step's tasks that have a place, or else the one with the most room
+    /// for them.
+    fn common_rack(&self, step: StepId, spec: &Step, open: &[WorkerId]) -> Option<id::Rack> {
+        let state = self.jobs[&step.job].step(step)?;
+        let taken = state.tasks.iter().find_map(|task| match task.place {
+            Place::At(worker) => self.workers.get(worker)?.rack.clone(),
+            Place::Waiting | Place::Done => None,
+        });
+        if taken.is_some() {
+            return taken;
+        }
+        let mut racks: Vec<(id::Rack, Vec<WorkerId>)> = Vec::new();
+        for &worker in open {
+            let Some(rack) = &self.workers[worker].rack else { continue };
+            match racks.iter_mut().find(|(known, _)| known == rack) {
+                Some((_, workers)) => workers.push(worker),
+                None => racks.push((rack.clone(), vec![worker])),
+            }
+        }
+        let roomiest = racks.into_iter().max_by_key(|(_, workers)| self.slots(step, spec, workers));
+        roomiest.map(|(rack, _)| rack)
+    }
+}
--- /dev/null
+++ b/crates/planner/src/occurrence.rs
@@ -0,0 +1,73 @@
+//! Repeated jobs: when their occurrences become due.
+//!
+//! Due times are in the time of day, which jumps; so the planner counts on the steady clock from
+//! one reading of the time of day, and follows a later reading only if it stays.
+
+use std::time::Duration;
+
+use cowslipchute_base::id::Time;
+use cowslipchute_ports::job::JobId;
+
+use crate::order::Timer;
+use crate::planner::Planner;
+
+/// A difference below this is drift and followed at once.
+const DRIFT: Duration = Duration::from_millis(100);
+/// A larger one is followed when it has stayed for this long: the time of day may jump and jump
+/// back within ten seconds.
+const STAY: Duration = Duration::from_secs(20);
+
+/// The time of day, counted on the steady clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Calendar {
+    /// Time of day at the steady clock's zero.
+    base: Option<Duration>,
+    /// A reading that differs, and since when it has.
+    other: Option<Time>,
+}
+
+impl Calendar {
+    /// Takes in a reading of the time of day.
+    pub(crate) fn read(&mut self, now: Time, wall: Duration) {
+        let read = wall.saturating_sub(now);
+        let Some(base) = self.base else {
+            self.base = Some(read);
+            return;
+        };
+        if read.abs_diff(base) <= DRIFT {
+            self.base = Some(read);
+            self.other = None;
+        } else if self.other.get_or_insert(now).saturating_add(STAY) <= now {
+            self.base = Some(read);
+            self.other = None;
+        }
+    }
+
+    /// Returns when a time of day comes on the steady clock.
+    fn when(&self, wall: Duration) -> Option<Time> {
+        Some(wall.saturating_sub(self.base?))
+    }
+}
+
+impl Planner {
+    /// Opens the occurrences of a job that have become due, and comes back for the next.
+    pub(crate) fn open_due(&mut self, job: JobId) {
+        let now = self.now;
+        let calendar = self.calendar;
+        let Some(state) = self.jobs.get_mut(&job) else { return };
+        let mut opened = false;
+        while let Some(due) = state.next_due() {
+            let Some(at) = calendar.when(due) else { return };
+            if at > now {
+                self.timers.insert((at, Timer::Occurrence(job)));
+                break;
+            }
+            state.open_occurrence(now);
+            opened = true;
+        }
+        if opened {
+            self.waiting.insert(job);
+            self.room_changed = true;
+        }
+    }
+}
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -14,6 +14,7 @@
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::executor::Stamp;
 use cowslipchute_ports::executor::Start;
+use cowslipchute_ports::job::JobId;
 
 use crate::action::Action;
 use crate::host::FULL_PACE;
@@ -40,6 +41,8 @@
     Order(WorkerId, Run),
     /// A look whether a silent worker's deadline has passed.
     Lapse(WorkerId),
+    /// A look whether an occurrence of a job is due.
+    Occurrence(JobId),
     /// A look whether something can be placed.
     Place,
 }
@@ -56,6 +59,7 @@
                 Timer::Hold(worker) => self.send_hold(worker),
                 Timer::Order(worker, run) => self.send_order(worker, run),
                 Timer::Lapse(worker) => self.check_lapse(worker),
+                Timer::Occurrence(job) => self.open_due(job),
                 Timer::Place => self.room_changed = true,
             }
         }
@@ -106,6 +110,10 @@
             payload: job.accepted.spec.payload.clone(),
             deadline,
             checkpoint: task.checkpoint.clone(),
+            ticket: job
+                .step(run.task.step_id())
+                .and_then(|step| step.leave.as_ref())
+                .and_then(|leave| leave.ticket(worker)),
         };
         self.actions.push(Action::Start { target, start });
     }
@@ -183,6 +191,9 @@
             Failure::Unsent => ("not reached", Some(UNREACHED_PAUSE)),
             _ => ("not understood", Some(UNREACHED_PAUSE)),
         };
+        if matches!(failure, Failure::Refused(Refusal::Ticket, _)) {
+            self.drop_leave(run.task.step_id());
+        }
         self.note(Number::RunRefused, Some(run.task.job), Some(run), Some(name), text);
         if let Some(pause) = pause {
             let until = self.now + pause;
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -5,10 +5,13 @@
 use std::time::Duration;
 
 use cowslipchute_base::amount::Amount;
+use cowslipchute_base::id;
+use cowslipchute_base::id::Time;
+use cowslipchute_ports::deployment::Queue;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::Step;
-use cowslipchute_ports::job::StepIndex;
+use cowslipchute_ports::job::StepId;
 use cowslipchute_ports::job::TaskId;
 
 use crate::host::Hosted;
@@ -51,61 +54,76 @@
         let mut refused: Vec<Refused> = Vec::new();
         for job in self.ranked() {
             self.place_job(job, &mut refused);
-            if !self.jobs[&job].has_waiting() {
+            if !self.jobs.get(&job).is_some_and(|job| job.has_waiting()) {
                 self.waiting.remove(&job);
             }
         }
     }
 
     fn place_job(&mut self, job: JobId, refused: &mut Vec<Refused>) {
-        for index in 0..self.jobs[&job].steps.len() {
-            let step = &self.jobs[&job].steps[index];
-            if step.open && step.waiting > 0 {
-                self.place_step(job, index as StepIndex, refused);
-            }
+        for step in self.jobs[&job].waiting_steps(job) {
+            self.place_step(step, refused);
         }
     }
 
-    fn place_step(&mut self, job: JobId, step: StepIndex, refused: &mut Vec<Refused>) {
-        let accepted = self.jobs[&job].accepted.clone();
-        let spec = &accepted.spec.steps[usize::from(step)];
-        let plain = spec.max_per_worker == 0 && spec.required_label.is_none();
-        if refused.iter().any(|seen| seen.covers(spec)) {
+    fn place_step(&mut self, step: StepId, refused: &mut Vec<Refused>) {
+        let accepted = self.jobs[&step.job].accepted.clone();
+        let spec = &accepted.spec.steps[usize::from(step.step)];
+        let advice = self.queue(step.job).and_then(|queue| queue.advice);
+        let narrow = spec.max_per_worker > 0
+            || spec.required_label.is_some()
+            || spec.data_rack.is_some()
+            || spec.same_rack
+            || spec.gang
+            || advice.is_some();
+        if !narrow && refused.iter().any(|seen| seen.covers(spec)) {
             return;
         }
-        let service = self.service(job);
-        let open: Vec<WorkerId> = self
+        let service = self.service(step.job);
+        let mut open: Vec<WorkerId> = self
             .workers
             .iter()
             .filter(|(_, worker)| worker.service == service && self.is_open(worker))
             .map(|(id, _)| id)
             .collect();
-        let tasks: Vec<u32> = self.jobs[&job].steps[usize::from(step)]
+        if let Some(advice) = advice {
+            open = self.allowed(step, spec, advice, open);
+        }
+        let open = self.near(step, spec, open);
+        if spec.gang {
+            self.place_gang(step, spec, &open);
+            return;
+        }
+        if !self.place_tasks(step, spec, &open) && !narrow {
+            refused.push(Refused::new(spec));
+        }
+    }
+
+    /// Places a step's tasks one by one; tells whether each found room.
+    fn place_tasks(&mut self, step: StepId, spec: &Step, open: &[WorkerId]) -> bool {
+        let Some(state) = self.jobs[&step.job].step(step) else { return true };
+        let tasks: Vec<(u32, Time)> = state
             .tasks
             .iter()
             .enumerate()
             .filter(|(_, task)| task.place == Place::Waiting && task.not_before <= self.now)
-            .map(|(index, _)| index as u32)
+            .map(|(index, task)| (index as u32, task.waiting_since))
             .collect();
         let mut spare = match spec.long_running {
-            true => self.spare_for_lasting(&open),
+            true => self.spare_for_lasting(open),
             false => f64::INFINITY,
         };
-        for index in tasks {
+        for (index, waiting_since) in tasks {
             spare -= f64::from(spec.demand.cpu_milli);
-            if spare < 0.0 && !self.has_waited(job, step, index) {
+            if spare < 0.0 && self.now < waiting_since + RESERVE_WAIT {
                 self.timers.insert((self.now + RESERVE_LOOK, Timer::Place));
-                return;
+                return true;
             }
-            let task = TaskId { job, occurrence: 0, step, index };
-            let Some(worker) = self.choose(task, spec, &open) else {
-                if plain {
-                    refused.push(Refused::new(spec));
-                }
-                return;
-            };
+            let task = step.task(index);
+            let Some(worker) = self.choose(task, spec, open) else { return false };
             self.intend(task, worker);
         }
+        true
     }
 
     /// Returns the thousandths of a processor that tasks which last may still take.
@@ -121,20 +139,18 @@
         capacity - taken - self.reserve.milli(self.now, capacity)
     }
 
-    /// Tells whether a task that lasts has waited for as long as the reserve may keep it waiting.
-    fn has_waited(&self, job: JobId, step: StepIndex, index: u32) -> bool {
-        let task = &self.jobs[&job].steps[usize::from(step)].tasks[index as usize];
-        self.now >= task.waiting_since + RESERVE_WAIT
+    fn queue(&self, job: JobId) -> Option<&Queue> {
+        let config = self.config.as_ref()?;
+        config.queue(&self.jobs[&job].accepted.queue)
     }
 
     /// Returns the service whose workers run a job: what the operator says now, or said last.
-    fn service(&self, job: JobId) -> cowslipchute_base::id::Service {
-        let accepted = &self.jobs[&job].accepted;
-        let queue = self.config.as_ref().and_then(|config| config.queue(&accepted.queue));
-        queue.map_or_else(|| accepted.service.clone(), |queue| queue.service.clone())
+    fn service(&self, job: JobId) -> id::Service {
+        let queue = self.queue(job).map(|queue| queue.service.clone());
+        queue.unwrap_or_else(|| self.jobs[&job].accepted.service.clone())
     }
 
-    fn choose(&self, task: TaskId, spec: &Step, open: &[WorkerId]) -> Option<WorkerId> {
+    pub(crate) fn choose(&self, task: TaskId, spec: &Step, open: &[WorkerId]) -> Option<WorkerId> {
         let shunned = self.jobs[&task.job].task(task).and_then(|task| task.shunned);
         let mut best: Option<(bool, f64, WorkerId)> = None;
         for &id in open {
@@ -155,7 +171,7 @@
     }
 
     /// Gives a task its place; the start is ordered once the store holds it.
-    fn intend(&mut self, task: TaskId, worker: WorkerId) {
+    pub(crate) fn intend(&mut self, task: TaskId, worker: WorkerId) {
         let now = self.now;
         self.touch(task.job);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cowslipchute_base::entity::Table;
 use cowslipchute_base::event::Event as Number;
@@ -14,12 +15,14 @@
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
+use cowslipchute_ports::job::StepId;
 
 use crate::action::Action;
 use crate::action::Note;
 use crate::event::Event;
 use crate::interfere::Model;
 use crate::job::Job;
+use crate::occurrence::Calendar;
 use crate::order::Timer;
 use crate::reserve::Reserve;
 use crate::settings::Settings;
@@ -53,6 +56,10 @@
     pub(crate) works: HashMap<Arc<str>, f64>,
     /// Logarithm of the speed of the cell's short runs, as a part of what was estimated.
     pub(crate) speed: f64,
+    /// The step about which the advisory service is being asked, and how long its tickets last.
+    pub(crate) asking: Option<(StepId, Duration)>,
+    /// The time of day.
+    pub(crate) calendar: Calendar,
     /// Room kept for short tasks.
     pub(crate) reserve: Reserve,
     /// Which images slow which.
@@ -84,6 +91,8 @@
             names: HashMap::new(),
             works: HashMap::new(),
             speed: 0.0,
+            asking: None,
+            calendar: Calendar::default(),
             reserve: Reserve::default(),
             model: Model::default(),
             timers: BTreeSet::new(),
@@ -131,6 +140,8 @@
             Event::Paced { worker, run, percent, outcome } => {
                 self.paced(&worker, run, percent, outcome);
             }
+            Event::Advised { step, outcome } => self.advised(step, outcome),
+            Event::Wall { wall } => self.calendar.read(self.now, wall),
             Event::Written { batch } => self.written(batch),
         }
     }
@@ -158,7 +169,8 @@
     pub fn pending(&self) -> HashMap<Arc<str>, u32> {
         let mut counts = HashMap::new();
         for job in self.jobs.values() {
-            if !job.started && job.end.is_none() {
+            let timed = job.accepted.spec.schedule.is_some();
+            if !job.started && !timed && job.end.is_none() {
                 *counts.entry(job.accepted.queue.clone()).or_insert(0) += 1;
             }
         }
--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/rank.rs
@@ -54,7 +54,7 @@
 
     fn rank(&self, job: &Job) -> Rank {
         let objective = job.chain(false).mul_f64(job.terms.slack) + job.terms.allowance;
-        let finish = self.now.saturating_sub(job.since) + job.chain(true);
+        let finish = self.now.saturating_sub(job.due_since()) + job.chain(true);
         let weight = if finish <= objective {
             1.0
         } else if finish <= objective.mul_f64(LATE_LIMIT) {
--- a/crates/planner/src/record.rs
+++ b/crates/planner/src/record.rs
@@ -4,6 +4,7 @@
 //! ordered.
 
 use cowslipchute_base::id;
+use cowslipchute_ports::job;
 use serde::Deserialize;
 use serde::Serialize;
 use smallvec::SmallVec;
@@ -31,14 +32,26 @@
     pub checkpoint: Option<id::Checkpoint>,
 }
 
-/// What is kept of one job, by step and task.
+/// What is kept of one occurrence, by step and task.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Occurrence {
+    /// Its number.
+    pub number: job::Occurrence,
+    /// The steps; one of which nothing is to be kept has no tasks here.
+    pub steps: Vec<Vec<Task>>,
+}
+
+/// What is kept of one job.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Record {
     /// Whether a task has ever started.
     pub started: bool,
-    /// The steps; one of which nothing is to be kept has no tasks here.
-    pub steps: Vec<Vec<Task>>,
+    /// How many occurrences have become due.
+    pub opened: u32,
+    /// Those of them that aren't done.
+    pub occurrences: Vec<Occurrence>,
 }
 
 /// Why a stored value can't be read.
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -10,6 +10,8 @@
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
+use cowslipchute_ports::job::StepId;
+use cowslipchute_ports::job::StepIndex;
 use cowslipchute_ports::job::TaskId;
 
 use crate::host::Hosted;
@@ -66,6 +68,7 @@
         self.ended_order.clear();
         self.workers = Default::default();
         self.names.clear();
+        self.asking = None;
         self.timers.clear();
         self.writing = Writing::after(&self.writing);
     }
@@ -76,22 +79,32 @@
         let state = Job::new(accepted, terms, self.now, self.arrivals);
         self.reserve.count(self.now, &state.accepted.spec);
         Planner::learn_work(&mut self.works, &state.accepted.queue, state.work());
+        let scheduled = state.next_due().is_some();
         self.jobs.insert(job, state);
         self.waiting.insert(job);
+        if scheduled {
+            self.timers.insert((self.now, Timer::Occurrence(job)));
+        }
     }
 
     /// Takes over a record of an earlier owner.
     fn restore(&mut self, job: JobId, record: &Record) {
         // A record whose job is gone is what an ended job left; nothing is to be done for it.
         let Some(state) = self.jobs.get_mut(&job) else { return };
-        state.started = record.started;
+        state.restore(record);
         let mut placed = Vec::new();
-        for (step, tasks) in record.steps.iter().enumerate().take(state.steps.len()) {
-            for (index, stored) in tasks.iter().enumerate().take(state.steps[step].tasks.len()) {
-                let id = TaskId { job, occurrence: 0, step: step as u16, index: index as u32 };
-                restore_task(state, id, stored);
-                if let (false, Some(worker)) = (stored.done, &stored.worker) {
-                    placed.push((Run { task: id, attempt: stored.attempt }, worker.clone()));
+        for occurrence in &record.occurrences {
+            for (step, tasks) in occurrence.steps.iter().enumerate() {
+                let step = StepId { job, occurrence: occurrence.number, step: step as StepIndex };
+                for (index, stored) in tasks.iter().enumerate() {
+                    let id = step.task(index as u32);
+                    if state.task(id).is_none() {
+                        continue;
+                    }
+                    restore_task(state, id, stored);
+                    if let (false, Some(worker)) = (stored.done, &stored.worker) {
+                        placed.push((Run { task: id, attempt: stored.attempt }, worker.clone()));
+                    }
                 }
             }
         }
@@ -113,9 +126,10 @@
     /// Ends a job for which nothing is left to do but to say so.
     fn conclude(&mut self, job: JobId) {
         let Some(state) = self.jobs.get(&job) else { return };
-        let spent = state.steps.iter().zip(&state.accepted.spec.steps).any(|(step, spec)| {
-            let most = state.terms.max_attempts as usize;
-            !spec.long_running && step.tasks.iter().any(|task| task.failed.len() >= most)
+        let most = state.terms.max_attempts as usize;
+        let spent = state.steps(job).any(|(id, step)| {
+            let lasts = state.spec(id.step).long_running;
+            !lasts && step.tasks.iter().any(|task| task.failed.len() >= most)
         });
         if state.accepted.cancelled {
             self.finish(job, State::Cancelled);
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -76,6 +76,7 @@
     pub(crate) service: id::Service,
     pub(crate) domain: id::Domain,
     pub(crate) labels: SmallVec<[Arc<str>; 2]>,
+    pub(crate) rack: Option<id::Rack>,
     pub(crate) capacity: Amount,
     pub(crate) listed: bool,
     pub(crate) draining: bool,
@@ -108,6 +109,7 @@
             service: id::Service::from(""),
             domain: id::Domain::from(""),
             labels: SmallVec::new(),
+            rack: None,
             capacity: Amount::ZERO,
             listed: false,
             draining: false,
@@ -132,6 +134,7 @@
         self.service = registration.service.clone();
         self.domain = registration.domain.clone();
         self.labels = registration.labels.clone();
+        self.rack = registration.rack.clone();
         self.capacity = registration.capacity;
         self.draining = registration.draining;
         self.listed = true;
--- a/crates/planner/src/write.rs
+++ b/crates/planner/src/write.rs
@@ -167,9 +167,11 @@
 
     fn order_start(&mut self, worker: WorkerId, run: Run) {
         let now = self.now;
+        let stored = self.jobs.get(&run.task.job).map_or(0, |job| job.stored);
         let Some(state) = self.workers.get_mut(worker) else { return };
         let Some(hosted) = state.runs.get_mut(&run) else { return };
-        if !matches!(hosted.stage, Stage::Intended { .. }) {
+        // A place that was taken back and given again waits for the later write.
+        if !matches!(hosted.stage, Stage::Intended { version } if version <= stored) {
             return;
         }
         hosted.stage = Stage::Starting { order: Order::Due(now), unsettled: false };
--- a/crates/ports/src/deployment.rs
+++ b/crates/ports/src/deployment.rs
@@ -8,6 +8,17 @@
 /// Version of a configuration; a later one is higher.
 pub type Version = u64;
 
+/// How the advisory service answers for a queue.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Advice {
+    /// What an answer takes at least.
+    pub decision: Duration,
+    /// What it takes more for each worker that is asked about.
+    pub each: Duration,
+    /// How long a ticket is valid.
+    pub validity: Duration,
+}
+
 /// A queue through which jobs come.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Queue {
@@ -27,8 +38,8 @@
     pub slack: f64,
     /// What a job may take beyond its chain of work.
     pub allowance: Duration,
-    /// Whether starts need leave of an advisory service.
-    pub advised: bool,
+    /// How the advisory service answers, where starts need its leave.
+    pub advice: Option<Advice>,
 }
 
 /// A service: a pool of workers.
--- a/crates/ports/src/executor.rs
+++ b/crates/ports/src/executor.rs
@@ -14,10 +14,13 @@
 use cowslipchute_base::id;
 use smallvec::SmallVec;
 
+use crate::job::StepId;
 use crate::job::TaskId;
 
 /// Milliseconds on a worker's own clock, which may run two percent slow.
 pub type Stamp = u64;
+/// Leave to run a step on a worker, as the advisory service words it.
+pub type Ticket = Arc<str>;
 /// Number of an end within one life of a worker, from one.
 pub type EndNumber = u64;
 
@@ -36,8 +39,10 @@
     pub draining: bool,
     /// All that it has.
     pub capacity: Amount,
-    /// Its kind and its rack.
+    /// All that a step may require: its kind, its rack and maybe more.
     pub labels: SmallVec<[Arc<str>; 2]>,
+    /// Its rack.
+    pub rack: Option<id::Rack>,
     /// How much longer it is slow after its start.
     pub cold: Duration,
 }
@@ -71,6 +76,8 @@
     pub deadline: Stamp,
     /// Resumes from here.
     pub checkpoint: Option<id::Checkpoint>,
+    /// Leave of the advisory service, where the queue needs one.
+    pub ticket: Option<Ticket>,
 }
 
 /// Extends a worker's deadline and asks what has become of its runs.
@@ -206,3 +213,14 @@
         hold: Hold,
     ) -> impl Future<Output = Result<Report, Failure>> + Send;
 }
+
+/// The service that knows which workers a queue's policy allows.
+pub trait Advisor: Clone + Send + Sync + 'static {
+    /// Asks which of some workers may run a step. It takes a while for each worker named.
+    fn advise(
+        &self,
+        step: StepId,
+        workers: Vec<id::Instance>,
+        within: Duration,
+    ) -> impl Future<Output = Result<Vec<(id::Instance, Ticket)>, Failure>> + Send;
+}
--- a/crates/ports/src/job.rs
+++ b/crates/ports/src/job.rs
@@ -27,6 +27,30 @@
 /// Which run of a repeated job a task belongs to, from zero.
 pub type Occurrence = u32;
 
+/// Identity of a step of one occurrence of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepId {
+    /// The job.
+    pub job: JobId,
+    /// Which occurrence of the job.
+    pub occurrence: Occurrence,
+    /// Which step.
+    pub step: StepIndex,
+}
+
+impl StepId {
+    /// Returns a task of the step.
+    pub fn task(self, index: id::TaskIndex) -> TaskId {
+        TaskId { job: self.job, occurrence: self.occurrence, step: self.step, index }
+    }
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
 /// Identity of a task, the same over all its attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -41,9 +65,16 @@
     pub index: id::TaskIndex,
 }
 
+impl TaskId {
+    /// Returns the step that the task is of.
+    pub fn step_id(self) -> StepId {
+        StepId { job: self.job, occurrence: self.occurrence, step: self.step }
+    }
+}
+
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
+        write!(f, "{}.{}", self.step_id(), self.index)
     }
 }
 
