Try the planner in a world of virtual time: scenarios and random interleavings

Cause found by the scenarios: each try to reach a silent worker moved the deadline that had to pass, so its tasks were never started elsewhere; it is given none until it answers. And a task that waits for a near rack was not looked at again.

--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -53,7 +53,9 @@
         if at > self.now {
             return;
         }
-        let deadline = self.grant(worker);
+        // A deadline that may arrive later would have to be waited for: a silent worker is given
+        // none until it answers.
+        let deadline = if state.answers() { self.grant(worker) } else { None };
         self.advance_acknowledged(worker);
         let wait = self.hold_wait(&self.workers[worker]);
         let state = &mut self.workers[worker];
--- a/crates/planner/src/locality.rs
+++ b/crates/planner/src/locality.rs
@@ -4,13 +4,13 @@
 //! waiting takes as long as it takes; so a task waits for the near workers for half of what it
 //! would lose elsewhere, and then goes where there is room.
 
-use std::time::Duration;
-
 use cowslipchute_base::id;
+use cowslipchute_base::id::Time;
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::StepId;
 
 use crate::job::Place;
+use crate::order::Timer;
 use crate::planner::Planner;
 use crate::worker::WorkerId;
 
@@ -21,7 +21,7 @@
 impl Planner {
     /// Narrows the open workers down to those near a step's data or near its other tasks, unless
     /// its tasks have waited for that long enough.
-    pub(crate) fn near(&self, step: StepId, spec: &Step, open: Vec<WorkerId>) -> Vec<WorkerId> {
+    pub(crate) fn near(&mut self, step: StepId, spec: &Step, open: Vec<WorkerId>) -> Vec<WorkerId> {
         if spec.data_rack.is_none() && !spec.same_rack {
             return open;
         }
@@ -35,17 +35,22 @@
             .copied()
             .filter(|&worker| self.workers[worker].rack.as_ref() == Some(&rack))
             .collect();
-        if near.is_empty() || self.has_waited_near(step, spec) { open } else { near }
+        let until = self.near_until(step, spec);
+        if near.is_empty() || self.now >= until {
+            return open;
+        }
+        self.timers.insert((until, Timer::Place));
+        near
     }
 
-    /// Tells whether a step's tasks have waited for near workers for as long as that pays.
-    fn has_waited_near(&self, step: StepId, spec: &Step) -> bool {
+    /// Tells until when it pays that a step's tasks wait for near workers.
+    fn near_until(&self, step: StepId, spec: &Step) -> Time {
         let lost = spec.estimate.mul_f64((self.settings.remote_factor - 1.0).max(0.0) * WAIT_PART);
         let state = self.jobs[&step.job].step(step);
         let tasks = state.into_iter().flat_map(|state| &state.tasks);
         let since =
             tasks.filter(|task| task.place == Place::Waiting).map(|task| task.waiting_since).min();
-        since.is_some_and(|since| self.now >= since + lost.max(Duration::from_millis(1)))
+        since.map_or(self.now, |since| since + lost)
     }
 
     /// Returns the rack of a step's tasks that have a place, or else the one with the most room
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -81,8 +81,16 @@
     fn send_order(&mut self, worker: WorkerId, run: Run) {
         let Some(state) = self.workers.get_mut(worker) else { return };
         let Some(target) = state.target() else { return };
+        let answers = state.answers();
         let Some(hosted) = state.runs.get_mut(&run) else { return };
         match &mut hosted.stage {
+            // A start gives a deadline too, and a silent worker is given none.
+            Stage::Starting { unsettled: false, .. } if !answers => {
+                self.end_run(worker, run, How::Stopped, None);
+            }
+            Stage::Starting { order: Order::Due(_), .. } if !answers => {
+                self.schedule(worker, run, UNREACHED_PAUSE);
+            }
             Stage::Starting { order: order @ Order::Due(_), .. } => {
                 *order = Order::Sent;
                 self.send_start(worker, run);
--- /dev/null
+++ b/crates/planner/tests/interleavings.rs
@@ -0,0 +1,187 @@
+//! Random interleavings of owners, workers and jobs. The world checks what must always hold after
+//! every step; in the end all is mended, and then every job has to come to its end.
+
+mod world;
+
+use std::time::Duration;
+
+use cowslipchute_base::amount::Amount;
+use cowslipchute_ports::job::Accepted;
+use cowslipchute_ports::job::Spec;
+use cowslipchute_ports::job::Step as JobStep;
+use proptest::prelude::Strategy;
+use proptest::prop_oneof;
+use proptest::test_runner::Config;
+use proptest::test_runner::TestRunner;
+use world::World;
+
+/// Workers of the world.
+const WORKERS: u8 = 4;
+/// Cases, unless the environment says otherwise.
+const CASES: u32 = 200;
+/// Steps of a case.
+const STEPS: usize = 60;
+/// Failed runs that a job may have; faults alone don't spend them.
+const ATTEMPTS: u32 = 1000;
+/// By then every job has come to its end in a mended world.
+const END: Duration = Duration::from_secs(60);
+
+#[derive(Clone, Debug)]
+enum Step {
+    Wait(u64),
+    Submit { width: u32, chain: u16, time: u64, kind: u8 },
+    Cancel(u8),
+    KillOwner,
+    TakeOver,
+    Cut(u8),
+    Heal(u8),
+    Rebirth(u8),
+    Unlist(u8),
+    List(u8),
+    Fail(u8),
+    Hang(u8),
+    Slow(u8),
+    Mend(u8),
+    Lose(u8, u32),
+    StoreDown,
+    StoreSlow,
+    StoreUp,
+    NoRenewal,
+    Renewal,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let worker = || 0..WORKERS;
+    prop_oneof![
+        8 => (10u64..400).prop_map(Step::Wait),
+        2 => (400u64..4000).prop_map(Step::Wait),
+        6 => (1u32..5, 1u16..4, 50u64..2500, 0u8..6)
+            .prop_map(|(width, chain, time, kind)| Step::Submit { width, chain, time, kind }),
+        1 => (0u8..20).prop_map(Step::Cancel),
+        1 => proptest::strategy::Just(Step::KillOwner),
+        3 => proptest::strategy::Just(Step::TakeOver),
+        2 => worker().prop_map(Step::Cut),
+        3 => worker().prop_map(Step::Heal),
+        2 => worker().prop_map(Step::Rebirth),
+        1 => worker().prop_map(Step::Unlist),
+        2 => worker().prop_map(Step::List),
+        1 => worker().prop_map(Step::Fail),
+        1 => worker().prop_map(Step::Hang),
+        1 => worker().prop_map(Step::Slow),
+        3 => worker().prop_map(Step::Mend),
+        2 => (worker(), 1u32..4).prop_map(|(worker, answers)| Step::Lose(worker, answers)),
+        1 => proptest::strategy::Just(Step::StoreDown),
+        1 => proptest::strategy::Just(Step::StoreSlow),
+        2 => proptest::strategy::Just(Step::StoreUp),
+        1 => proptest::strategy::Just(Step::NoRenewal),
+        2 => proptest::strategy::Just(Step::Renewal),
+    ]
+}
+
+fn name(worker: u8) -> String {
+    format!("w{worker}")
+}
+
+fn job(width: u32, chain: u16, time: u64, kind: u8) -> Accepted {
+    let steps = (0..chain).map(|index| JobStep {
+        count: width,
+        demand: Amount { cpu_milli: 1000, memory_mib: 100, accelerators: 0 },
+        estimate: Duration::from_millis(time),
+        after: index.checked_sub(1).into_iter().collect(),
+        checkpointing: kind == 1 || kind == 4,
+        fills: kind == 2,
+        gang: kind == 4,
+        long_running: kind == 5 && chain == 1,
+        ..JobStep::default()
+    });
+    let spec = Spec { payload: "payload".into(), steps: steps.collect(), schedule: None };
+    Accepted { queue: "q".into(), service: "desk".into(), spec, cancelled: false }
+}
+
+fn take(world: &mut World, jobs: &mut u64, step: &Step) {
+    match step {
+        Step::Wait(millis) => world.run(Duration::from_millis(*millis)),
+        Step::Submit { width, chain, time, kind } => {
+            *jobs += 1;
+            world.submit(*jobs, job(*width, *chain, *time, *kind));
+        }
+        Step::Cancel(at) => world.cancel((*at).into()),
+        Step::KillOwner => world.kill_owner(),
+        Step::TakeOver => world.take_over(&World::config(0, ATTEMPTS, false)),
+        Step::Rebirth(at) => world.crash(&name(*at), true),
+        Step::Unlist(at) => world.unlist(&name(*at)),
+        Step::List(at) => world.list(&name(*at)),
+        Step::StoreDown => world.store_up = false,
+        Step::StoreSlow => world.store_delay = Duration::from_millis(300),
+        Step::StoreUp => {
+            world.store_up = true;
+            world.store_delay = Duration::from_millis(4);
+        }
+        Step::NoRenewal => world.renewals = false,
+        Step::Renewal => world.renewals = true,
+        Step::Cut(at)
+        | Step::Heal(at)
+        | Step::Fail(at)
+        | Step::Hang(at)
+        | Step::Slow(at)
+        | Step::Mend(at)
+        | Step::Lose(at, _) => {
+            let worker = world.workers.get_mut(&name(*at)).expect("workers stay");
+            match step {
+                Step::Cut(_) => worker.cut = true,
+                Step::Heal(_) => worker.cut = false,
+                Step::Fail(_) => worker.fails = true,
+                Step::Hang(_) => worker.hangs = true,
+                Step::Slow(_) => worker.slow = 6,
+                Step::Lose(_, answers) => worker.lose = *answers,
+                _ => (worker.fails, worker.hangs, worker.slow) = (false, false, 1),
+            }
+        }
+    }
+}
+
+fn mend(world: &mut World) {
+    world.store_up = true;
+    world.store_delay = Duration::from_millis(4);
+    world.renewals = true;
+    for at in 0..WORKERS {
+        let worker = world.workers.get_mut(&name(at)).expect("workers stay");
+        (worker.cut, worker.fails, worker.hangs, worker.slow) = (false, false, false, 1);
+        worker.lose = 0;
+        world.list(&name(at));
+    }
+    world.take_over(&World::config(0, ATTEMPTS, false));
+}
+
+fn play(steps: &[Step]) {
+    let mut world = World::open();
+    let mut jobs = 0;
+    for at in 0..WORKERS {
+        let capacity = Amount { cpu_milli: 4000, memory_mib: 8000, accelerators: 0 };
+        world.add_worker(&name(at), capacity, if at < 2 { "r1" } else { "r2" });
+    }
+    world.take_over(&World::config(0, ATTEMPTS, false));
+    for step in steps {
+        take(&mut world, &mut jobs, step);
+    }
+    mend(&mut world);
+    world.run(END);
+    let lasts = |id: &u64| world.specs[id].spec.steps[0].long_running;
+    let open: Vec<u64> = world.jobs.keys().copied().filter(|id| !lasts(id)).collect();
+    assert!(open.is_empty(), "jobs without an end: {open:?}\n{}", world.describe());
+}
+
+#[test]
+fn any_order_of_faults_keeps_every_promise() {
+    let cases = std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
+    let config =
+        Config { cases: cases.unwrap_or(CASES), failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new(config);
+    let steps = proptest::collection::vec(step(), 1..STEPS);
+    runner
+        .run(&steps, |steps| {
+            play(&steps);
+            Ok(())
+        })
+        .unwrap_or_else(|error| panic!("{error}"));
+}
--- /dev/null
+++ b/crates/planner/tests/scenarios.rs
@@ -0,0 +1,166 @@
+//! Runs the scenario files of `filetests`. Each file is one world.
+//!
+//! Directives: `worker name=w cpu=N [memory=N] [rack=R]`; `own` (a new owner takes over, `attempts=N`,
+//! `advised=w`); `kill` (the owner goes without a word); `job id=H [queue=q] [work=MS] [start=MS
+//! interval=MS count=N]` with a step a line (`count=N cpu=N memory=N time=MS [after=N,..]` and any of
+//! `gang`, `lasts`, `fills`, `saves`, `tight`, `image=I`, `target=MS`, `apart=N`, `near=R`, `needs=L`);
+//! `cancel id=H`; `cut|heal|crash|rebirth|drain|unlist|list|fail|mend|hang|lose name=w`, `slow name=w x=N`;
+//! `store state=down|up [delay=MS]`; `run ms=N` (prints nothing); `show` (how far each job is); `notes
+//! [of=(Event, ..)]` (what was noted since the last look); `stored` (the numbers of jobs and records).
+
+mod world;
+
+use std::time::Duration;
+
+use cowslipchute_base::amount::Amount;
+use cowslipchute_ports::job::Accepted;
+use cowslipchute_ports::job::JobId;
+use cowslipchute_ports::job::Schedule;
+use cowslipchute_ports::job::Spec;
+use cowslipchute_ports::job::Step;
+use datadriven::TestCase;
+use world::World;
+
+#[test]
+fn scenarios() {
+    datadriven::walk("filetests", |file| {
+        let mut world = World::open();
+        file.run(|case| {
+            let mut output = direct(&mut world, case);
+            if !output.is_empty() && !output.ends_with('\n') {
+                output.push('\n');
+            }
+            output
+        });
+    });
+}
+
+fn arg<'a>(case: &'a TestCase, name: &str) -> Option<&'a str> {
+    case.args.get(name).and_then(|values| values.first()).map(String::as_str)
+}
+
+fn number<T: std::str::FromStr>(case: &TestCase, name: &str) -> Option<T> {
+    arg(case, name).map(|text| text.parse().ok().unwrap_or_else(|| panic!("{name}: {text}")))
+}
+
+fn direct(world: &mut World, case: &TestCase) -> String {
+    let name = arg(case, "name").unwrap_or_default();
+    match case.directive.as_str() {
+        "worker" => {
+            let capacity = Amount {
+                cpu_milli: number(case, "cpu").unwrap_or(8000),
+                memory_mib: number(case, "memory").unwrap_or(32_000),
+                accelerators: 0,
+            };
+            world.add_worker(name, capacity, arg(case, "rack").unwrap_or("r1"));
+        }
+        "own" => {
+            let advised = arg(case, "advised").map(str::to_owned);
+            let attempts = number(case, "attempts").unwrap_or(3);
+            let config = World::config(0, attempts, advised.is_some());
+            world.allowed.extend(advised);
+            world.take_over(&config);
+        }
+        "kill" => world.kill_owner(),
+        "job" => submit(world, case),
+        "cancel" => world.cancel(id(case)),
+        "crash" => world.crash(name, false),
+        "rebirth" => world.crash(name, true),
+        "list" => world.list(name),
+        "unlist" => world.unlist(name),
+        "store" => {
+            world.store_up = arg(case, "state") != Some("down");
+            world.store_delay = Duration::from_millis(number(case, "delay").unwrap_or(4));
+        }
+        "run" => world.run(Duration::from_millis(number(case, "ms").expect("run says how long"))),
+        "show" => return world.describe(),
+        "stored" => {
+            return format!("jobs {}, records {}", world.jobs.len(), world.records.len());
+        }
+        "notes" => return notes(world, case),
+        other => fault(world, case, other),
+    }
+    String::new()
+}
+
+fn fault(world: &mut World, case: &TestCase, directive: &str) {
+    let name = arg(case, "name").unwrap_or_default();
+    let worker = world.workers.get_mut(name).unwrap_or_else(|| panic!("no worker {name}"));
+    match directive {
+        "cut" => worker.cut = true,
+        "heal" => worker.cut = false,
+        "fail" => worker.fails = true,
+        "hang" => worker.hangs = true,
+        "mend" => (worker.fails, worker.hangs, worker.slow) = (false, false, 1),
+        "slow" => worker.slow = number(case, "x").unwrap_or(6),
+        "lose" => worker.lose = number(case, "answers").unwrap_or(1),
+        "drain" => {
+            worker.draining = true;
+            world.list(name);
+        }
+        other => panic!("no directive {other}"),
+    }
+}
+
+fn id(case: &TestCase) -> JobId {
+    JobId::from_str_radix(arg(case, "id").expect("a job has an id"), 16).expect("hexadecimal")
+}
+
+fn submit(world: &mut World, case: &TestCase) {
+    let steps = case.input.lines().map(step).collect();
+    let schedule = number(case, "count").map(|count| Schedule {
+        count,
+        start: world.now + Duration::from_millis(number(case, "start").unwrap_or(0)),
+        interval: Duration::from_millis(number(case, "interval").unwrap_or(1000)),
+    });
+    let accepted = Accepted {
+        queue: arg(case, "queue").unwrap_or("q").into(),
+        service: "desk".into(),
+        spec: Spec { payload: "payload".into(), steps, schedule },
+        cancelled: false,
+    };
+    if let Some(work) = number(case, "work") {
+        world.work.insert(id(case), Duration::from_millis(work));
+    }
+    world.submit(id(case), accepted);
+}
+
+fn step(line: &str) -> Step {
+    let mut step = Step { count: 1, estimate: Duration::from_secs(1), ..Step::default() };
+    step.demand = Amount { cpu_milli: 1000, memory_mib: 100, accelerators: 0 };
+    for word in line.split_whitespace() {
+        let (key, value) = word.split_once('=').unwrap_or((word, ""));
+        let whole = || value.parse::<u32>().unwrap_or_else(|_| panic!("{word}"));
+        match key {
+            "count" => step.count = whole(),
+            "cpu" => step.demand.cpu_milli = whole(),
+            "memory" => step.demand.memory_mib = whole(),
+            "time" => step.estimate = Duration::from_millis(whole().into()),
+            "after" => {
+                step.after = value.split(',').map(|n| n.parse().expect("a step")).collect();
+            }
+            "gang" => step.gang = true,
+            "lasts" => step.long_running = true,
+            "fills" => step.fills = true,
+            "saves" => step.checkpointing = true,
+            "tight" => step.same_rack = true,
+            "image" => step.image = Some(value.into()),
+            "target" => step.target = Some(Duration::from_millis(whole().into())),
+            "apart" => step.max_per_worker = whole(),
+            "near" => step.data_rack = Some(value.into()),
+            "needs" => step.required_label = Some(value.into()),
+            other => panic!("no word {other}"),
+        }
+    }
+    step
+}
+
+fn notes(world: &mut World, case: &TestCase) -> String {
+    let notes = std::mem::take(&mut world.notes);
+    let wanted = case.args.get("of").cloned().unwrap_or_default();
+    let kept = notes.into_iter().filter(|note| {
+        wanted.is_empty() || wanted.iter().any(|event| note.starts_with(event.as_str()))
+    });
+    let lines: Vec<String> = kept.collect();
+    if lines.is_empty() { String::from("nothing") } else { lines.join("\n") }
+}
--- /dev/null
+++ b/crates/planner/tests/world/mod.rs
@@ -0,0 +1,628 @@
+//! A world for the planner in virtual time: a store, workers, and an owner that can be replaced.
+//!
+//! What must always hold is checked after every step: a task never runs twice at once, nor again
+//! after an end that was acknowledged; a step never begins before those it comes after; no worker
+//! is given more than it has; a job's end is shown only after the store holds it; what is
+//! acknowledged can be read from the store.
+
+#![allow(dead_code, reason = "each test file uses a part of the world")]
+
+pub mod worker;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cowslipchute_base::amount::Amount;
+use cowslipchute_base::id;
+use cowslipchute_base::id::Time;
+use cowslipchute_planner::action::Action;
+use cowslipchute_planner::action::Change;
+use cowslipchute_planner::event::Event;
+use cowslipchute_planner::planner::Planner;
+use cowslipchute_planner::record::Record;
+use cowslipchute_planner::settings::Settings;
+use cowslipchute_ports::deployment::Config;
+use cowslipchute_ports::deployment::Limits;
+use cowslipchute_ports::deployment::Queue;
+use cowslipchute_ports::executor::Failure;
+use cowslipchute_ports::executor::How;
+use cowslipchute_ports::executor::Registration;
+use cowslipchute_ports::executor::Run;
+use cowslipchute_ports::job::Accepted;
+use cowslipchute_ports::job::JobId;
+use cowslipchute_ports::job::State;
+use cowslipchute_ports::job::StepId;
+use cowslipchute_ports::job::TaskId;
+use worker::Worker;
+
+/// One way between the owner and anyone else.
+const WAY: Duration = Duration::from_millis(2);
+/// How often time passes.
+const STEP: Duration = Duration::from_millis(5);
+/// After this an order without an answer is given up.
+const TIMEOUT: Duration = Duration::from_millis(700);
+/// How long the owner's lease lasts from a renewal.
+const LEASE: Duration = Duration::from_millis(2500);
+
+/// What arrives at a time.
+#[derive(Clone, Debug)]
+enum Arrival {
+    /// An action reaches the worker it is for.
+    Order(u32, Action),
+    /// A waiting hold looks again whether something has ended.
+    Hold(u32, Action, Time),
+    /// A write reaches the store.
+    Write(u32, u64, Vec<Change>),
+    /// An event reaches the owner of a term.
+    Event(u32, Event),
+}
+
+/// The world.
+pub struct World {
+    pub now: Time,
+    pub planner: Option<Planner>,
+    /// Rises with each owner; also its epoch.
+    pub term: u32,
+    pub workers: BTreeMap<String, Worker>,
+    pub lives: u32,
+    pub jobs: BTreeMap<JobId, Arc<Accepted>>,
+    pub records: BTreeMap<JobId, Record>,
+    pub ends: BTreeMap<JobId, State>,
+    /// Jobs that the store has ever held.
+    pub specs: BTreeMap<JobId, Arc<Accepted>>,
+    /// How long a task really works, where it isn't as estimated.
+    pub work: BTreeMap<JobId, Duration>,
+    /// Whether the store answers, and how long it takes.
+    pub store_up: bool,
+    pub store_delay: Duration,
+    pub renewals: bool,
+    arrivals: BTreeMap<(Time, u64), Arrival>,
+    sequence: u64,
+    /// Ends that are acknowledged for good.
+    acknowledged: BTreeSet<TaskId>,
+    /// Where advised queues may run.
+    pub allowed: BTreeSet<String>,
+    pub notes: Vec<String>,
+    pub starts: u64,
+}
+
+impl World {
+    pub fn open() -> World {
+        World {
+            now: Duration::from_secs(1000),
+            planner: None,
+            term: 0,
+            workers: BTreeMap::new(),
+            lives: 0,
+            jobs: BTreeMap::new(),
+            records: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            specs: BTreeMap::new(),
+            work: BTreeMap::new(),
+            store_up: true,
+            store_delay: Duration::from_millis(4),
+            renewals: true,
+            arrivals: BTreeMap::new(),
+            sequence: 0,
+            acknowledged: BTreeSet::new(),
+            allowed: BTreeSet::new(),
+            notes: Vec::new(),
+            starts: 0,
+        }
+    }
+
+    pub fn config(priority: u8, attempts: u32, advised: bool) -> Arc<Config> {
+        let advice = cowslipchute_ports::deployment::Advice {
+            decision: Duration::from_millis(30),
+            each: Duration::from_millis(5),
+            validity: Duration::from_secs(3),
+        };
+        let queue = |name: &str, priority| Queue {
+            name: name.into(),
+            host: "host".into(),
+            prefix: "/q/".into(),
+            service: "desk".into(),
+            priority,
+            max_attempts: attempts,
+            slack: 1.5,
+            allowance: Duration::from_millis(250),
+            advice: advised.then_some(advice),
+        };
+        Arc::new(Config {
+            version: 1,
+            queues: vec![queue("q", priority), queue("low", priority + 2)],
+            services: Vec::new(),
+            limits: Limits {
+                head: 1 << 14,
+                body: 1 << 18,
+                head_time: Duration::from_secs(3),
+                idle_time: Duration::from_secs(15),
+            },
+        })
+    }
+
+    fn push(&mut self, at: Time, arrival: Arrival) {
+        self.sequence += 1;
+        self.arrivals.insert((at, self.sequence), arrival);
+    }
+
+    /// A new owner takes the cell over; whatever the former one had on its way goes on.
+    pub fn take_over(&mut self, config: &Arc<Config>) {
+        self.term += 1;
+        let mut planner = Planner::open(Settings::default());
+        let mut actions = Vec::new();
+        let jobs = self.jobs.iter().map(|(id, job)| (*id, job.clone())).collect();
+        let records = self.records.iter().map(|(id, record)| (*id, record.clone())).collect();
+        let events = [
+            Event::Wall { wall: self.now },
+            Event::Config { config: config.clone() },
+            Event::Owned { epoch: self.term.into(), jobs, records },
+            Event::Renewed { until: self.now + LEASE },
+        ];
+        for event in events {
+            planner.step(self.now, event, &mut actions);
+        }
+        for worker in self.workers.values().filter(|worker| worker.listed) {
+            let registration = registration(worker);
+            planner.step(self.now, Event::Listed { registration }, &mut actions);
+        }
+        self.planner = Some(planner);
+        self.act(actions);
+    }
+
+    /// The owner is gone without a word.
+    pub fn kill_owner(&mut self) {
+        self.planner = None;
+    }
+
+    pub fn submit(&mut self, id: JobId, accepted: Accepted) {
+        let accepted = Arc::new(accepted);
+        self.jobs.insert(id, accepted.clone());
+        self.specs.insert(id, accepted.clone());
+        self.tell(Event::Job { job: id, accepted });
+    }
+
+    pub fn cancel(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let mut accepted = Accepted::clone(job);
+        accepted.cancelled = true;
+        let accepted = Arc::new(accepted);
+        self.jobs.insert(id, accepted.clone());
+        self.tell(Event::Job { job: id, accepted });
+    }
+
+    fn tell(&mut self, event: Event) {
+        let term = self.term;
+        self.push(self.now + WAY, Arrival::Event(term, event));
+    }
+
+    pub fn add_worker(&mut self, name: &str, capacity: Amount, rack: &str) {
+        self.workers.insert(name.to_owned(), Worker::open(name, capacity, rack));
+        self.list(name);
+    }
+
+    pub fn list(&mut self, name: &str) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.listed = true;
+        let registration = registration(worker);
+        self.tell(Event::Listed { registration });
+    }
+
+    pub fn unlist(&mut self, name: &str) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.listed = false;
+        let name = worker.name.clone();
+        self.tell(Event::Unlisted { name });
+    }
+
+    /// The worker's life ends; another one begins at the same place, under another name.
+    pub fn crash(&mut self, name: &str, reborn: bool) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.up = false;
+        worker.active.clear();
+        if !reborn {
+            return;
+        }
+        self.lives += 1;
+        let mut life =
+            Worker::open(&format!("{name}+{}", self.lives), worker.capacity, &worker.rack.clone());
+        life.updated = self.now;
+        let old = self.workers.insert(name.to_owned(), life);
+        let old = old.expect("it was looked up before");
+        let registration = registration(&self.workers[name]);
+        self.tell(Event::Listed { registration });
+        self.tell(Event::Unlisted { name: old.name });
+    }
+
+    fn by_name(&mut self, name: &str) -> Option<&mut Worker> {
+        self.workers.values_mut().find(|worker| &*worker.name == name)
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += STEP;
+            for worker in self.workers.values_mut() {
+                worker.advance(self.now);
+            }
+            self.join_gangs();
+            if self.renewals && self.store_up {
+                self.push(
+                    self.now,
+                    Arrival::Event(self.term, Event::Renewed { until: self.now + LEASE }),
+                );
+            }
+            while let Some((&key, _)) = self.arrivals.first_key_value() {
+                if key.0 > self.now {
+                    break;
+                }
+                let arrival = self.arrivals.remove(&key).expect("it was there a moment ago");
+                self.arrive(arrival);
+            }
+            self.settle();
+            self.check();
+        }
+    }
+
+    fn settle(&mut self) {
+        let Some(planner) = &mut self.planner else { return };
+        let mut actions = Vec::new();
+        planner.settle(self.now, &mut actions);
+        self.act(actions);
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        let term = self.term;
+        for action in actions {
+            match action {
+                Action::Note(note) => {
+                    let run = note.run.map(|run| format!(" {}#{}", run.task, run.attempt));
+                    let worker = note.worker.map(|worker| format!(" {worker}"));
+                    let text = format!(
+                        "{:?}{}{} {}",
+                        note.event,
+                        run.unwrap_or_default(),
+                        worker.unwrap_or_default(),
+                        note.detail
+                    );
+                    self.notes.push(text.trim_end().to_owned());
+                }
+                Action::Write { batch, changes } => {
+                    self.push(
+                        self.now + self.store_delay / 2,
+                        Arrival::Write(term, batch, changes),
+                    );
+                }
+                order => self.push(self.now + WAY, Arrival::Order(term, order)),
+            }
+        }
+    }
+
+    fn arrive(&mut self, arrival: Arrival) {
+        match arrival {
+            Arrival::Event(term, event) => {
+                if term != self.term {
+                    return;
+                }
+                let Some(planner) = &mut self.planner else { return };
+                let mut actions = Vec::new();
+                planner.step(self.now, event, &mut actions);
+                self.act(actions);
+            }
+            Arrival::Write(term, batch, changes) => self.write(term, batch, changes),
+            Arrival::Order(term, action) => self.order(term, action),
+            Arrival::Hold(term, action, until) => self.wait(term, action, until),
+        }
+    }
+
+    fn write(&mut self, term: u32, batch: u64, changes: Vec<Change>) {
+        if !self.store_up {
+            // The writer makes it again until it is there.
+            self.push(self.now + Duration::from_millis(100), Arrival::Write(term, batch, changes));
+            return;
+        }
+        // The store refuses whoever isn't the owner any more.
+        if term != self.term {
+            return;
+        }
+        for change in changes {
+            match change {
+                Change::Progress { job, record } => drop(self.records.insert(job, record)),
+                Change::End { job, state } => {
+                    self.records.remove(&job);
+                    self.jobs.remove(&job);
+                    let before = self.ends.insert(job, state);
+                    assert_eq!(before, None, "a job ends once: {job:x}");
+                }
+            }
+        }
+        let at = self.now + self.store_delay / 2;
+        self.push(at, Arrival::Event(term, Event::Written { batch }));
+    }
+
+    fn answer(&mut self, term: u32, event: Event) {
+        self.push(self.now + WAY, Arrival::Event(term, event));
+    }
+
+    fn order(&mut self, term: u32, action: Action) {
+        if let Action::Advise { step, workers, .. } = &action {
+            self.advise(term, *step, workers);
+            return;
+        }
+        if let Action::Hold { hold, .. } = &action {
+            let until = self.now + hold.wait;
+            self.wait(term, action, until);
+            return;
+        }
+        self.deliver(term, action);
+    }
+
+    fn advise(&mut self, term: u32, step: StepId, workers: &[id::Instance]) {
+        let rows: Vec<_> = workers
+            .iter()
+            .filter(|name| self.allowed.contains(&***name))
+            .map(|name| (name.clone(), Arc::from(format!("{step}@{name}"))))
+            .collect();
+        let at =
+            self.now + Duration::from_millis(30) + Duration::from_millis(5) * workers.len() as u32;
+        self.push(at, Arrival::Event(term, Event::Advised { step, outcome: Ok(rows) }));
+    }
+
+    /// A hold is answered when something has ended, or when its wait is over.
+    fn wait(&mut self, term: u32, action: Action, until: Time) {
+        let Action::Hold { target, hold } = &action else { return };
+        let acknowledged = hold.acknowledged;
+        let epoch = id::Epoch::from(term);
+        let worker = self.by_name(&target.name.clone());
+        let ended = worker.is_none_or(|worker| {
+            !worker.up
+                || worker.cut
+                || worker.epoch > epoch
+                || worker.ended.iter().any(|end| end.number > acknowledged)
+        });
+        if ended || self.now >= until {
+            self.deliver(term, action);
+        } else {
+            // It holds from its arrival on, whenever it is answered.
+            let (name, hold) = (target.name.clone(), *hold);
+            let now = self.now;
+            if let Some(worker) = self.by_name(&name) {
+                drop(worker.hold(epoch, &hold, now));
+            }
+            self.push(self.now + STEP, Arrival::Hold(term, action, until));
+        }
+    }
+
+    fn deliver(&mut self, term: u32, action: Action) {
+        let now = self.now;
+        let epoch = id::Epoch::from(term);
+        let (Action::Start { target, .. }
+        | Action::Stop { target, .. }
+        | Action::Pace { target, .. }
+        | Action::Hold { target, .. }) = &action
+        else {
+            return;
+        };
+        let name = target.name.clone();
+        let spec = match &action {
+            Action::Start { start, .. } => Some(self.spec(start.run)),
+            _ => None,
+        };
+        if let Action::Hold { hold, .. } = &action {
+            self.acknowledge(&name, hold.acknowledged);
+        }
+        let other_life = self.workers.values().any(|worker| {
+            worker.name.split('+').next() == name.split('+').next() && worker.name != name
+        });
+        let Some(worker) = self.by_name(&name) else {
+            let refusal = cowslipchute_ports::executor::Refusal::OtherLife;
+            let failure =
+                if other_life { Failure::Refused(refusal, None) } else { Failure::Unknown };
+            let event = failed(action, failure);
+            self.answer(term, event);
+            return;
+        };
+        if worker.cut || !worker.up {
+            let event = failed(action, Failure::Unknown);
+            self.push(now + TIMEOUT, Arrival::Event(term, event));
+            return;
+        }
+        let lost = worker.lose > 0 && !matches!(action, Action::Hold { .. });
+        if lost {
+            worker.lose -= 1;
+        }
+        let event = match action.clone() {
+            Action::Start { start, .. } => {
+                let (step, work) = spec.expect("a start has a spec");
+                let outcome = worker.start(epoch, &start, &step, work, now);
+                Event::Started { worker: name.clone(), run: start.run, outcome }
+            }
+            Action::Stop { run, .. } => {
+                Event::Stopped { worker: name.clone(), run, outcome: worker.stop(epoch, run, now) }
+            }
+            Action::Pace { run, percent, .. } => {
+                let outcome = worker.pace(epoch, run, percent, now);
+                Event::Paced { worker: name.clone(), run, percent, outcome }
+            }
+            Action::Hold { hold, .. } => {
+                Event::Held { worker: name.clone(), outcome: worker.hold(epoch, &hold, now) }
+            }
+            Action::Advise { .. } | Action::Write { .. } | Action::Note(_) => return,
+        };
+        if let Event::Started { run, outcome: Ok(_), .. } = &event {
+            self.starts += 1;
+            self.check_start(*run);
+        }
+        if lost {
+            let event = failed(action, Failure::Unknown);
+            self.push(now + TIMEOUT, Arrival::Event(term, event));
+        } else {
+            self.answer(term, event);
+        }
+    }
+
+    fn spec(&self, run: Run) -> (cowslipchute_ports::job::Step, Duration) {
+        let accepted =
+            self.specs.get(&run.task.job).expect("nothing is started that was not asked");
+        let step = accepted.spec.steps[usize::from(run.task.step)].clone();
+        let work = self.work.get(&run.task.job).copied().unwrap_or(step.estimate);
+        (step, work)
+    }
+
+    /// A gang works from when all its runs are there; when one ends, the others do.
+    fn join_gangs(&mut self) {
+        let mut present: BTreeMap<(StepId, id::Attempt), u32> = BTreeMap::new();
+        let mut done: BTreeMap<(StepId, id::Attempt), How> = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| worker.up) {
+            for (run, active) in &worker.active {
+                if active.step.gang {
+                    *present.entry((run.task.step_id(), run.attempt)).or_insert(0) += 1;
+                }
+            }
+            for end in &worker.ended {
+                done.insert((end.run.task.step_id(), end.run.attempt), end.how);
+            }
+        }
+        for worker in self.workers.values_mut() {
+            for (run, active) in &mut worker.active {
+                let gang = (run.task.step_id(), run.attempt);
+                if active.step.gang && present[&gang] == active.step.count {
+                    active.alone = false;
+                }
+            }
+        }
+    }
+
+    /// Remembers what a worker has been told to forget: from then on it stands for good.
+    fn acknowledge(&mut self, name: &str, number: u64) {
+        let Some(worker) = self.by_name(name) else { return };
+        let told: Vec<TaskId> = worker
+            .ended
+            .iter()
+            .filter(|end| end.number <= number && end.how == How::Done)
+            .map(|end| end.run.task)
+            .collect();
+        for task in told {
+            self.check_stored(task);
+            self.acknowledged.insert(task);
+        }
+    }
+
+    /// What is acknowledged can be read from the store.
+    fn check_stored(&self, task: TaskId) {
+        let lasts = self.specs[&task.job].spec.steps[usize::from(task.step)].long_running;
+        if lasts || self.ends.contains_key(&task.job) {
+            return;
+        }
+        let record = self.records.get(&task.job).expect("a job with an end has a record");
+        let occurrence =
+            record.occurrences.iter().find(|occurrence| occurrence.number == task.occurrence);
+        let Some(occurrence) = occurrence else { return };
+        let stored = &occurrence.steps[usize::from(task.step)][task.index as usize];
+        assert!(stored.done, "{task} is acknowledged and the store doesn't hold it");
+    }
+
+    fn check_start(&self, run: Run) {
+        let task = run.task;
+        let step = &self.specs[&task.job].spec.steps[usize::from(task.step)];
+        assert!(
+            step.long_running || !self.acknowledged.contains(&task),
+            "{task} is started after its end was acknowledged"
+        );
+        for &earlier in &step.after {
+            let count = self.specs[&task.job].spec.steps[usize::from(earlier)].count;
+            for index in 0..count {
+                let before = TaskId { step: earlier, index, ..task };
+                let done = self
+                    .workers
+                    .values()
+                    .any(|worker| worker.finished.iter().any(|run| run.task == before));
+                assert!(
+                    done || self.acknowledged.contains(&before) || step.gang,
+                    "{task} is started before {before} is done"
+                );
+            }
+        }
+    }
+
+    /// What must hold at every moment.
+    fn check(&self) {
+        let mut running: BTreeMap<TaskId, &str> = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| worker.up) {
+            let mut sum = Amount::ZERO;
+            for (run, active) in &worker.active {
+                let other = running.insert(run.task, &worker.name);
+                assert_eq!(other, None, "{} runs twice, also on {}", run.task, worker.name);
+                if !active.step.fills {
+                    sum = sum.plus(active.step.demand);
+                }
+            }
+            assert!(sum.fits(worker.capacity), "{} holds more than it has", worker.name);
+        }
+    }
+
+    /// Renders how far each job is.
+    pub fn describe(&self) -> String {
+        let mut text = String::new();
+        for id in self.specs.keys() {
+            let state = match self.ends.get(id) {
+                Some(state) => format!("{state:?}, in the store"),
+                None => {
+                    let planner = self.planner.as_ref();
+                    let state = planner.and_then(|planner| planner.state(*id));
+                    state.map_or(String::from("not known"), |state| format!("{state:?}"))
+                }
+            };
+            let runs = self.workers.values().map(|worker| {
+                let active = worker.active.keys().filter(|run| run.task.job == *id);
+                (worker.name.clone(), active.count())
+            });
+            let places: Vec<String> = runs
+                .filter(|(_, count)| *count > 0)
+                .map(|(name, count)| format!("{name} x{count}"))
+                .collect();
+            let places = if places.is_empty() { String::from("-") } else { places.join(", ") };
+            let _ = writeln!(text, "{id:x}: {state}; running: {places}");
+        }
+        text
+    }
+}
+
+/// The event that tells of an order's failure.
+fn failed(action: Action, failure: Failure) -> Event {
+    match action {
+        Action::Start { target, start } => {
+            Event::Started { worker: target.name, run: start.run, outcome: Err(failure) }
+        }
+        Action::Stop { target, run } => {
+            Event::Stopped { worker: target.name, run, outcome: Err(failure) }
+        }
+        Action::Pace { target, run, percent } => {
+            Event::Paced { worker: target.name, run, percent, outcome: Err(failure) }
+        }
+        Action::Hold { target, .. } => Event::Held { worker: target.name, outcome: Err(failure) },
+        Action::Advise { .. } | Action::Write { .. } | Action::Note(_) => Event::Tick,
+    }
+}
+
+fn registration(worker: &Worker) -> Registration {
+    // The address stays with the machine, whichever life it has.
+    let machine = worker.name.split('+').next().unwrap_or_default();
+    let host =
+        machine.bytes().fold(7u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    Registration {
+        name: worker.name.clone(),
+        address: std::net::SocketAddr::from((std::net::Ipv4Addr::from(host), 80)),
+        service: "desk".into(),
+        domain: "d1".into(),
+        draining: worker.draining,
+        capacity: worker.capacity,
+        labels: [Arc::from("a"), worker.rack.clone()].into_iter().collect(),
+        rack: Some(worker.rack.clone()),
+        cold: Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/planner/tests/world/worker.rs
@@ -0,0 +1,290 @@
+//! A worker as the planner meets it: runs, ends, a deadline, an epoch, a clock of its own.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cowslipchute_base::amount::Amount;
+use cowslipchute_base::id;
+use cowslipchute_base::id::Time;
+use cowslipchute_ports::executor::Ended;
+use cowslipchute_ports::executor::Failure;
+use cowslipchute_ports::executor::Hold;
+use cowslipchute_ports::executor::How;
+use cowslipchute_ports::executor::Refusal;
+use cowslipchute_ports::executor::Report;
+use cowslipchute_ports::executor::Run;
+use cowslipchute_ports::executor::Running;
+use cowslipchute_ports::executor::Stamp;
+use cowslipchute_ports::executor::Start;
+use cowslipchute_ports::job::Step;
+
+/// How long a gang's member waits for the others.
+pub const GANG_TIME: Duration = Duration::from_millis(3000);
+/// How long a stop takes.
+const STOP_TIME: Duration = Duration::from_millis(100);
+/// Longest deadline that is taken.
+const MAX_HOLD: Duration = Duration::from_secs(10);
+/// What the worker's clock shows at the world's beginning.
+const CLOCK_START: Stamp = 400_000;
+
+/// A run in progress.
+#[derive(Clone, Debug)]
+pub struct Active {
+    pub step: Step,
+    pub since: Time,
+    /// Work done before it began, from its checkpoint.
+    pub before: Duration,
+    pub work: Duration,
+    pub pace: u8,
+    /// Work done so far at the paces it had.
+    pub done: Duration,
+    pub stopping: Option<Time>,
+    /// Whether it waits for the rest of its gang.
+    pub alone: bool,
+}
+
+/// One life of a worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    pub name: id::Instance,
+    pub capacity: Amount,
+    pub rack: id::Rack,
+    pub up: bool,
+    pub listed: bool,
+    /// Whether orders and answers pass.
+    pub cut: bool,
+    pub draining: bool,
+    /// It fails all that it starts.
+    pub fails: bool,
+    /// What runs there makes no progress.
+    pub hangs: bool,
+    /// Work takes this many times as long.
+    pub slow: u32,
+    /// The next so many answers get lost, after the order was carried out.
+    pub lose: u32,
+    pub epoch: id::Epoch,
+    pub deadline: Stamp,
+    pub active: BTreeMap<Run, Active>,
+    pub ended: Vec<Ended>,
+    pub next_end: u64,
+    /// The highest run of each task that has ended or was stopped here.
+    pub highest: BTreeMap<cowslipchute_ports::job::TaskId, id::Attempt>,
+    /// Runs that ended done, for the world's checks.
+    pub finished: BTreeSet<Run>,
+    pub updated: Time,
+}
+
+impl Worker {
+    pub fn open(name: &str, capacity: Amount, rack: &str) -> Worker {
+        Worker {
+            name: name.into(),
+            capacity,
+            rack: rack.into(),
+            up: true,
+            listed: true,
+            cut: false,
+            draining: false,
+            fails: false,
+            hangs: false,
+            slow: 1,
+            lose: 0,
+            epoch: 0,
+            deadline: 0,
+            active: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            highest: BTreeMap::new(),
+            finished: BTreeSet::new(),
+            updated: Time::ZERO,
+        }
+    }
+
+    /// The worker's clock runs two percent slow.
+    pub fn clock(&self, now: Time) -> Stamp {
+        CLOCK_START + now.mul_f64(0.98).as_millis() as Stamp
+    }
+
+    fn end(&mut self, run: Run, how: How) {
+        let Some(active) = self.active.remove(&run) else { return };
+        let highest = self.highest.entry(run.task).or_insert(0);
+        *highest = (*highest).max(run.attempt);
+        if how == How::Done {
+            self.finished.insert(run);
+        }
+        let total = active.before + active.done;
+        let checkpoint = (active.step.checkpointing && !total.is_zero())
+            .then(|| format!("{}:{}", run.task, total.as_millis()).into());
+        self.ended.push(Ended { number: self.next_end, run, how, checkpoint });
+        self.next_end += 1;
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, now: Time) {
+        let passed = now.saturating_sub(self.updated);
+        self.updated = now;
+        if !self.up {
+            return;
+        }
+        let lapsed = self.clock(now) > self.deadline;
+        let runs: Vec<Run> = self.active.keys().copied().collect();
+        for run in runs {
+            let (fails, hangs, slow) = (self.fails, self.hangs, self.slow);
+            let Some(active) = self.active.get_mut(&run) else { continue };
+            if !hangs && !active.alone {
+                active.done += passed * u32::from(active.pace) / 100 / slow;
+            }
+            let done = active.before + active.done >= active.work && !active.step.long_running;
+            let stopped = active.stopping.is_some_and(|at| now >= at);
+            let late = active.alone && now >= active.since + GANG_TIME;
+            if lapsed {
+                self.end(run, How::Lapsed);
+            } else if stopped {
+                self.end(run, How::Stopped);
+            } else if fails {
+                self.end(run, How::Failed);
+            } else if late {
+                self.end(run, How::Alone);
+            } else if done {
+                self.end(run, How::Done);
+            }
+        }
+    }
+
+    fn reserved(&self) -> Amount {
+        self.active.values().fold(Amount::ZERO, |sum, active| {
+            let mut demand = active.step.demand;
+            if active.step.fills {
+                demand.cpu_milli = 0;
+            }
+            sum.plus(demand)
+        })
+    }
+
+    fn no(&self, refusal: Refusal, now: Time) -> Failure {
+        Failure::Refused(refusal, Some(self.clock(now)))
+    }
+
+    fn admit(&mut self, epoch: id::Epoch, now: Time) -> Result<(), Failure> {
+        if epoch < self.epoch {
+            return Err(self.no(Refusal::Fenced, now));
+        }
+        self.epoch = epoch;
+        Ok(())
+    }
+
+    fn extend(&mut self, deadline: Stamp, now: Time) {
+        let most = self.clock(now) + MAX_HOLD.as_millis() as Stamp;
+        self.deadline = self.deadline.max(deadline.min(most));
+    }
+
+    pub fn start(
+        &mut self,
+        epoch: id::Epoch,
+        start: &Start,
+        step: &Step,
+        work: Duration,
+        now: Time,
+    ) -> Result<Stamp, Failure> {
+        self.admit(epoch, now)?;
+        if self.active.contains_key(&start.run) {
+            return Ok(self.clock(now));
+        }
+        if self.highest.get(&start.run.task).is_some_and(|&highest| start.run.attempt <= highest) {
+            return Err(self.no(Refusal::Old, now));
+        }
+        if start.deadline < self.clock(now) {
+            return Err(self.no(Refusal::Late, now));
+        }
+        self.extend(start.deadline, now);
+        let mut demand = step.demand;
+        if step.fills {
+            demand.cpu_milli = 0;
+        }
+        if !self.reserved().plus(demand).fits(self.capacity) {
+            return Err(self.no(Refusal::Room, now));
+        }
+        let before = start.checkpoint.as_ref().and_then(|text| text.rsplit(':').next());
+        let before = before.and_then(|text| text.parse().ok()).map(Duration::from_millis);
+        let active = Active {
+            step: step.clone(),
+            since: now,
+            before: before.unwrap_or_default(),
+            work,
+            pace: 100,
+            done: Duration::ZERO,
+            stopping: None,
+            alone: step.gang,
+        };
+        self.active.insert(start.run, active);
+        Ok(self.clock(now))
+    }
+
+    pub fn stop(&mut self, epoch: id::Epoch, run: Run, now: Time) -> Result<Stamp, Failure> {
+        self.admit(epoch, now)?;
+        match self.active.get_mut(&run) {
+            Some(active) => {
+                active.stopping.get_or_insert(now + STOP_TIME);
+            }
+            None => {
+                let highest = self.highest.entry(run.task).or_insert(0);
+                *highest = (*highest).max(run.attempt);
+            }
+        }
+        Ok(self.clock(now))
+    }
+
+    pub fn pace(
+        &mut self,
+        epoch: id::Epoch,
+        run: Run,
+        percent: u8,
+        now: Time,
+    ) -> Result<Stamp, Failure> {
+        self.admit(epoch, now)?;
+        if let Some(active) = self.active.get_mut(&run) {
+            active.pace = percent;
+        }
+        Ok(self.clock(now))
+    }
+
+    pub fn hold(&mut self, epoch: id::Epoch, hold: &Hold, now: Time) -> Result<Report, Failure> {
+        self.admit(epoch, now)?;
+        if let Some(deadline) = hold.deadline {
+            self.extend(deadline, now);
+        }
+        self.ended.retain(|end| end.number > hold.acknowledged);
+        Ok(self.report(now))
+    }
+
+    fn tail(&self, target: Duration) -> u32 {
+        // A fill of half the processors doubles the tail, whatever the images.
+        let fills: f64 = self
+            .active
+            .values()
+            .filter(|active| active.step.fills)
+            .map(|active| f64::from(active.step.demand.cpu_milli) * f64::from(active.pace) / 100.0)
+            .sum();
+        let load = 0.4 + fills / f64::from(self.capacity.cpu_milli);
+        let unloaded = target.as_secs_f64() * 1e3 / 6.0;
+        (unloaded / (1.0 - load.min(0.99))) as u32
+    }
+
+    pub fn report(&self, now: Time) -> Report {
+        let running = self.active.iter().map(|(run, active)| {
+            let total = active.before + active.done;
+            let percent = (total.as_secs_f64() / active.work.as_secs_f64() * 100.0).min(99.0);
+            Running {
+                run: *run,
+                checkpoint: (active.step.checkpointing && !total.is_zero())
+                    .then(|| format!("{}:{}", run.task, total.as_millis()).into()),
+                percent: if active.step.long_running && !self.hangs { 100 } else { percent as u8 },
+                figure: match active.step.target {
+                    Some(target) => self.tail(target),
+                    None => active.step.demand.cpu_milli,
+                },
+            }
+        });
+        Report { clock: self.clock(now), running: running.collect(), ended: self.ended.clone() }
+    }
+}
