--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -83,6 +83,8 @@
     sequence: u64,
     /// Ends that are acknowledged for good.
     acknowledged: BTreeSet<TaskId>,
+    /// Tasks of which a run has ended done, on whatever life.
+    finished: BTreeSet<TaskId>,
     /// Where advised queues may run.
     pub allowed: BTreeSet<String>,
     pub notes: Vec<String>,
@@ -108,6 +110,7 @@
             arrivals: BTreeMap::new(),
             sequence: 0,
             acknowledged: BTreeSet::new(),
+            finished: BTreeSet::new(),
             allowed: BTreeSet::new(),
             notes: Vec::new(),
             starts: 0,
@@ -248,6 +251,8 @@
             self.now += STEP;
             for worker in self.workers.values_mut() {
                 worker.advance(self.now);
+                let finished = std::mem::take(&mut worker.finished);
+                self.finished.extend(finished.into_iter().map(|run| run.task));
             }
             self.join_gangs();
             if self.renewals && self.store_up {
@@ -537,10 +542,7 @@
             let count = self.specs[&task.job].spec.steps[usize::from(earlier)].count;
             for index in 0..count {
                 let before = TaskId { step: earlier, index, ..task };
-                let done = self
-                    .workers
-                    .values()
-                    .any(|worker| worker.finished.iter().any(|run| run.task == before));
+                let done = self.finished.contains(&before);
                 assert!(
                     done || self.acknowledged.contains(&before) || step.gang,
                     "{task} is started before {before} is done"
