Stand-in of the users' platform, real-process tests on it, and a seat that stops renewing unanswered

Cause: an owner whose calls reach the store while their answers are lost kept its lease alive for ever and could not act: the cell had no owner that could. Found by an end-to-end test (waited 60 s until another member owns the cell). Now a lease that has run out as counted is renewed only after a read was answered.

--- a/bin/scheduler/src/seat.rs
+++ b/bin/scheduler/src/seat.rs
@@ -194,6 +194,14 @@
                     let outcome = store.commit(claim(mark, lease)).await;
                     Event::Claimed { ticket, outcome }
                 }
+                Action::Look => match store.read(keys::SEAT).await {
+                    Ok(snapshot) => Event::Seen {
+                        at: snapshot.revision,
+                        entry: snapshot.entries.into_iter().find(|entry| entry.key == keys::SEAT),
+                    },
+                    // It is looked again soon.
+                    Err(_) => return,
+                },
                 Action::Renew { ticket, lease } => {
                     Event::Renewed { ticket, outcome: store.keep_alive(lease).await }
                 }
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -11,3 +11,5 @@
 pub mod load;
 pub mod port;
 pub mod process;
+pub mod proxy;
+pub mod site;
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -45,11 +45,12 @@
         arguments: &[String],
     ) -> io::Result<Process> {
         let log = dir.join(format!("{name}.log"));
+        let output = File::create(&log)?;
         let child = Command::new(binaries().join(binary))
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(File::create(&log)?)
+            .stdout(output.try_clone()?)
+            .stderr(output)
             .spawn()
             .map_err(|error| io::Error::new(error.kind(), format!("{binary}: {error}")))?;
         Ok(Process { child, log })
--- /dev/null
+++ b/crates/e2e/src/site.rs
@@ -0,0 +1,224 @@
+//! The scheduler's processes on a stand-in of the users' platform, each behind proxies of its own.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use anyhow::Result;
+use cowslipchute_base::amount::Amount;
+use cowslipchute_ports::job::JobId;
+use cowslipchute_ports::job::Spec;
+use cowslipchute_ports::job::Step;
+use cowslipchute_standin::site;
+use cowslipchute_standin::site::Site;
+use reqwest::Client;
+use reqwest::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::await_until;
+use crate::await_until::LIMIT;
+use crate::port;
+use crate::process::Process;
+use crate::proxy;
+use crate::proxy::Proxy;
+
+/// Host under which clients address the queues.
+const HOST: &str = "desk.example";
+/// How long a client waits for an answer.
+const CLIENT_TIME: Duration = Duration::from_secs(4);
+
+/// One of our processes.
+#[derive(Debug)]
+pub struct Member {
+    /// The running process, unless it was ended.
+    pub process: Option<Process>,
+    /// Where clients reach it.
+    pub clients: SocketAddr,
+    /// Where the platform asks whether it wants new connections.
+    pub readiness: SocketAddr,
+    /// Between it and the store.
+    pub store: Proxy,
+    settings: PathBuf,
+    starts: u32,
+}
+
+/// Processes of ours on a site; dropping it ends them and removes their directory.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The platform.
+    pub site: Site,
+    /// Our processes by name.
+    pub members: BTreeMap<String, Member>,
+    /// Between all of our processes and each worker.
+    pub workers: BTreeMap<String, Proxy>,
+    client: Client,
+    directory: PathBuf,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // What can't be removed now is in the way of nothing.
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+impl Deployment {
+    /// Opens a site with workers of 8 cores, and starts our processes on it.
+    ///
+    /// # Errors
+    ///
+    /// When a binary is missing or a port can't be had.
+    pub async fn open(name: &str, members: usize, workers: usize) -> Result<Deployment> {
+        static OPENED: AtomicU32 = AtomicU32::new(0);
+        let number = OPENED.fetch_add(1, Ordering::Relaxed);
+        let directory = format!("{name}-{}-{number}", std::process::id());
+        let directory = std::env::temp_dir().join(directory);
+        fs::create_dir_all(&directory)?;
+        let client = Client::builder().timeout(CLIENT_TIME).no_proxy().build()?;
+        let site = site::open().await?;
+        let mut deployment = Deployment {
+            site,
+            members: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            client,
+            directory,
+        };
+        for index in 0..workers {
+            let capacity = Amount { cpu_milli: 8000, memory_mib: 32_000, accelerators: 0 };
+            deployment.add_worker(&format!("w{index}"), capacity).await?;
+        }
+        deployment.site.configure(1, 100);
+        for index in 0..members {
+            deployment.add_member(&format!("m{index}")).await?;
+        }
+        deployment.await_ready().await;
+        Ok(deployment)
+    }
+
+    async fn add_worker(&mut self, machine: &str, capacity: Amount) -> Result<()> {
+        self.site.add_worker(machine, capacity, "r1").await?;
+        let address = self.site.address(machine).context("the worker was added")?;
+        let proxy = proxy::open(address).await?;
+        self.site.name_address(machine, proxy.address);
+        self.workers.insert(machine.to_owned(), proxy);
+        Ok(())
+    }
+
+    async fn add_member(&mut self, name: &str) -> Result<()> {
+        let store = proxy::open(self.site.store).await?;
+        let (clients, readiness) = (port::free()?, port::free()?);
+        let peers = port::free()?.port();
+        let text = self.site.settings(name, store.address, clients, readiness, peers);
+        let settings = self.directory.join(format!("{name}.json"));
+        fs::write(&settings, text)?;
+        let member = Member { process: None, clients, readiness, store, settings, starts: 0 };
+        self.members.insert(name.to_owned(), member);
+        self.start(name)
+    }
+
+    /// Starts a member that isn't running.
+    ///
+    /// # Errors
+    ///
+    /// When the binary is missing.
+    pub fn start(&mut self, name: &str) -> Result<()> {
+        let member = self.members.get_mut(name).context("no such member")?;
+        member.starts += 1;
+        let arguments = [String::from("--settings"), member.settings.display().to_string()];
+        let log = format!("{name}-{}", member.starts);
+        let process = Process::spawn("cowslipchute-scheduler", &log, &self.directory, &arguments)?;
+        member.process = Some(process);
+        Ok(())
+    }
+
+    /// Waits until every running member wants clients.
+    pub async fn await_ready(&self) {
+        for member in self.members.values().filter(|member| member.process.is_some()) {
+            let url = format!("http://{}/v1/readyz", member.readiness);
+            await_until::some_async("the member is ready", LIMIT, || async {
+                let answer = self.client.get(&url).send().await.ok()?;
+                (answer.status() == StatusCode::OK).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Returns the name of the member that owns the cell, as the store has it.
+    pub fn owner(&self) -> Option<String> {
+        let state = self.site.lock();
+        let value = state.store.value("cell/owner")?;
+        let text = String::from_utf8_lossy(value);
+        self.members.keys().find(|name| text.contains(name.as_str())).cloned()
+    }
+
+    /// Hands a job in at a member; the status, or nothing without an answer.
+    pub async fn submit(&self, member: &str, id: JobId, spec: &Spec) -> Option<StatusCode> {
+        self.site.lock().jobs.insert(id, spec.clone());
+        self.post(member, &format!("/q/{id:016x}"), body(spec).to_string()).await
+    }
+
+    /// Sends a body to a path of a member.
+    pub async fn post(&self, member: &str, path: &str, body: String) -> Option<StatusCode> {
+        let url = format!("http://{}{path}", self.members.get(member)?.clients);
+        let request = self.client.post(url).header("Host", HOST).body(body);
+        Some(request.send().await.ok()?.status())
+    }
+
+    /// Asks a member for a job's state; the status and the state, or nothing without an answer.
+    pub async fn state(&self, member: &str, id: JobId) -> Option<(StatusCode, String)> {
+        let url = format!("http://{}/q/{id:016x}", self.members.get(member)?.clients);
+        let answer = self.client.get(url).header("Host", HOST).send().await.ok()?;
+        let status = answer.status();
+        let body: Value = answer.json().await.unwrap_or_default();
+        Some((status, body["state"].as_str().unwrap_or_default().to_owned()))
+    }
+
+    /// Cancels a job at a member.
+    pub async fn cancel(&self, member: &str, id: JobId) -> Option<StatusCode> {
+        let url = format!("http://{}/q/{id:016x}", self.members.get(member)?.clients);
+        Some(self.client.delete(url).header("Host", HOST).send().await.ok()?.status())
+    }
+
+    /// Waits until a member shows a job in a state.
+    pub async fn await_state(&self, member: &str, id: JobId, wanted: &str) {
+        await_until::some_async(&format!("the job is {wanted}"), LIMIT, || async {
+            let (_, state) = self.state(member, id).await?;
+            (state == wanted).then_some(())
+        })
+        .await;
+    }
+}
+
+/// A job of equal steps, one after the other.
+pub fn chain(steps: u16, count: u32, time: Duration) -> Spec {
+    let steps = (0..steps).map(|index| Step {
+        count,
+        demand: Amount { cpu_milli: 1000, memory_mib: 100, accelerators: 0 },
+        estimate: time,
+        after: index.checked_sub(1).into_iter().collect(),
+        ..Step::default()
+    });
+    Spec { payload: "payload".into(), steps: steps.collect(), schedule: None }
+}
+
+/// Renders a job as the platform's clients do, as far as [`chain`] uses it.
+fn body(spec: &Spec) -> Value {
+    let steps: Vec<Value> = spec
+        .steps
+        .iter()
+        .map(|step| {
+            json!({
+                "count": step.count, "cpu": step.demand.cpu_milli,
+                "mem-mb": step.demand.memory_mib, "estimate-ms": step.estimate.as_millis() as u64,
+                "after": step.after.as_slice(), "long-running": step.long_running,
+            })
+        })
+        .collect();
+    json!({ "spec": &*spec.payload, "steps": steps })
+}
--- /dev/null
+++ b/crates/e2e/tests/site.rs
@@ -0,0 +1,195 @@
+//! The scheduler's real processes on a stand-in of the users' platform.
+
+use std::time::Duration;
+
+use cowslipchute_e2e::await_until;
+use cowslipchute_e2e::await_until::LIMIT;
+use cowslipchute_e2e::proxy::Mood;
+use cowslipchute_e2e::site::Deployment;
+use cowslipchute_e2e::site::chain;
+use cowslipchute_standin::site::store;
+use reqwest::StatusCode;
+use yare::parameterized;
+
+/// How long a task of these tests works.
+const WORK: Duration = Duration::from_millis(400);
+
+fn block_on(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    runtime.block_on(test);
+}
+
+async fn owner(deployment: &Deployment) -> String {
+    await_until::some_async("the cell has an owner", LIMIT, || async { deployment.owner() }).await
+}
+
+fn assert_kept(deployment: &Deployment) {
+    assert_eq!(deployment.site.lock().broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_job_is_done_though_its_owner_is_killed() {
+    block_on(async {
+        let mut deployment = Deployment::open("site-killed", 3, 2).await.unwrap();
+        let killed = owner(&deployment).await;
+        let other = deployment.members.keys().find(|name| **name != killed).unwrap().clone();
+        let job = chain(3, 4, WORK);
+        assert_eq!(deployment.submit(&other, 0xa1, &job).await, Some(StatusCode::OK));
+        deployment.await_state(&other, 0xa1, "active").await;
+        deployment.members.get_mut(&killed).unwrap().process = None;
+        // Handed in while nobody owns the cell: the store is all that it takes.
+        assert_eq!(deployment.submit(&other, 0xa2, &job).await, Some(StatusCode::OK));
+        deployment.await_state(&other, 0xa1, "completed").await;
+        deployment.await_state(&other, 0xa2, "completed").await;
+        assert_ne!(owner(&deployment).await, killed);
+        assert_kept(&deployment);
+    });
+}
+
+#[test]
+fn everything_is_killed_right_after_an_acceptance_and_the_job_is_done() {
+    block_on(async {
+        let mut deployment = Deployment::open("site-all-killed", 2, 2).await.unwrap();
+        owner(&deployment).await;
+        let job = chain(2, 4, WORK);
+        assert_eq!(deployment.submit("m0", 0xa1, &job).await, Some(StatusCode::OK));
+        for member in deployment.members.values_mut() {
+            member.process = None;
+        }
+        for name in ["m0", "m1"] {
+            deployment.start(name).unwrap();
+        }
+        deployment.await_ready().await;
+        deployment.await_state("m1", 0xa1, "completed").await;
+        assert_kept(&deployment);
+    });
+}
+
+#[test]
+fn the_same_job_handed_in_at_every_member_is_one_job() {
+    block_on(async {
+        let deployment = Deployment::open("site-same", 2, 1).await.unwrap();
+        let job = chain(1, 2, WORK);
+        let (one, other) =
+            tokio::join!(deployment.submit("m0", 0xa1, &job), deployment.submit("m1", 0xa1, &job));
+        assert_eq!((one, other), (Some(StatusCode::OK), Some(StatusCode::OK)));
+        deployment.await_state("m0", 0xa1, "completed").await;
+        // Also after its end it is known, and runs no second time.
+        assert_eq!(deployment.submit("m1", 0xa1, &job).await, Some(StatusCode::OK));
+        assert_eq!(
+            deployment.state("m1", 0xa1).await,
+            Some((StatusCode::OK, String::from("completed")))
+        );
+        assert_kept(&deployment);
+    });
+}
+
+#[test]
+fn a_cancelled_job_stops_and_one_that_nobody_knows_is_never_taken_in() {
+    block_on(async {
+        let deployment = Deployment::open("site-cancel", 2, 1).await.unwrap();
+        let job = chain(1, 2, Duration::from_secs(600));
+        assert_eq!(deployment.submit("m0", 0xa1, &job).await, Some(StatusCode::OK));
+        deployment.await_state("m0", 0xa1, "active").await;
+        assert_eq!(deployment.cancel("m1", 0xa1).await, Some(StatusCode::OK));
+        deployment.await_state("m0", 0xa1, "cancelled").await;
+        await_until::some_async("its runs are gone", LIMIT, || async {
+            let state = deployment.site.lock();
+            state.workers.values().all(|worker| worker.active.is_empty()).then_some(())
+        })
+        .await;
+        assert_eq!(deployment.cancel("m0", 0xa2).await, Some(StatusCode::GONE));
+        assert_eq!(deployment.submit("m1", 0xa2, &job).await, Some(StatusCode::OK));
+        deployment.await_state("m0", 0xa2, "cancelled").await;
+        assert_kept(&deployment);
+    });
+}
+
+#[test]
+fn a_store_that_is_down_refuses_at_once_and_all_goes_on_when_it_is_back() {
+    block_on(async {
+        let deployment = Deployment::open("site-store", 2, 2).await.unwrap();
+        owner(&deployment).await;
+        let job = chain(2, 4, WORK);
+        assert_eq!(deployment.submit("m0", 0xa1, &job).await, Some(StatusCode::OK));
+        deployment.site.lock().store.mood = store::Mood::Busy;
+        let refused = deployment.submit("m0", 0xa2, &job).await;
+        assert_eq!(refused, Some(StatusCode::SERVICE_UNAVAILABLE));
+        deployment.site.lock().store.mood = store::Mood::Well;
+        deployment.await_state("m1", 0xa1, "completed").await;
+        // What was refused is not there.
+        let (status, _) = deployment.state("m1", 0xa2).await.unwrap();
+        assert_eq!(status, StatusCode::GONE);
+        assert_kept(&deployment);
+    });
+}
+
+#[test]
+fn an_owner_cut_off_from_the_store_is_replaced_and_does_no_harm() {
+    block_on(async {
+        let deployment = Deployment::open("site-cut", 3, 2).await.unwrap();
+        let cut = owner(&deployment).await;
+        let other = deployment.members.keys().find(|name| **name != cut).unwrap().clone();
+        let job = chain(4, 4, WORK);
+        assert_eq!(deployment.submit(&other, 0xa1, &job).await, Some(StatusCode::OK));
+        deployment.await_state(&other, 0xa1, "active").await;
+        deployment.members[&cut].store.set(Mood::SilenceAnswers);
+        await_until::some_async("another member owns the cell", LIMIT, || async {
+            deployment.owner().filter(|name| *name != cut)
+        })
+        .await;
+        deployment.await_state(&other, 0xa1, "completed").await;
+        deployment.members[&cut].store.set(Mood::Pass);
+        deployment.await_state(&cut, 0xa1, "completed").await;
+        assert_kept(&deployment);
+    });
+}
+
+#[test]
+fn a_planned_stop_hands_the_cell_over_and_answers_until_its_end() {
+    block_on(async {
+        let mut deployment = Deployment::open("site-stop", 2, 2).await.unwrap();
+        let stopping = owner(&deployment).await;
+        let member = deployment.members.get_mut(&stopping).unwrap();
+        member.process.as_ref().unwrap().terminate();
+        let job = chain(1, 2, WORK);
+        // Its clients are still served while the platform sends new ones elsewhere.
+        assert_eq!(deployment.submit(&stopping, 0xa1, &job).await, Some(StatusCode::OK));
+        await_until::some_async("the other member owns the cell", LIMIT, || async {
+            deployment.owner().filter(|name| *name != stopping)
+        })
+        .await;
+        let member = deployment.members.get_mut(&stopping).unwrap();
+        let status = member.process.as_mut().unwrap().ended(LIMIT);
+        assert!(status.success());
+        let other = deployment.owner().unwrap();
+        deployment.await_state(&other, 0xa1, "completed").await;
+        assert_kept(&deployment);
+    });
+}
+
+#[parameterized(
+    broken_json = { "/q/00000000000000a1", "{", StatusCode::BAD_REQUEST },
+    a_cycle = { "/q/00000000000000a1", "{\"steps\":[{\"count\":1,\"after\":[0]}]}", StatusCode::BAD_REQUEST },
+    a_bad_number = { "/q/a1", "{\"steps\":[{\"count\":1}]}", StatusCode::BAD_REQUEST },
+    no_such_queue = { "/nowhere/00000000000000a1", "{\"steps\":[{\"count\":1}]}", StatusCode::NOT_FOUND },
+)]
+fn bad_input_is_refused_and_nothing_is_stored(path: &str, body: &str, status: StatusCode) {
+    block_on(async {
+        let deployment = Deployment::open("site-bad", 1, 1).await.unwrap();
+        assert_eq!(deployment.post("m0", path, body.to_owned()).await, Some(status));
+        assert!(deployment.site.lock().store.keys("job/").is_empty());
+    });
+}
+
+#[test]
+fn a_body_over_the_limit_is_refused() {
+    block_on(async {
+        let deployment = Deployment::open("site-large", 1, 1).await.unwrap();
+        let body = "x".repeat(300_000);
+        let status = deployment.post("m0", "/q/00000000000000a1", body).await;
+        // The rest of the body is not read, so the connection may break before the answer is.
+        assert!(matches!(status, Some(StatusCode::PAYLOAD_TOO_LARGE) | None), "{status:?}");
+        assert!(deployment.site.lock().store.keys("job/").is_empty());
+    });
+}
--- a/crates/planner/src/gang.rs
+++ b/crates/planner/src/gang.rs
@@ -120,7 +120,7 @@
 
 /// Counts how often a step's demand fits into some room.
 fn fitting(spec: &Step, room: Amount) -> u64 {
-    let part = |room: u32, each: u32| if each == 0 { u64::MAX } else { u64::from(room / each) };
+    let part = |room: u32, each: u32| room.checked_div(each).map_or(u64::MAX, u64::from);
     let cpu = if spec.fills { u64::MAX } else { part(room.cpu_milli, spec.demand.cpu_milli) };
     let memory = part(room.memory_mib, spec.demand.memory_mib);
     let accelerators = part(room.accelerators.into(), spec.demand.accelerators.into());
--- a/crates/planner/src/occurrence.rs
+++ b/crates/planner/src/occurrence.rs
@@ -34,10 +34,8 @@
             self.base = Some(read);
             return;
         };
-        if read.abs_diff(base) <= DRIFT {
-            self.base = Some(read);
-            self.other = None;
-        } else if self.other.get_or_insert(now).saturating_add(STAY) <= now {
+        let drift = read.abs_diff(base) <= DRIFT;
+        if drift || self.other.get_or_insert(now).saturating_add(STAY) <= now {
             self.base = Some(read);
             self.other = None;
         }
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -7,8 +7,6 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
-pub mod worker;
-
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt::Write as _;
@@ -36,7 +34,7 @@
 use cowslipchute_ports::job::State;
 use cowslipchute_ports::job::StepId;
 use cowslipchute_ports::job::TaskId;
-use worker::Worker;
+use cowslipchute_standin::site::worker::Worker;
 
 /// One way between the owner and anyone else.
 const WAY: Duration = Duration::from_millis(2);
--- /dev/null
+++ b/crates/standin/src/site.rs
@@ -0,0 +1,278 @@
+//! A stand-in of the users' platform, which speaks its protocol on loopback: its store, its
+//! directory and its workers, in one process with whoever opens it.
+//!
+//! It plays the platform's part in tests, in the demo and in the soak, and checks what only it can
+//! see: that no task runs twice at once, and that nothing runs that nobody asked for.
+
+pub mod store;
+pub mod worker;
+mod workers;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use cowslipchute_base::amount::Amount;
+use cowslipchute_base::id::Time;
+use cowslipchute_ports::job::JobId;
+use cowslipchute_ports::job::Spec;
+use cowslipchute_ports::job::TaskId;
+use poem::Route;
+use poem::Server;
+use poem::listener::TcpAcceptor;
+use serde_json::json;
+
+use store::Store;
+use worker::Worker;
+
+/// How often the workers' time passes.
+const STEP: Duration = Duration::from_millis(5);
+/// How often workers refresh their entries.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// What everything shares.
+#[derive(Debug)]
+pub struct State {
+    start: Instant,
+    /// The store.
+    pub store: Store,
+    /// The workers by machine.
+    pub workers: BTreeMap<String, Worker>,
+    /// Where each machine's worker is reached, and what the directory says of it.
+    addresses: BTreeMap<String, SocketAddr>,
+    lives: u32,
+    /// What clients have handed in.
+    pub jobs: BTreeMap<JobId, Spec>,
+    /// Tasks of which a run has ended done.
+    pub finished: BTreeSet<TaskId>,
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+}
+
+impl State {
+    /// Time since the site was opened.
+    pub fn now(&self) -> Time {
+        self.start.elapsed()
+    }
+
+    /// Lets the workers' time pass and checks what must hold.
+    fn pass(&mut self) {
+        let now = self.now();
+        let mut running: BTreeMap<TaskId, String> = BTreeMap::new();
+        for worker in self.workers.values_mut() {
+            worker.advance(now);
+            let finished = std::mem::take(&mut worker.finished);
+            self.finished.extend(finished.into_iter().map(|run| run.task));
+            for run in worker.active.keys() {
+                if let Some(other) = running.insert(run.task, worker.name.to_string()) {
+                    let text = format!("{} runs twice, on {other} and {}", run.task, worker.name);
+                    if !self.broken.contains(&text) {
+                        self.broken.push(text);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Writes each live worker's entry.
+    fn beat(&mut self) {
+        let now = self.now();
+        let entries: Vec<(String, String)> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.up && worker.listed)
+            .map(|(machine, worker)| {
+                let entry = json!({
+                    "service": "desk",
+                    "address": self.addresses[machine].to_string(),
+                    "zone": "d1",
+                    "version": "v1",
+                    "slots": 8,
+                    "state": if worker.draining { "draining" } else { "ready" },
+                    "cold-remaining-ms": 0,
+                    "capacity": {
+                        "cpu": worker.capacity.cpu_milli,
+                        "mem-mb": worker.capacity.memory_mib,
+                        "gpu": worker.capacity.accelerators,
+                    },
+                    "labels": ["a", &*worker.rack],
+                    "clock-ms": worker.clock(now),
+                    "sequence": now.as_millis() as u64,
+                });
+                (format!("servers/{}", worker.name), entry.to_string())
+            })
+            .collect();
+        let live: BTreeSet<String> = entries.iter().map(|(key, _)| key.clone()).collect();
+        for key in self.store.keys("servers/") {
+            if !live.contains(&key) {
+                self.store.remove(&key);
+            }
+        }
+        for (key, value) in entries {
+            self.store.put(&key, value.into_bytes(), 0);
+        }
+    }
+}
+
+/// A running site; its servers end with the runtime.
+#[derive(Clone, Debug)]
+pub struct Site {
+    state: Arc<Mutex<State>>,
+    /// Where the store is.
+    pub store: SocketAddr,
+}
+
+/// Opens a site on loopback.
+///
+/// # Errors
+///
+/// When no port can be had.
+pub async fn open() -> io::Result<Site> {
+    let state = State {
+        start: Instant::now(),
+        store: Store::default(),
+        workers: BTreeMap::new(),
+        addresses: BTreeMap::new(),
+        lives: 0,
+        jobs: BTreeMap::new(),
+        finished: BTreeSet::new(),
+        broken: Vec::new(),
+    };
+    let state = Arc::new(Mutex::new(state));
+    let store = serve(store::routes(state.clone())).await?;
+    let site = Site { state, store };
+    let passing = site.clone();
+    tokio::spawn(async move {
+        let mut beat = Instant::now();
+        loop {
+            tokio::time::sleep(STEP).await;
+            let mut state = passing.lock();
+            state.pass();
+            if beat.elapsed() >= HEARTBEAT {
+                beat = Instant::now();
+                state.beat();
+            }
+        }
+    });
+    Ok(site)
+}
+
+/// Serves routes on a free port of loopback.
+async fn serve(routes: Route) -> io::Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let acceptor = TcpAcceptor::from_std(listener)?;
+    tokio::spawn(Server::new_with_acceptor(acceptor).run(routes));
+    Ok(address)
+}
+
+impl Site {
+    /// Locks the state.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a server of the site has.
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no server of the site has failed")
+    }
+
+    /// Adds a machine with its worker.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be had.
+    pub async fn add_worker(&self, machine: &str, capacity: Amount, rack: &str) -> io::Result<()> {
+        let routes = workers::routes(self.state.clone(), machine.to_owned());
+        let address = serve(routes).await?;
+        let mut state = self.lock();
+        let mut worker = Worker::open(machine, capacity, rack);
+        worker.updated = state.now();
+        state.workers.insert(machine.to_owned(), worker);
+        state.addresses.insert(machine.to_owned(), address);
+        state.beat();
+        Ok(())
+    }
+
+    /// Where a machine's worker is reached.
+    pub fn address(&self, machine: &str) -> Option<SocketAddr> {
+        self.lock().addresses.get(machine).copied()
+    }
+
+    /// Lets the directory name another address for a machine's worker: that of a proxy.
+    pub fn name_address(&self, machine: &str, address: SocketAddr) {
+        let mut state = self.lock();
+        state.addresses.insert(machine.to_owned(), address);
+        state.beat();
+    }
+
+    /// Ends a worker's life; another one begins on its machine.
+    pub fn rebirth(&self, machine: &str) {
+        let mut state = self.lock();
+        state.lives += 1;
+        let name = format!("{machine}-{}", state.lives);
+        let now = state.now();
+        let Some(old) = state.workers.get(machine) else { return };
+        let mut life = Worker::open(&name, old.capacity, &old.rack.clone());
+        life.updated = now;
+        state.workers.insert(machine.to_owned(), life);
+        state.beat();
+    }
+
+    /// Writes the operator's configuration with one queue below `/q/` and one below `/low/`.
+    pub fn configure(&self, version: u64, max_attempts: u32) {
+        let route = |name: &str, prefix: &str, priority: u8| {
+            json!({
+                "name": name, "host": "desk.example", "prefix": prefix, "kind": "unsafe",
+                "timeout-ms": 3000, "target-duration-ms": 250, "priority": priority,
+                "service": "desk", "max-attempts": max_attempts, "slack-factor": 1.5,
+            })
+        };
+        let config = json!({
+            "version": version,
+            "routes": [route("r-1", "/q/", 0), route("r-2", "/low/", 2)],
+            "services": [{"name": "desk", "enforce-limits": true, "standby": false}],
+            "limits": {
+                "max-header-bytes": 16384, "max-body-bytes": 262144,
+                "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
+            },
+        });
+        self.lock().store.put("op/config", config.to_string().into_bytes(), 0);
+    }
+
+    /// Renders the settings file of one of our processes.
+    pub fn settings(
+        &self,
+        name: &str,
+        store: SocketAddr,
+        clients: SocketAddr,
+        readiness: SocketAddr,
+        peers: u16,
+    ) -> String {
+        let settings = json!({
+            "node-name": name, "role": "scheduler", "machine-class": "edge", "serves": ["edge"],
+            "ip": "127.0.0.1", "zone": "d1", "region": "r", "zones": {"d1": "r"},
+            "listen": {"frontend": clients.to_string(), "readiness": readiness.to_string()},
+            "internal-ports": [peers, peers], "seeds": [], "bootstrap": true, "heartbeat-ms": 500,
+            "limits": {"cpu-share": 1.0, "cores": 1, "memory-mb": 260, "max-fds": 4100},
+            "bounds": {
+                "drain-ms": 2000, "grace-s": 3, "max-hold-ms": 10000, "stop-timeout-ms": 400,
+                "status_s": 120, "checkpoint-interval-s": 1, "restore-ms": 50, "lease-ms": 3000,
+                "remote-factor": 2, "notice-ms": 4500, "impact-ms": 4000,
+            },
+            "command-mode": "invocation", "recommendation": "",
+            "platform": {
+                "address": store.to_string(), "form": "kv", "writes-per-s": 400,
+                "reads-per-s": 2000, "min-ttl-ms": 1000,
+            },
+        });
+        settings.to_string()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site/store.rs
@@ -0,0 +1,400 @@
+//! The site's store: keys with revisions, transactions, leases and watches.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use poem::Endpoint as _;
+use poem::EndpointExt as _;
+use poem::Response;
+use poem::Route;
+use poem::delete;
+use poem::get;
+use poem::handler;
+use poem::http::StatusCode;
+use poem::post;
+use poem::web::Data;
+use poem::web::Json;
+use poem::web::Path;
+use poem::web::Query;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use super::State;
+
+type Shared = Arc<Mutex<State>>;
+
+/// How often a waiting watch looks again.
+const LOOK: Duration = Duration::from_millis(4);
+/// Events that are kept for watches.
+const HISTORY: usize = 20_000;
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: Vec<u8>,
+    revision: u64,
+    created: u64,
+    lease: i64,
+}
+
+/// One change, as watches tell it.
+#[derive(Clone, Debug)]
+struct Change {
+    key: String,
+    revision: u64,
+    item: Option<Item>,
+}
+
+/// How the store answers now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mood {
+    /// As it should.
+    #[default]
+    Well,
+    /// 503 to everything.
+    Busy,
+    /// It does what it is asked and answers nothing.
+    Silent,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct Store {
+    items: BTreeMap<String, Item>,
+    revision: u64,
+    changes: Vec<Change>,
+    /// The oldest revision from which watches can go on.
+    compacted: u64,
+    leases: BTreeMap<i64, (Instant, Duration)>,
+    last_lease: i64,
+    /// How it answers.
+    pub mood: Mood,
+    /// How long each answer takes.
+    pub delay: Duration,
+    /// Calls so far.
+    pub calls: u64,
+}
+
+impl Store {
+    /// Writes a key.
+    pub fn put(&mut self, key: &str, value: Vec<u8>, lease: i64) {
+        self.revision += 1;
+        self.put_now(key, value, lease);
+    }
+
+    /// Writes a key as part of the revision that has just begun.
+    fn put_now(&mut self, key: &str, value: Vec<u8>, lease: i64) {
+        let revision = self.revision;
+        let created = self.items.get(key).map_or(revision, |item| item.created);
+        let item = Item { value, revision, created, lease };
+        self.items.insert(key.to_owned(), item.clone());
+        self.changes.push(Change { key: key.to_owned(), revision, item: Some(item) });
+        self.forget();
+    }
+
+    /// Removes a key.
+    pub fn remove(&mut self, key: &str) {
+        self.revision += 1;
+        self.remove_now(key);
+    }
+
+    /// Removes a key as part of the revision that has just begun.
+    fn remove_now(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            let revision = self.revision;
+            self.changes.push(Change { key: key.to_owned(), revision, item: None });
+        }
+    }
+
+    fn forget(&mut self) {
+        if self.changes.len() > HISTORY {
+            self.compact();
+        }
+    }
+
+    /// Drops the history: watches from earlier revisions have to begin anew.
+    pub fn compact(&mut self) {
+        self.compacted = self.revision;
+        self.changes.clear();
+    }
+
+    /// Lists the keys below a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Reads a key.
+    pub fn value(&self, key: &str) -> Option<&[u8]> {
+        self.items.get(key).map(|item| item.value.as_slice())
+    }
+
+    /// Ends every lease now, as an outage may.
+    pub fn lapse(&mut self) {
+        let all: Vec<i64> = self.leases.keys().copied().collect();
+        for lease in all {
+            self.end(lease);
+        }
+    }
+
+    fn end(&mut self, lease: i64) {
+        self.leases.remove(&lease);
+        let bound: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in bound {
+            self.remove(&key);
+        }
+    }
+
+    fn expire(&mut self) {
+        let gone: Vec<i64> = self
+            .leases
+            .iter()
+            .filter(|(_, (at, ttl))| at.elapsed() > *ttl)
+            .map(|(lease, _)| *lease)
+            .collect();
+        for lease in gone {
+            self.end(lease);
+        }
+    }
+}
+
+fn render(key: &str, item: &Item) -> Value {
+    json!({
+        "key": key, "value": STANDARD.encode(&item.value), "revision": item.revision,
+        "created": item.created, "lease-id": item.lease,
+    })
+}
+
+fn reply(status: StatusCode, body: &Value) -> Response {
+    Response::builder().status(status).content_type("application/json").body(body.to_string())
+}
+
+/// The store's paths.
+pub(super) fn routes(state: Shared) -> Route {
+    let routes = Route::new()
+        .at("/v1/kv-key", get(read_key))
+        .at("/v1/kv-range", get(read_range))
+        .at("/v1/kv-watch", get(watch_prefix))
+        .at("/v1/kv-txn", post(decide))
+        .at("/v1/kv-lease", post(grant_lease))
+        .at("/v1/kv-keep/:id", post(keep_lease))
+        .at("/v1/kv-lease-end/:id", delete(end_lease));
+    let passed = state.clone();
+    let guarded = routes.data(state).around(move |routes, request| {
+        let state = passed.clone();
+        async move {
+            let (mood, delay) = {
+                let mut state = state.lock().expect("no server of the site has failed");
+                state.store.calls += 1;
+                state.store.expire();
+                (state.store.mood, state.store.delay)
+            };
+            tokio::time::sleep(delay).await;
+            if mood == Mood::Busy {
+                return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+            }
+            let answer = routes.call(request).await?;
+            if mood == Mood::Silent {
+                std::future::pending::<()>().await;
+            }
+            Ok(poem::IntoResponse::into_response(answer))
+        }
+    });
+    Route::new().nest("/", guarded)
+}
+
+#[derive(Deserialize)]
+struct Key {
+    key: String,
+}
+
+#[handler]
+fn read_key(Query(query): Query<Key>, state: Data<&Shared>) -> Response {
+    let state = state.lock().expect("no server of the site has failed");
+    match state.store.items.get(&query.key) {
+        Some(item) => {
+            let mut body = render(&query.key, item);
+            body["at"] = state.store.revision.into();
+            reply(StatusCode::OK, &body)
+        }
+        None => reply(StatusCode::NOT_FOUND, &json!({ "at": state.store.revision })),
+    }
+}
+
+#[derive(Deserialize)]
+struct Range {
+    prefix: String,
+    #[serde(default)]
+    after: String,
+}
+
+#[handler]
+fn read_range(Query(query): Query<Range>, state: Data<&Shared>) -> Response {
+    /// Items of one page.
+    const PAGE: usize = 50;
+    let state = state.lock().expect("no server of the site has failed");
+    let mut found = state
+        .store
+        .items
+        .range(query.after.clone()..)
+        .filter(|(key, _)| key.starts_with(&query.prefix) && **key > query.after);
+    let items: Vec<Value> =
+        found.by_ref().take(PAGE).map(|(key, item)| render(key, item)).collect();
+    let more = found.next().is_some();
+    let at = state.store.revision;
+    reply(StatusCode::OK, &json!({ "items": items, "has-more": more, "at": at }))
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Watch {
+    prefix: String,
+    after: u64,
+    wait_ms: u64,
+}
+
+#[handler]
+async fn watch_prefix(Query(query): Query<Watch>, state: Data<&Shared>) -> Response {
+    let until = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        {
+            let state = state.lock().expect("no server of the site has failed");
+            if query.after < state.store.compacted {
+                return reply(StatusCode::GONE, &json!({}));
+            }
+            let events: Vec<Value> = state
+                .store
+                .changes
+                .iter()
+                .filter(|change| {
+                    change.revision > query.after && change.key.starts_with(&query.prefix)
+                })
+                .map(|change| match &change.item {
+                    Some(item) => render(&change.key, item),
+                    None => {
+                        json!({"key": change.key, "revision": change.revision, "deleted": true})
+                    }
+                })
+                .collect();
+            if !events.is_empty() || Instant::now() >= until {
+                let at = state.store.revision;
+                return reply(StatusCode::OK, &json!({ "events": events, "at": at }));
+            }
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+#[derive(Deserialize)]
+struct Expected {
+    key: String,
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Put {
+    key: String,
+    value: String,
+    #[serde(default)]
+    lease_id: i64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Txn {
+    #[serde(default)]
+    expected_revision: Vec<Expected>,
+    #[serde(default)]
+    set_keys: Vec<Put>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+#[handler]
+fn decide(Json(txn): Json<Txn>, state: Data<&Shared>) -> Response {
+    /// The most entries of a transaction.
+    const ENTRIES: usize = 32;
+    let mut state = state.lock().expect("no server of the site has failed");
+    let store = &mut state.store;
+    if txn.expected_revision.len() + txn.set_keys.len() + txn.remove.len() > ENTRIES {
+        return reply(StatusCode::BAD_REQUEST, &json!({ "error": "too many entries" }));
+    }
+    let of = |store: &Store, key: &str| store.items.get(key).map_or(0, |item| item.revision);
+    if txn.expected_revision.iter().any(|row| of(store, &row.key) != row.revision) {
+        let items: Vec<Value> = txn
+            .expected_revision
+            .iter()
+            .map(|row| match store.items.get(&row.key) {
+                Some(item) => render(&row.key, item),
+                None => json!({ "key": row.key, "revision": 0 }),
+            })
+            .collect();
+        return reply(StatusCode::PRECONDITION_FAILED, &json!({ "items": items }));
+    }
+    let known = |lease: i64| lease == 0 || store.leases.contains_key(&lease);
+    if !txn.set_keys.iter().all(|put| known(put.lease_id)) {
+        return reply(StatusCode::NOT_FOUND, &json!({}));
+    }
+    let decoded: Result<Vec<_>, _> = txn
+        .set_keys
+        .iter()
+        .map(|put| STANDARD.decode(&put.value).map(|value| (put, value)))
+        .collect();
+    let Ok(decoded) = decoded else {
+        return reply(StatusCode::BAD_REQUEST, &json!({ "error": "not base64" }));
+    };
+    store.revision += 1;
+    for (put, value) in decoded {
+        store.put_now(&put.key, value, put.lease_id);
+    }
+    for key in txn.remove {
+        store.remove_now(&key);
+    }
+    let revision = store.revision;
+    reply(StatusCode::OK, &json!({ "revision": revision }))
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Ttl {
+    ttl_ms: u64,
+}
+
+#[handler]
+fn grant_lease(Json(ttl): Json<Ttl>, state: Data<&Shared>) -> Response {
+    let mut state = state.lock().expect("no server of the site has failed");
+    state.store.last_lease += 1;
+    let id = state.store.last_lease;
+    let ttl = Duration::from_millis(ttl.ttl_ms);
+    state.store.leases.insert(id, (Instant::now(), ttl));
+    reply(StatusCode::OK, &json!({ "lease-id": id, "ttl-ms": ttl.as_millis() as u64 }))
+}
+
+#[handler]
+fn keep_lease(Path(id): Path<i64>, state: Data<&Shared>) -> Response {
+    let mut state = state.lock().expect("no server of the site has failed");
+    match state.store.leases.get_mut(&id) {
+        Some((at, ttl)) => {
+            *at = Instant::now();
+            reply(StatusCode::OK, &json!({ "ttl-ms": ttl.as_millis() as u64 }))
+        }
+        None => reply(StatusCode::NOT_FOUND, &json!({})),
+    }
+}
+
+#[handler]
+fn end_lease(Path(id): Path<i64>, state: Data<&Shared>) -> Response {
+    let mut state = state.lock().expect("no server of the site has failed");
+    state.store.end(id);
+    reply(StatusCode::OK, &json!({}))
+}
--- a/crates/planner/tests/world/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -1,4 +1,5 @@
-//! A worker as the planner meets it: runs, ends, a deadline, an epoch, a clock of its own.
+//! A worker of the users' platform: runs, ends, a deadline, an epoch, a clock of its own. In any
+//! time that it is told, so that scenarios play it in virtual time.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -31,14 +32,19 @@
 /// A run in progress.
 #[derive(Clone, Debug)]
 pub struct Active {
+    /// What its step asks for.
     pub step: Step,
+    /// When it began.
     pub since: Time,
     /// Work done before it began, from its checkpoint.
     pub before: Duration,
+    /// All the work that it has.
     pub work: Duration,
+    /// Share of its speed, in percent.
     pub pace: u8,
     /// Work done so far at the paces it had.
     pub done: Duration,
+    /// When it will have stopped, if it was told to.
     pub stopping: Option<Time>,
     /// Whether it waits for the rest of its gang.
     pub alone: bool,
@@ -47,13 +53,19 @@
 /// One life of a worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
+    /// Names this life.
     pub name: id::Instance,
+    /// All that it has.
     pub capacity: Amount,
+    /// Its rack.
     pub rack: id::Rack,
+    /// Whether it lives.
     pub up: bool,
+    /// Whether the directory holds it.
     pub listed: bool,
     /// Whether orders and answers pass.
     pub cut: bool,
+    /// Whether it is about to leave.
     pub draining: bool,
     /// It fails all that it starts.
     pub fails: bool,
@@ -63,19 +75,26 @@
     pub slow: u32,
     /// The next so many answers get lost, after the order was carried out.
     pub lose: u32,
+    /// The highest epoch that it has seen.
     pub epoch: id::Epoch,
+    /// Everything is killed when its clock passes this.
     pub deadline: Stamp,
+    /// What runs.
     pub active: BTreeMap<Run, Active>,
+    /// Ends that nobody has acknowledged.
     pub ended: Vec<Ended>,
+    /// Number of the next end.
     pub next_end: u64,
     /// The highest run of each task that has ended or was stopped here.
     pub highest: BTreeMap<cowslipchute_ports::job::TaskId, id::Attempt>,
     /// Runs that ended done, for the world's checks.
     pub finished: BTreeSet<Run>,
+    /// Up to when time has passed here.
     pub updated: Time,
 }
 
 impl Worker {
+    /// Begins a life.
     pub fn open(name: &str, capacity: Amount, rack: &str) -> Worker {
         Worker {
             name: name.into(),
@@ -178,6 +197,11 @@
         self.deadline = self.deadline.max(deadline.min(most));
     }
 
+    /// Starts a run.
+    ///
+    /// # Errors
+    ///
+    /// Why it was not started.
     pub fn start(
         &mut self,
         epoch: id::Epoch,
@@ -220,6 +244,11 @@
         Ok(self.clock(now))
     }
 
+    /// Stops a run, or keeps it from ever starting.
+    ///
+    /// # Errors
+    ///
+    /// When the epoch is too low.
     pub fn stop(&mut self, epoch: id::Epoch, run: Run, now: Time) -> Result<Stamp, Failure> {
         self.admit(epoch, now)?;
         match self.active.get_mut(&run) {
@@ -234,6 +263,11 @@
         Ok(self.clock(now))
     }
 
+    /// Sets a run's pace.
+    ///
+    /// # Errors
+    ///
+    /// When the epoch is too low.
     pub fn pace(
         &mut self,
         epoch: id::Epoch,
@@ -248,6 +282,11 @@
         Ok(self.clock(now))
     }
 
+    /// Extends the deadline, forgets acknowledged ends and lists the rest.
+    ///
+    /// # Errors
+    ///
+    /// When the epoch is too low.
     pub fn hold(&mut self, epoch: id::Epoch, hold: &Hold, now: Time) -> Result<Report, Failure> {
         self.admit(epoch, now)?;
         if let Some(deadline) = hold.deadline {
@@ -270,6 +309,7 @@
         (unloaded / (1.0 - load.min(0.99))) as u32
     }
 
+    /// Lists what runs and what has ended.
     pub fn report(&self, now: Time) -> Report {
         let running = self.active.iter().map(|(run, active)| {
             let total = active.before + active.done;
--- a/crates/tenure/src/seat.rs
+++ b/crates/tenure/src/seat.rs
@@ -83,6 +83,8 @@
         /// The lease.
         lease: kv::LeaseId,
     },
+    /// Read the key, and tell what was `Seen`; a failed read is told by nothing.
+    Look,
     /// End the lease; nothing is told about the outcome.
     Revoke {
         /// The lease.
@@ -223,7 +225,9 @@
         self.vacant = entry.is_none();
         let ours = entry.as_ref().filter(|entry| entry.value == self.settings.mark);
         match (self.state, ours) {
-            (State::Owning { epoch, .. }, Some(entry)) if entry.revision == epoch => {}
+            (State::Owning { epoch, .. }, Some(entry)) if entry.revision == epoch => {
+                self.renew_again(now, actions);
+            }
             (State::Owning { epoch, .. }, _) if at > epoch => self.lose(now, actions),
             (State::Owning { .. }, _) => {}
             (State::Unsettled { lease, until }, Some(entry))
@@ -246,6 +250,7 @@
     }
 
     fn run(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let retry = self.retry();
         match &mut self.state {
             State::Vacant { claim_at } if *claim_at <= now => {
                 let ticket = self.tickets.issue();
@@ -253,7 +258,12 @@
                 actions.push(Action::Grant { ticket, ttl: self.settings.ttl });
             }
             State::Unsettled { until, .. } if *until <= now => self.state = self.again(now),
-            State::Owning { lease, renew_at, sent: sent @ None, .. } if *renew_at <= now => {
+            State::Owning { lease, until, renew_at, sent: sent @ None, .. } if *renew_at <= now => {
+                if *until <= now {
+                    *renew_at = now + retry;
+                    actions.push(Action::Look);
+                    return;
+                }
                 let ticket = self.tickets.issue();
                 *sent = Some(Sent { ticket, at: now });
                 actions.push(Action::Renew { ticket, lease: *lease });
@@ -262,6 +272,19 @@
         }
     }
 
+    /// Renews a lease that has run out as counted here, since the store answers again and the key
+    /// still stands. Until it answers nothing is renewed: renewals that arrive though their answers
+    /// don't would keep the cell from an owner that can run it.
+    fn renew_again(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let State::Owning { lease, until, sent: sent @ None, .. } = &mut self.state else { return };
+        if *until > now {
+            return;
+        }
+        let ticket = self.tickets.issue();
+        *sent = Some(Sent { ticket, at: now });
+        actions.push(Action::Renew { ticket, lease: *lease });
+    }
+
     /// Begins again after a claim that came to nothing.
     fn again(&self, now: Time) -> State {
         match self.vacant && !self.draining {
