--- a/bin/scheduler/src/intake.rs
+++ b/bin/scheduler/src/intake.rs
@@ -101,9 +101,9 @@
                 let known = |item: &Item| {
                     verdict.current.iter().any(|entry| entry.key.ends_with(&keys::of("", item.job)))
                 };
-                let (stored, rest) = batch.into_iter().partition(known);
+                let (stored, rest): (Vec<Item>, Vec<Item>) = batch.into_iter().partition(known);
                 batch = rest;
-                for item in Vec::<Item>::from(stored) {
+                for item in stored {
                     answer(item, Ok(()), &log);
                 }
                 continue;
@@ -119,9 +119,10 @@
             Err(_) => {}
         }
         let now = Instant::now() + SETTLE_PAUSE;
-        let (late, rest) = batch.into_iter().partition(|item: &Item| item.until <= now);
+        let (late, rest): (Vec<Item>, Vec<Item>) =
+            batch.into_iter().partition(|item: &Item| item.until <= now);
         batch = rest;
-        for item in Vec::<Item>::from(late) {
+        for item in late {
             let rejection = Rejection::new(Code::StoreUnknown, "the store did not answer");
             answer(item, Err(rejection), &log);
         }
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod process;
 pub mod proxy;
 pub mod site;
+pub mod soak;
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -31,7 +31,7 @@
 /// Host under which clients address the queues.
 const HOST: &str = "desk.example";
 /// How long a client waits for an answer.
-const CLIENT_TIME: Duration = Duration::from_secs(4);
+const CLIENT_TIME: Duration = Duration::from_millis(2500);
 
 /// One of our processes.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/e2e/src/soak.rs
@@ -0,0 +1,462 @@
+//! A randomized soak: the real processes on a stand-in of the users' platform, faults from outside
+//! them in series that overlap, and the promises checked from what clients and workers see.
+//!
+//! All randomness comes from the seed; how the processes interleave doesn't, so a seed that failed
+//! is kept and played again many times.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Result;
+use cowslipchute_ports::job::JobId;
+use cowslipchute_ports::job::Spec;
+use cowslipchute_ports::job::TaskId;
+use cowslipchute_standin::site::store;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+use reqwest::StatusCode;
+
+use crate::proxy::Mood;
+use crate::site::Deployment;
+use crate::site::chain;
+
+/// Mean pause between two faults.
+const FAULT_PAUSE: Duration = Duration::from_millis(600);
+/// Mean pause between two jobs.
+const JOB_PAUSE: Duration = Duration::from_millis(150);
+/// Longest time until a fault is mended.
+const FAULT_TIME: Duration = Duration::from_millis(5000);
+/// By then every job that was taken in has come to its end in a mended deployment.
+const END: Duration = Duration::from_secs(60);
+/// Pause between two looks at a job's state.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// How large a soak is and how long it lasts.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Draws everything.
+    pub seed: u64,
+    /// How long faults come.
+    pub span: Duration,
+    /// Our processes.
+    pub members: usize,
+    /// Workers.
+    pub workers: usize,
+}
+
+/// What a soak found.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Jobs that were handed in.
+    pub jobs: usize,
+    /// Of these, those that were surely taken in.
+    pub accepted: usize,
+    /// Of these, those that were refused each time.
+    pub refused: usize,
+    /// Faults that were played.
+    pub faults: Vec<String>,
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+}
+
+/// What a client knows of its job.
+#[derive(Clone, Debug)]
+struct Known {
+    spec: Spec,
+    accepted: bool,
+    /// Whether some try had no clear answer.
+    unclear: bool,
+    cancelled: bool,
+    shown: String,
+}
+
+/// A fault in progress.
+#[derive(Clone, Debug)]
+enum Fault {
+    Killed(String),
+    Frozen(String),
+    Stopped(String),
+    Store(store::Mood),
+    StoreSlow,
+    Line(String, Mood),
+    Worker(String, Mood),
+    Hangs(String),
+    Fails(String),
+}
+
+struct Soak {
+    plan: Plan,
+    random: SmallRng,
+    deployment: Deployment,
+    jobs: BTreeMap<JobId, Known>,
+    faults: Vec<(Instant, Fault)>,
+    report: Report,
+}
+
+/// Runs a soak to its end.
+///
+/// # Errors
+///
+/// When a process can't be started.
+pub async fn run(plan: Plan) -> Result<Report> {
+    let name = format!("soak-{}", plan.seed);
+    let deployment = Deployment::open(&name, plan.members, plan.workers).await?;
+    let mut soak = Soak {
+        plan,
+        random: SmallRng::seed_from_u64(plan.seed),
+        deployment,
+        jobs: BTreeMap::new(),
+        faults: Vec::new(),
+        report: Report::default(),
+    };
+    soak.play().await?;
+    soak.mend_all()?;
+    soak.finish().await;
+    Ok(soak.close())
+}
+
+impl Soak {
+    async fn play(&mut self) -> Result<()> {
+        let start = Instant::now();
+        let mut next_fault = start + self.pause(FAULT_PAUSE);
+        let mut next_job = start;
+        while start.elapsed() < self.plan.span {
+            let now = Instant::now();
+            // A client's call may have taken long; faults go on meanwhile, as it were.
+            while next_fault <= now {
+                next_fault += self.pause(FAULT_PAUSE);
+                self.strike();
+            }
+            self.mend(now)?;
+            if now >= next_job {
+                next_job = now + self.pause(JOB_PAUSE);
+                self.submit().await;
+            }
+            self.look().await;
+            tokio::time::sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    fn pause(&mut self, mean: Duration) -> Duration {
+        mean.mul_f64(self.random.random_range(0.2..1.8))
+    }
+
+    fn member(&mut self) -> String {
+        let index = self.random.random_range(0..self.deployment.members.len());
+        self.deployment.members.keys().nth(index).expect("the index is below their number").clone()
+    }
+
+    fn worker(&mut self) -> String {
+        let index = self.random.random_range(0..self.deployment.workers.len());
+        self.deployment.workers.keys().nth(index).expect("the index is below their number").clone()
+    }
+
+    /// The owner half of the time, since most depends on it.
+    fn target(&mut self) -> String {
+        let owner = self.deployment.owner().filter(|_| self.random.random_bool(0.5));
+        match owner {
+            Some(owner) => owner,
+            None => self.member(),
+        }
+    }
+
+    fn mood(&mut self) -> Mood {
+        match self.random.random_range(0..4) {
+            0 => Mood::Delay(Duration::from_millis(self.random.random_range(20..400))),
+            1 => Mood::SilenceCalls,
+            2 => Mood::SilenceAnswers,
+            _ => Mood::Reset,
+        }
+    }
+
+    /// Begins a fault, or plays one that needs no mending.
+    fn strike(&mut self) {
+        let fault = match self.random.random_range(0..13) {
+            0 | 1 => Fault::Killed(self.target()),
+            2 => Fault::Frozen(self.target()),
+            3 => Fault::Stopped(self.target()),
+            4 => Fault::Store(store::Mood::Busy),
+            5 => Fault::Store(store::Mood::Silent),
+            6 => Fault::StoreSlow,
+            7 | 8 => Fault::Line(self.target(), self.mood()),
+            9 => Fault::Worker(self.worker(), self.mood()),
+            10 => Fault::Hangs(self.worker()),
+            11 => Fault::Fails(self.worker()),
+            _ => return self.strike_once(),
+        };
+        if !self.begin(&fault) {
+            return;
+        }
+        let until = Instant::now() + FAULT_TIME.mul_f64(self.random.random_range(0.05..1.0));
+        self.report.faults.push(format!("{fault:?}"));
+        self.faults.push((until, fault));
+    }
+
+    fn strike_once(&mut self) {
+        let worker = self.worker();
+        let name = match self.random.random_range(0..3) {
+            0 => {
+                self.deployment.site.rebirth(&worker);
+                "rebirth"
+            }
+            1 => {
+                self.deployment.site.lock().store.lapse();
+                "leases lapse"
+            }
+            _ => {
+                self.deployment.site.lock().store.compact();
+                "history dropped"
+            }
+        };
+        self.report.faults.push(name.to_owned());
+    }
+
+    /// Begins a fault; false if it is of no use now.
+    fn begin(&mut self, fault: &Fault) -> bool {
+        match fault {
+            Fault::Killed(name) => {
+                let member = self.deployment.members.get_mut(name);
+                member.and_then(|member| member.process.take()).is_some()
+            }
+            Fault::Frozen(name) => self.signal(name, |process| process.freeze()),
+            Fault::Stopped(name) => self.signal(name, |process| process.terminate_if_running()),
+            Fault::Store(mood) => {
+                self.deployment.site.lock().store.mood = *mood;
+                true
+            }
+            Fault::StoreSlow => {
+                self.deployment.site.lock().store.delay = Duration::from_millis(250);
+                true
+            }
+            Fault::Line(name, mood) => {
+                self.deployment.members[name].store.set(*mood);
+                true
+            }
+            Fault::Worker(name, mood) => {
+                self.deployment.workers[name].set(*mood);
+                true
+            }
+            Fault::Hangs(name) => self.change_worker(name, |worker| worker.hangs = true),
+            Fault::Fails(name) => self.change_worker(name, |worker| worker.fails = true),
+        }
+    }
+
+    fn signal(&mut self, name: &str, signal: impl Fn(&mut crate::process::Process)) -> bool {
+        let member = self.deployment.members.get_mut(name);
+        match member.and_then(|member| member.process.as_mut()) {
+            Some(process) => {
+                signal(process);
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn change_worker(
+        &self,
+        name: &str,
+        change: impl Fn(&mut cowslipchute_standin::site::worker::Worker),
+    ) -> bool {
+        self.deployment.site.lock().workers.get_mut(name).map(change).is_some()
+    }
+
+    /// Ends the faults whose time is over.
+    fn mend(&mut self, now: Instant) -> Result<()> {
+        let faults = std::mem::take(&mut self.faults);
+        for (until, fault) in faults {
+            if until > now {
+                self.faults.push((until, fault));
+            } else {
+                self.end(&fault)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, fault: &Fault) -> Result<()> {
+        match fault {
+            Fault::Killed(name) => self.restart(name)?,
+            Fault::Frozen(name) => {
+                self.signal(name, |process| process.thaw());
+            }
+            // It ends by itself; another life follows, as the platform would have it.
+            Fault::Stopped(name) => self.restart(name)?,
+            Fault::Store(_) => self.deployment.site.lock().store.mood = store::Mood::Well,
+            Fault::StoreSlow => self.deployment.site.lock().store.delay = Duration::ZERO,
+            Fault::Line(name, _) => self.deployment.members[name].store.set(Mood::Pass),
+            Fault::Worker(name, _) => self.deployment.workers[name].set(Mood::Pass),
+            Fault::Hangs(name) => {
+                self.change_worker(name, |worker| worker.hangs = false);
+            }
+            Fault::Fails(name) => {
+                self.change_worker(name, |worker| worker.fails = false);
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts a member anew; one that was stopped and has not ended yet is killed, as the platform
+    /// does when the time for a planned stop is over.
+    fn restart(&mut self, name: &str) -> Result<()> {
+        if let Some(member) = self.deployment.members.get_mut(name) {
+            member.process = None;
+        }
+        self.deployment.start(name)
+    }
+
+    fn mend_all(&mut self) -> Result<()> {
+        for (_, fault) in std::mem::take(&mut self.faults) {
+            self.end(&fault)?;
+        }
+        let names: Vec<String> = self.deployment.members.keys().cloned().collect();
+        for name in names {
+            self.signal(&name, |process| process.thaw());
+        }
+        Ok(())
+    }
+
+    async fn submit(&mut self) {
+        let id = self.random.random::<JobId>() | 1;
+        let steps = self.random.random_range(1..4);
+        let count = self.random.random_range(1..5);
+        let time = Duration::from_millis(self.random.random_range(50..900));
+        let spec = chain(steps, count, time);
+        let mut known = Known {
+            spec: spec.clone(),
+            accepted: false,
+            unclear: false,
+            cancelled: false,
+            shown: String::new(),
+        };
+        // A client asks again under the same number, at any member, while nothing is clear.
+        for _ in 0..3 {
+            let member = self.member();
+            match self.deployment.submit(&member, id, &spec).await {
+                Some(status) if status.is_success() => known.accepted = true,
+                Some(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {}
+                _ => known.unclear = true,
+            }
+            if known.accepted {
+                break;
+            }
+        }
+        self.jobs.insert(id, known);
+    }
+
+    /// Looks at one job that is open, or cancels it.
+    async fn look(&mut self) {
+        let open: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, known)| known.accepted && !is_final(&known.shown))
+            .map(|(id, _)| *id)
+            .collect();
+        if open.is_empty() {
+            return;
+        }
+        let id = open[self.random.random_range(0..open.len())];
+        let member = self.member();
+        if self.random.random_bool(0.02) {
+            // Whether or not it is answered it may have been done.
+            self.jobs.entry(id).and_modify(|known| known.cancelled = true);
+            self.deployment.cancel(&member, id).await;
+        }
+        self.look_at(&member, id).await;
+    }
+
+    async fn look_at(&mut self, member: &str, id: JobId) {
+        let Some((status, state)) = self.deployment.state(member, id).await else { return };
+        let Some(known) = self.jobs.get_mut(&id) else { return };
+        if status == StatusCode::GONE {
+            self.report.broken.push(format!("{id:016x} was taken in and isn't known"));
+        }
+        if !status.is_success() {
+            return;
+        }
+        if is_final(&known.shown) && known.shown != state {
+            let text = format!("{id:016x} was {} and is {state}", known.shown);
+            self.report.broken.push(text);
+        }
+        let wrong_end = state == "failed" || (state == "cancelled" && !known.cancelled);
+        if wrong_end {
+            self.report.broken.push(format!("{id:016x} is {state} without cause"));
+        }
+        if state == "completed" {
+            self.check_done(id);
+        }
+        if let Some(known) = self.jobs.get_mut(&id) {
+            known.shown = state;
+        }
+    }
+
+    /// Every task of a job that is shown as completed has ended done.
+    fn check_done(&mut self, id: JobId) {
+        let state = self.deployment.site.lock();
+        let Some(known) = self.jobs.get(&id) else { return };
+        for (step, spec) in known.spec.steps.iter().enumerate() {
+            for index in 0..spec.count {
+                let task = TaskId { job: id, occurrence: 0, step: step as u16, index };
+                if !state.finished.contains(&task) {
+                    let text = format!("{task} isn't done and its job is shown as completed");
+                    self.report.broken.push(text);
+                }
+            }
+        }
+    }
+
+    /// Waits until every job that was taken in has come to its end.
+    async fn finish(&mut self) {
+        let start = Instant::now();
+        loop {
+            let open: Vec<JobId> = self
+                .jobs
+                .iter()
+                .filter(|(_, known)| known.accepted && !is_final(&known.shown))
+                .map(|(id, _)| *id)
+                .collect();
+            if open.is_empty() {
+                return;
+            }
+            if start.elapsed() > END {
+                for id in open {
+                    let shown = self.jobs[&id].shown.clone();
+                    let text = format!("{id:016x} was taken in and never ended: {shown}");
+                    self.report.broken.push(text);
+                }
+                return;
+            }
+            for id in open {
+                let member = self.member();
+                self.look_at(&member, id).await;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    fn close(mut self) -> Report {
+        let state = self.deployment.site.lock();
+        self.report.broken.extend(state.broken.iter().cloned());
+        let refused: BTreeSet<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, known)| !known.accepted && !known.unclear)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in refused.intersection(&state.started) {
+            self.report.broken.push(format!("{id:016x} was refused each time and ran"));
+        }
+        self.report.jobs = self.jobs.len();
+        self.report.accepted = self.jobs.values().filter(|known| known.accepted).count();
+        self.report.refused = refused.len();
+        drop(state);
+        self.report
+    }
+}
+
+fn is_final(state: &str) -> bool {
+    matches!(state, "completed" | "failed" | "cancelled")
+}
--- /dev/null
+++ b/crates/e2e/tests/soak.rs
@@ -0,0 +1,19 @@
+//! A short seeded soak, and every seed that has ever failed, each with a line on its cause.
+
+use std::time::Duration;
+
+use cowslipchute_e2e::soak;
+use cowslipchute_e2e::soak::Plan;
+use yare::parameterized;
+
+#[parameterized(
+    first = { 1 },
+    second = { 2 },
+)]
+fn a_short_soak_keeps_every_promise(seed: u64) {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    let plan = Plan { seed, span: Duration::from_secs(8), members: 3, workers: 3 };
+    let report = runtime.block_on(soak::run(plan)).unwrap();
+    assert!(report.accepted > 0, "nothing was taken in");
+    assert!(report.broken.is_empty(), "{:?}\nfaults: {:?}", report.broken, report.faults);
+}
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -50,6 +50,8 @@
     lives: u32,
     /// What clients have handed in.
     pub jobs: BTreeMap<JobId, Spec>,
+    /// Jobs of which a task has ever started.
+    pub started: BTreeSet<JobId>,
     /// Tasks of which a run has ended done.
     pub finished: BTreeSet<TaskId>,
     /// Promises that were broken.
@@ -142,6 +144,7 @@
         addresses: BTreeMap::new(),
         lives: 0,
         jobs: BTreeMap::new(),
+        started: BTreeSet::new(),
         finished: BTreeSet::new(),
         broken: Vec::new(),
     };
--- a/crates/standin/src/site/workers.rs
+++ b/crates/standin/src/site/workers.rs
@@ -164,6 +164,9 @@
     let work = step.estimate;
     let outcome = meant(&mut state, &machine, request)
         .and_then(|worker| worker.start(order.fencing_token, &start, &step, work, now));
+    if outcome.is_ok() {
+        state.started.insert(run.task.job);
+    }
     settle(outcome)
 }
 
