--- a/crates/e2e/tests/settings.rs
+++ b/crates/e2e/tests/settings.rs
@@ -19,7 +19,8 @@
 [RESULTS.md](RESULTS.md).
 ";
 
-const BINARIES: [&str; 5] = [
+const BINARIES: [&str; 6] = [
+    "cowslipchute-scheduler",
     "cowslipchute-entry",
     "cowslipchute-placer",
     "cowslipchute-operator",
