--- a/bin/scheduler/src/journal.rs
+++ b/bin/scheduler/src/journal.rs
@@ -13,6 +13,7 @@
 use cowslipchute_base::event::Event;
 use cowslipchute_base::id::Revision;
 use cowslipchute_planner::action::Change;
+use cowslipchute_planner::learnt::Learnt;
 use cowslipchute_planner::record;
 use cowslipchute_platform::store::TXN_ENTRIES;
 use cowslipchute_ports::job::JobId;
@@ -68,6 +69,28 @@
         Ok(())
     }
 
+    /// Writes what was learnt, once: a later write replaces it anyway.
+    ///
+    /// # Errors
+    ///
+    /// [`Outranked`] when the cell has another owner.
+    pub async fn keep(&self, learnt: &Learnt) -> Result<(), Outranked> {
+        let value = record::encode(learnt);
+        let txn = kv::Txn {
+            guards: vec![Guard::Unchanged(keys::SEAT.to_owned(), self.epoch)],
+            changes: vec![kv::Change::Put { key: keys::LEARNT.to_owned(), value, lease: 0 }],
+        };
+        match self.store.commit(txn).await {
+            Ok(verdict) if !verdict.applied => Err(Outranked),
+            Ok(_) => Ok(()),
+            Err(error) => {
+                let reason = error.to_string();
+                event!(self.log, Event::StoreUnsettled, "reason" => reason);
+                Ok(())
+            }
+        }
+    }
+
     async fn write_part(&self, changes: &[Change]) -> Result<(), Outranked> {
         let mut unsettled = false;
         loop {
--- a/bin/scheduler/src/keys.rs
+++ b/bin/scheduler/src/keys.rs
@@ -4,6 +4,8 @@
 
 /// The key whose holder owns the cell.
 pub const SEAT: &str = "cell/owner";
+/// What owners have learnt about the cell.
+pub const LEARNT: &str = "cell/learnt";
 /// Jobs that have not ended, each as it was accepted.
 pub const JOBS: &str = "job/";
 /// Records of jobs that have begun and not ended.
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -14,6 +14,7 @@
 use cowslipchute_planner::action::Note;
 use cowslipchute_planner::event::Batch;
 use cowslipchute_planner::event::Event;
+use cowslipchute_planner::learnt::Learnt;
 use cowslipchute_planner::planner::Planner;
 use cowslipchute_planner::record;
 use cowslipchute_platform::directory;
@@ -39,6 +40,8 @@
 
 /// Pause before the records are read again when the store did not give them.
 const LOAD_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two writes of what was learnt: short against the time that learning takes.
+const LEARNT_PAUSE: Duration = Duration::from_secs(2);
 /// Longest sleep of the planner when nothing is due.
 const IDLE: Duration = Duration::from_millis(500);
 
@@ -108,16 +111,18 @@
     event!(parts.log, Number::CellLoaded, "epoch" => epoch, "jobs" => loaded.jobs.len(),
         "records" => loaded.records.len(), "revision" => loaded.revision);
     let journal = Journal::open(parts.store.clone(), epoch, loaded.revisions, parts.log.clone());
+    let learnt = load_learnt(&parts.store, &parts.log).await;
     let (sender, receiver) = inbox;
     let (writes, write_receiver) = mpsc::unbounded_channel();
     let mut tasks = JoinSet::new();
+    tasks.spawn(keep_learnt(journal.clone(), parts.planner.clone(), parts.words.clone()));
     tasks.spawn(write(journal, write_receiver, sender.clone(), parts.words.clone()));
     let jobs =
         watcher::spawn(parts.store.clone(), keys::JOBS, Some(loaded.revision), parts.log.clone());
     let workers =
         watcher::spawn(parts.directory.clone(), directory::PREFIX, None, parts.log.clone());
     let owner = Owner { parts, epoch, events: sender, writes, tasks, listed: HashSet::new() };
-    let begin = Event::Owned { epoch, jobs: loaded.jobs, records: loaded.records };
+    let begin = Event::Owned { epoch, jobs: loaded.jobs, records: loaded.records, learnt };
     owner.serve(begin, receiver, jobs, workers).await;
 }
 
@@ -155,6 +160,46 @@
     Ok(loaded)
 }
 
+/// Reads what earlier owners have learnt; without it the cell is only learnt anew.
+async fn load_learnt<S: Store>(store: &S, log: &Log) -> Option<Learnt> {
+    let entry = match store.read(keys::LEARNT).await {
+        Ok(snapshot) => snapshot.entries.into_iter().find(|entry| entry.key == keys::LEARNT)?,
+        Err(error) => {
+            event!(log, Number::StoreLost, "reason" => error.to_string());
+            return None;
+        }
+    };
+    match record::decode(&entry.value) {
+        Ok(learnt) => Some(learnt),
+        Err(error) => {
+            event!(log, Number::ConfigInvalid, "reason" => error.to_string());
+            None
+        }
+    }
+}
+
+/// Hands on what is learnt, every few seconds.
+async fn keep_learnt<S: Store>(
+    journal: Journal<S>,
+    planner: Shared,
+    words: mpsc::UnboundedSender<Word>,
+) {
+    let mut kept = None;
+    loop {
+        tokio::time::sleep(LEARNT_PAUSE).await;
+        let learnt = lock(&planner).learnt();
+        if kept.as_ref() == Some(&learnt) {
+            continue;
+        }
+        if journal.keep(&learnt).await.is_err() {
+            // The seat is gone only when the process is ending.
+            let _ = words.send(Word::Refused);
+            return;
+        }
+        kept = Some(learnt);
+    }
+}
+
 /// Reads a job's entry.
 fn accepted(entry: &kv::Entry) -> Result<Option<(JobId, Arc<Accepted>)>, kv::Error> {
     let Some(job) = keys::job(keys::JOBS, &entry.key) else { return Ok(None) };
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -16,6 +16,7 @@
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::StepId;
 
+use crate::learnt::Learnt;
 use crate::record::Record;
 
 /// Number of one write, rising within a planner.
@@ -35,6 +36,8 @@
         jobs: Vec<(JobId, Arc<Accepted>)>,
         /// Their records; a job without one has not begun.
         records: Vec<(JobId, Record)>,
+        /// What earlier owners have learnt, if the store holds it.
+        learnt: Option<Learnt>,
     },
     /// The ownership lasts at least until then.
     Renewed {
--- a/crates/planner/src/interfere.rs
+++ b/crates/planner/src/interfere.rs
@@ -13,6 +13,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
 use smallvec::SmallVec;
 
 /// Name of an image.
@@ -38,7 +40,8 @@
 /// Below this the queue is full: a lower headroom can't be told from this one.
 const FULL: f64 = 0.25;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 struct Estimate {
     mean: f64,
     variance: f64,
@@ -56,7 +59,8 @@
 
 const FIRST: Estimate = Estimate { mean: FIRST_WEIGHT, variance: FIRST_VARIANCE };
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 struct Serving {
     headroom: Estimate,
     weights: HashMap<Image, Estimate>,
@@ -123,7 +127,8 @@
 }
 
 /// What is known of all pairs.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Model {
     images: HashMap<Image, Serving>,
 }
--- /dev/null
+++ b/crates/planner/src/learnt.rs
@@ -0,0 +1,36 @@
+//! What an owner has learnt about the cell and hands on to the next.
+//!
+//! Learning which images press on which takes several seconds of a busy cell, and owners change at
+//! any time; so this goes to the store every few seconds. It holds no decision: without it a new
+//! owner only begins to learn anew.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::interfere::Model;
+use crate::planner::Planner;
+
+/// What was learnt.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Learnt {
+    model: Model,
+    works: HashMap<Arc<str>, f64>,
+    speed: f64,
+}
+
+impl Planner {
+    /// Returns what was learnt so far.
+    pub fn learnt(&self) -> Learnt {
+        Learnt { model: self.model.clone(), works: self.works.clone(), speed: self.speed }
+    }
+
+    pub(crate) fn take_learnt(&mut self, learnt: Learnt) {
+        self.model = learnt.model;
+        self.works = learnt.works;
+        self.speed = learnt.speed;
+    }
+}
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -23,6 +23,7 @@
 mod host;
 mod interfere;
 mod job;
+pub mod learnt;
 mod locality;
 mod occurrence;
 mod order;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -127,7 +127,9 @@
     fn take(&mut self, event: Event) {
         match event {
             Event::Tick => {}
-            Event::Owned { epoch, jobs, records } => self.own(epoch, jobs, records),
+            Event::Owned { epoch, jobs, records, learnt } => {
+                self.own(epoch, jobs, records, learnt);
+            }
             Event::Renewed { until } => self.valid_until = self.valid_until.max(until),
             Event::Disowned => self.disown(),
             Event::Config { config } => self.configure(config),
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -20,6 +20,7 @@
 use crate::job::Job;
 use crate::job::Place;
 use crate::job::Terms;
+use crate::learnt::Learnt;
 use crate::order::Timer;
 use crate::planner::Planner;
 use crate::record;
@@ -40,8 +41,12 @@
         epoch: id::Epoch,
         jobs: Vec<(JobId, Arc<Accepted>)>,
         records: Vec<(JobId, Record)>,
+        learnt: Option<Learnt>,
     ) {
         self.disown();
+        if let Some(learnt) = learnt {
+            self.take_learnt(learnt);
+        }
         self.epoch = Some(epoch);
         self.owned_at = self.now;
         self.reserve = Reserve::open(self.now);
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -160,7 +160,7 @@
         let events = [
             Event::Wall { wall: self.now },
             Event::Config { config: config.clone() },
-            Event::Owned { epoch: self.term.into(), jobs, records },
+            Event::Owned { epoch: self.term.into(), jobs, records, learnt: None },
             Event::Renewed { until: self.now + LEASE },
         ];
         for event in events {
