--- a/crates/planner/src/colocate.rs
+++ b/crates/planner/src/colocate.rs
@@ -101,7 +101,7 @@
     pub(crate) fn guard_targets(&mut self, worker: WorkerId) {
         let now = self.now;
         let state = &mut self.workers[worker];
-        let shares_now = shares(state, |hosted| hosted.paced);
+        let shares_now = shares(state, |hosted| hosted.paced.unwrap_or(FULL_PACE));
         let shares_before = std::mem::replace(&mut state.shares, shares_now.clone());
         let beside = mean(&shares_before, &shares_now);
         for hosted in state.runs.values_mut() {
@@ -125,6 +125,8 @@
                 hosted.over_since.get_or_insert(now);
             }
         }
+        // A task that pressed too hard before may have its place now.
+        self.room_changed |= !self.waiting.is_empty();
         self.set_paces(worker);
         self.move_held_back(worker);
     }
@@ -172,7 +174,7 @@
         } else {
             hosted.held_back.get_or_insert(now);
         }
-        if hosted.pace != hosted.paced && !hosted.pacing {
+        if hosted.wants_pace() {
             self.schedule(worker, run, Duration::ZERO);
         }
     }
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -101,8 +101,9 @@
     pub(crate) held_back: Option<Time>,
     /// The pace that it should have, in percent.
     pub(crate) pace: u8,
-    /// The pace that the worker has confirmed.
-    pub(crate) paced: u8,
+    /// The pace that the worker has confirmed; none while it isn't known, as after an order without
+    /// an answer, or where an earlier owner may have ordered one.
+    pub(crate) paced: Option<u8>,
     pub(crate) pacing: bool,
 }
 
@@ -127,7 +128,7 @@
             over_since: None,
             held_back: None,
             pace: FULL_PACE,
-            paced: FULL_PACE,
+            paced: Some(FULL_PACE),
             pacing: false,
         }
     }
@@ -137,6 +138,16 @@
         Hosted::new(&Step::default(), stage, now)
     }
 
+    /// A run that an earlier owner placed.
+    pub(crate) fn inherited(step: &Step, now: Time) -> Hosted {
+        Hosted { paced: None, ..Hosted::new(step, Stage::Inherited, now) }
+    }
+
+    /// Tells whether its pace has to be ordered.
+    pub(crate) fn wants_pace(&self) -> bool {
+        self.fills && self.paced != Some(self.pace) && !self.pacing
+    }
+
     pub(crate) fn serves(&self) -> bool {
         self.target.is_some()
     }
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -17,7 +17,6 @@
 use cowslipchute_ports::job::JobId;
 
 use crate::action::Action;
-use crate::host::FULL_PACE;
 use crate::host::Order;
 use crate::host::Stage;
 use crate::host::Why;
@@ -83,6 +82,7 @@
         let Some(target) = state.target() else { return };
         let answers = state.answers();
         let Some(hosted) = state.runs.get_mut(&run) else { return };
+        let wants_pace = hosted.wants_pace();
         match &mut hosted.stage {
             // A start gives a deadline too, and a silent worker is given none.
             Stage::Starting { unsettled: false, .. } if !answers => {
@@ -99,7 +99,7 @@
                 *order = Order::Sent;
                 self.actions.push(Action::Stop { target, run });
             }
-            Stage::Running { .. } if hosted.pace != hosted.paced && !hosted.pacing => {
+            Stage::Running { .. } if wants_pace => {
                 hosted.pacing = true;
                 let percent = hosted.pace;
                 self.actions.push(Action::Pace { target, run, percent });
@@ -257,13 +257,13 @@
         let Some(&worker) = self.names.get(name) else { return };
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         hosted.pacing = false;
-        match outcome {
-            Ok(_) => hosted.paced = percent,
-            // The worker may have either pace now; the full one is what it must not be taken for.
-            Err(_) => hosted.paced = FULL_PACE,
-        }
-        if hosted.pace != hosted.paced {
+        hosted.paced = outcome.ok().map(|_| percent);
+        // From its new pace on it is told anew whether it stands still.
+        hosted.moved = self.now;
+        if hosted.wants_pace() {
             self.schedule(worker, run, REPEAT_PAUSE);
         }
+        let detail = format!("{percent} percent");
+        self.note(Number::RunPaced, Some(run.task.job), Some(run), Some(name.clone()), detail);
     }
 }
--- a/crates/planner/src/progress.rs
+++ b/crates/planner/src/progress.rs
@@ -50,7 +50,7 @@
             return self.percent < 100 && now >= self.moved + IDLE;
         }
         let still = STILL.max(self.estimate.mul_f64(STILL_PART));
-        self.pace == FULL_PACE && self.paced == FULL_PACE && now >= self.moved + still
+        self.pace == FULL_PACE && self.paced == Some(FULL_PACE) && now >= self.moved + still
     }
 
     /// Returns the work done for each second, as a part of the estimate's.
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -15,7 +15,6 @@
 use cowslipchute_ports::job::TaskId;
 
 use crate::host::Hosted;
-use crate::host::Stage;
 use crate::host::Why;
 use crate::job::Job;
 use crate::job::Place;
@@ -123,7 +122,7 @@
         let worker = self.ensure_worker(name);
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
-        let hosted = Hosted::new(job.spec(run.task.step), Stage::Inherited, now);
+        let hosted = Hosted::inherited(job.spec(run.task.step), now);
         job.move_task(run.task, Place::At(worker));
         self.workers[worker].host(run, hosted);
     }
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -4,7 +4,8 @@
 //! `advised=w`); `kill` (the owner goes without a word); `job id=H [queue=q] [work=MS] [start=MS
 //! interval=MS count=N]` with a step a line (`count=N cpu=N memory=N time=MS [after=N,..]` and any of
 //! `gang`, `lasts`, `fills`, `saves`, `tight`, `image=I`, `target=MS`, `apart=N`, `near=R`, `needs=L`);
-//! `cancel id=H`; `cut|heal|crash|rebirth|drain|unlist|list|fail|mend|hang|lose name=w`, `slow name=w x=N`;
+//! `cancel id=H`; `cut|heal|crash|rebirth|drain|unlist|list|fail|mend|hang|lose name=w`, `slow name=w x=N`, `load name=w
+//! percent=N` (of its serving tasks by their own users);
 //! `store state=down|up [delay=MS]`; `run ms=N` (prints nothing); `show` (how far each job is); `notes
 //! [of=(Event, ..)]` (what was noted since the last look); `stored` (the numbers of jobs and records).
 
@@ -93,6 +94,7 @@
         "hang" => worker.hangs = true,
         "mend" => (worker.fails, worker.hangs, worker.slow) = (false, false, 1),
         "slow" => worker.slow = number(case, "x").unwrap_or(6),
+        "load" => worker.load = number(case, "percent").unwrap_or(40),
         "lose" => worker.lose = number(case, "answers").unwrap_or(1),
         "drain" => {
             worker.draining = true;
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -73,6 +73,8 @@
     pub hangs: bool,
     /// Work takes this many times as long.
     pub slow: u32,
+    /// Load of its serving tasks by their own users, in percent.
+    pub load: u32,
     /// The next so many answers get lost, after the order was carried out.
     pub lose: u32,
     /// The highest epoch that it has seen.
@@ -107,6 +109,7 @@
             fails: false,
             hangs: false,
             slow: 1,
+            load: 40,
             lose: 0,
             epoch: 0,
             deadline: 0,
@@ -304,7 +307,7 @@
             .filter(|active| active.step.fills)
             .map(|active| f64::from(active.step.demand.cpu_milli) * f64::from(active.pace) / 100.0)
             .sum();
-        let load = 0.4 + fills / f64::from(self.capacity.cpu_milli);
+        let load = f64::from(self.load) / 100.0 + fills / f64::from(self.capacity.cpu_milli);
         let unloaded = target.as_secs_f64() * 1e3 / 6.0;
         (unloaded / (1.0 - load.min(0.99))) as u32
     }
