--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -85,7 +85,7 @@
         let wants_pace = hosted.wants_pace();
         match &mut hosted.stage {
             // A start gives a deadline too, and a silent worker is given none.
-            Stage::Starting { unsettled: false, .. } if !answers => {
+            Stage::Starting { unsettled: false, order: Order::Due(_) } if !answers => {
                 self.end_run(worker, run, How::Stopped, None);
             }
             Stage::Starting { order: Order::Due(_), .. } if !answers => {
