--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -68,6 +68,8 @@
     fn hold_wait(&self, worker: &Worker) -> Duration {
         if !worker.answers() {
             Duration::ZERO
+        } else if worker.runs.values().any(|hosted| hosted.absent_since.is_some()) {
+            self.settings.stop_time
         } else if worker.runs.is_empty() {
             IDLE_WAIT
         } else if worker.serves() && worker.fills() {
@@ -130,7 +132,7 @@
         if state.answers() {
             return;
         }
-        if state.has_lapsed(self.now, self.settings.max_hold) && !state.runs.is_empty() {
+        if state.has_lapsed(self.now, &self.settings) && !state.runs.is_empty() {
             let name = state.name.clone();
             self.note(Number::WorkerLapsed, None, None, Some(name), "");
             self.end_all(worker);
@@ -235,25 +237,33 @@
     }
 
     /// Settles runs that the worker's account holds neither as running nor as ended, though the
-    /// hold was sent after they must have been there.
+    /// hold was sent after they must have been there. One that is ending is in neither list for as
+    /// long as a stop takes, so only a run that stays away for longer is gone.
     fn settle_absent(&mut self, worker: WorkerId, sent: Time, listed: &[Run]) {
-        let state = &self.workers[worker];
-        let absent: Vec<(Run, Stage)> = state
-            .runs
-            .iter()
-            .filter(|(run, _)| !listed.contains(run))
-            .map(|(run, hosted)| (*run, hosted.stage))
-            .collect();
-        for (run, stage) in absent {
+        let now = self.now;
+        let stop_time = self.settings.stop_time;
+        let mut gone: Vec<(Run, Stage)> = Vec::new();
+        for (run, hosted) in &mut self.workers[worker].runs {
+            let settled = match hosted.stage {
+                Stage::Inherited => true,
+                Stage::Running { since } => since < sent,
+                Stage::Stopping { order: Order::Done(at), .. } => at < sent,
+                Stage::Intended { .. } | Stage::Starting { .. } | Stage::Stopping { .. } => false,
+            };
+            if listed.contains(run) || !settled {
+                hosted.absent_since = None;
+                continue;
+            }
+            let since = *hosted.absent_since.get_or_insert(now);
+            if sent >= since + stop_time {
+                gone.push((*run, hosted.stage));
+            }
+        }
+        for (run, stage) in gone {
             match stage {
                 Stage::Inherited => self.end_run(worker, run, How::Lapsed, None),
-                Stage::Running { since } if since < sent => {
-                    self.stop_run(worker, run, Why::Missing);
-                }
-                Stage::Stopping { order: Order::Done(at), .. } if at < sent => {
-                    self.end_run(worker, run, How::Stopped, None);
-                }
-                _ => {}
+                Stage::Running { .. } => self.stop_run(worker, run, Why::Missing),
+                _ => self.end_run(worker, run, How::Stopped, None),
             }
         }
     }
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -99,6 +99,9 @@
     pub(crate) over_since: Option<Time>,
     /// Since when a filling task has been slowed down much.
     pub(crate) held_back: Option<Time>,
+    /// Since when the worker has listed it neither as running nor as ended. It may be ending, which
+    /// takes a while.
+    pub(crate) absent_since: Option<Time>,
     /// The pace that it should have, in percent.
     pub(crate) pace: u8,
     /// The pace that the worker has confirmed; none while it isn't known, as after an order without
@@ -127,6 +130,7 @@
             reading: None,
             over_since: None,
             held_back: None,
+            absent_since: None,
             pace: FULL_PACE,
             paced: Some(FULL_PACE),
             pacing: false,
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -21,6 +21,7 @@
 use crate::health::Health;
 use crate::host::Hosted;
 use crate::interfere::Shares;
+use crate::settings::Settings;
 
 /// Index of a worker in the planner's table.
 pub(crate) type WorkerId = Id<Worker>;
@@ -151,14 +152,16 @@
     }
 
     /// Tells whether whatever ran there has surely ended for want of a deadline.
-    pub(crate) fn has_lapsed(&self, now: Time, max_hold: Duration) -> bool {
+    pub(crate) fn has_lapsed(&self, now: Time, settings: &Settings) -> bool {
+        // What is killed takes as long to end as what is stopped.
+        let slack = LAPSE_SLACK + settings.stop_time;
         match (self.contact, self.reading) {
             (Contact::Unfenced { since }, _) | (Contact::Silent { at: since }, None) => {
                 // Earlier owners' deadlines aren't known, only how far ahead they can be.
-                now >= since + max_hold.mul_f64(1.0 + CLOCK_DRIFT) + LAPSE_SLACK
+                now >= since + settings.max_hold.mul_f64(1.0 + CLOCK_DRIFT) + slack
             }
             (_, Some(reading)) => {
-                let passed = now.saturating_sub(reading.at).saturating_sub(LAPSE_SLACK);
+                let passed = now.saturating_sub(reading.at).saturating_sub(slack);
                 let least = passed.mul_f64(1.0 - CLOCK_DRIFT).as_millis() as Stamp;
                 reading.stamp + least > self.granted
             }
