Keep what a placing pass asks for again and again; let larger instances come first

Cause: on the grown site a pass over waiting steps times 350 workers, each working out pressures anew, took the owner's share of a core, and its orders timed out; and an instance of 0.12 of a core often won the cell.

--- a/bin/scheduler/src/seat.rs
+++ b/bin/scheduler/src/seat.rs
@@ -30,7 +30,7 @@
 const TICK: Duration = Duration::from_millis(500);
 /// A full core waits this long before it claims a vacant cell, a smaller part proportionally
 /// longer: the owner has the most to do.
-const CORE_DELAY: Duration = Duration::from_millis(10);
+const CORE_DELAY: Duration = Duration::from_millis(25);
 /// Spread of the claims of equal processes.
 const SPREAD: Duration = Duration::from_millis(60);
 
--- a/crates/planner/src/colocate.rs
+++ b/crates/planner/src/colocate.rs
@@ -23,6 +23,7 @@
 use crate::interfere::Reading;
 use crate::interfere::Shares;
 use crate::planner::Planner;
+use crate::worker::Spare;
 use crate::worker::Worker;
 use crate::worker::WorkerId;
 
@@ -75,20 +76,42 @@
     hosted.headroom.unwrap_or_else(|| model.headroom(&image(hosted)))
 }
 
+/// Works out the headroom that each serving image of a worker has left beside what fills there.
+fn spare(model: &Model, worker: &Worker) -> Spare {
+    let present = shares(worker, |_| FULL_PACE);
+    let mut spare = Spare::new();
+    for hosted in worker.runs.values().filter(|hosted| hosted.serves()) {
+        let image = image(hosted);
+        let left = expected(model, hosted) - model.pressure(&image, &present);
+        match spare.iter_mut().find(|(known, _)| *known == image) {
+            Some((_, least)) => *least = least.min(left),
+            None => spare.push((image, left)),
+        }
+    }
+    spare
+}
+
 /// Returns by how much a filling step would press on the most pressed serving task of a worker,
 /// or nothing if that is too much.
 pub(crate) fn added_pressure(model: &Model, worker: &Worker, step: &Step) -> Option<f64> {
+    if !worker.serves() {
+        return Some(0.0);
+    }
+    let worked_out;
+    let spare = match &worker.spare {
+        Some(spare) => spare,
+        None => {
+            worked_out = spare(model, worker);
+            &worked_out
+        }
+    };
     let filling = step.image.clone().unwrap_or_else(|| NO_IMAGE.into());
     let part = share(step.demand.cpu_milli, worker);
-    let present = shares(worker, |_| FULL_PACE);
     let mut most: f64 = 0.0;
-    for hosted in worker.runs.values().filter(|hosted| hosted.serves()) {
-        let image = image(hosted);
-        let (weight, deviation) = model.weight(&image, &filling);
+    for (image, left) in spare {
+        let (weight, deviation) = model.weight(image, &filling);
         let added = (weight + CAUTION * deviation) * part;
-        let least = expected(model, hosted);
-        let left = least - model.pressure(&image, &present) - added;
-        if added > LEAST_PRESSURE && left < PLACE_HEADROOM {
+        if added > LEAST_PRESSURE && left - added < PLACE_HEADROOM {
             return None;
         }
         most = most.max(added);
@@ -97,6 +120,13 @@
 }
 
 impl Planner {
+    /// Works the headroom of a worker out that a placing pass will ask for again and again.
+    pub(crate) fn refresh_spare(&mut self, worker: WorkerId) {
+        if self.workers[worker].spare.is_none() {
+            self.workers[worker].spare = Some(spare(&self.model, &self.workers[worker]));
+        }
+    }
+
     /// Learns from a worker's tails and sets the paces that follow.
     pub(crate) fn guard_targets(&mut self, worker: WorkerId) {
         let now = self.now;
@@ -125,6 +155,7 @@
                 hosted.over_since.get_or_insert(now);
             }
         }
+        self.workers[worker].spare = None;
         // A task that pressed too hard before may have its place now.
         self.room_changed |= !self.waiting.is_empty();
         self.set_paces(worker);
--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -10,6 +10,7 @@
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
+use smallvec::SmallVec;
 
 use crate::advice::Leave;
 use crate::record;
@@ -176,6 +177,10 @@
     pub(crate) opened: u32,
     /// Those of them that aren't done.
     pub(crate) occurrences: Vec<Occurrence>,
+    /// Core-seconds of one occurrence, by the client's estimate.
+    pub(crate) work: f64,
+    /// The longest chain of work of one occurrence, by the client's estimate.
+    pub(crate) chain: Duration,
     /// Rises with each change that the store has to hold.
     pub(crate) version: u64,
     /// The version that the store surely holds.
@@ -194,10 +199,14 @@
             started: false,
             opened: 0,
             occurrences: Vec::new(),
+            work: 0.0,
+            chain: Duration::ZERO,
             version: 0,
             stored: 0,
             end: None,
         };
+        job.work = job.accepted.spec.steps.iter().map(step_work).sum();
+        job.chain = job.chain_of(|_| false);
         if job.accepted.spec.schedule.is_none() {
             job.open_occurrence(since);
         }
@@ -342,20 +351,23 @@
         steps.map(|(state, step)| f64::from(step.count - state.done) * task_work(step)).sum()
     }
 
-    /// Returns the core-seconds of one occurrence, by the client's estimate.
-    pub(crate) fn work(&self) -> f64 {
-        self.accepted.spec.steps.iter().map(|step| f64::from(step.count) * task_work(step)).sum()
+    /// Returns the longest chain of work that is left of its oldest open occurrence, by the
+    /// client's estimate.
+    pub(crate) fn chain_left(&self) -> Duration {
+        match self.occurrences.first() {
+            Some(occurrence) if occurrence.steps.iter().any(Step::is_done) => {
+                self.chain_of(|index| occurrence.steps[index].is_done())
+            }
+            _ => self.chain,
+        }
     }
 
-    /// Returns the longest chain of work of its oldest open occurrence, by the client's estimate,
-    /// counting only steps that are not done if `left`.
-    pub(crate) fn chain(&self, left: bool) -> Duration {
-        let states = self.occurrences.first().map(|occurrence| &occurrence.steps);
-        let mut ends: Vec<Duration> = Vec::with_capacity(self.accepted.spec.steps.len());
+    /// Returns the longest chain of work, leaving out the steps that are done.
+    fn chain_of(&self, is_done: impl Fn(usize) -> bool) -> Duration {
+        let mut ends: SmallVec<[Duration; 8]> = SmallVec::new();
         for (index, step) in self.accepted.spec.steps.iter().enumerate() {
             let begin = step.after.iter().map(|&earlier| ends[usize::from(earlier)]).max();
-            let done = states.is_some_and(|steps| steps[index].is_done());
-            let own = if left && done { Duration::ZERO } else { step.estimate };
+            let own = if is_done(index) { Duration::ZERO } else { step.estimate };
             ends.push(begin.unwrap_or_default() + own);
         }
         ends.into_iter().max().unwrap_or_default()
@@ -371,6 +383,10 @@
     }
 }
 
+fn step_work(step: &job::Step) -> f64 {
+    f64::from(step.count) * task_work(step)
+}
+
 fn task_work(step: &job::Step) -> f64 {
     step.estimate.as_secs_f64() * f64::from(step.demand.cpu_milli) / 1e3
 }
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -37,6 +37,13 @@
     demand: Amount,
 }
 
+/// What one placing pass knows.
+struct Pass {
+    refused: Vec<Refused>,
+    /// The workers that take new tasks, by service.
+    open: Vec<(id::Service, Vec<WorkerId>)>,
+}
+
 impl Refused {
     fn new(spec: &Step) -> Refused {
         let filling = spec.fills.then(|| spec.image.clone());
@@ -51,22 +58,22 @@
 
 impl Planner {
     pub(crate) fn place(&mut self) {
-        let mut refused: Vec<Refused> = Vec::new();
+        let mut pass = Pass { refused: Vec::new(), open: self.open_workers() };
         for job in self.ranked() {
-            self.place_job(job, &mut refused);
+            self.place_job(job, &mut pass);
             if !self.jobs.get(&job).is_some_and(|job| job.has_waiting()) {
                 self.waiting.remove(&job);
             }
         }
     }
 
-    fn place_job(&mut self, job: JobId, refused: &mut Vec<Refused>) {
+    fn place_job(&mut self, job: JobId, pass: &mut Pass) {
         for step in self.jobs[&job].waiting_steps(job) {
-            self.place_step(step, refused);
+            self.place_step(step, pass);
         }
     }
 
-    fn place_step(&mut self, step: StepId, refused: &mut Vec<Refused>) {
+    fn place_step(&mut self, step: StepId, pass: &mut Pass) {
         let accepted = self.jobs[&step.job].accepted.clone();
         let spec = &accepted.spec.steps[usize::from(step.step)];
         let advice = self.queue(step.job).and_then(|queue| queue.advice);
@@ -76,16 +83,12 @@
             || spec.same_rack
             || spec.gang
             || advice.is_some();
-        if !narrow && refused.iter().any(|seen| seen.covers(spec)) {
+        if !narrow && pass.refused.iter().any(|seen| seen.covers(spec)) {
             return;
         }
         let service = self.service(step.job);
-        let mut open: Vec<WorkerId> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.service == service && self.is_open(worker))
-            .map(|(id, _)| id)
-            .collect();
+        let known = pass.open.iter().find(|(name, _)| *name == service);
+        let mut open = known.map(|(_, open)| open.clone()).unwrap_or_default();
         if let Some(advice) = advice {
             open = self.allowed(step, spec, advice, open);
         }
@@ -95,8 +98,25 @@
             return;
         }
         if !self.place_tasks(step, spec, &open) && !narrow {
-            refused.push(Refused::new(spec));
+            pass.refused.push(Refused::new(spec));
+        }
+    }
+
+    fn open_workers(&mut self) -> Vec<(id::Service, Vec<WorkerId>)> {
+        let mut services: Vec<(id::Service, Vec<WorkerId>)> = Vec::new();
+        for (id, worker) in self.workers.iter() {
+            if !self.is_open(worker) {
+                continue;
+            }
+            match services.iter_mut().find(|(name, _)| *name == worker.service) {
+                Some((_, workers)) => workers.push(id),
+                None => services.push((worker.service.clone(), vec![id])),
+            }
+        }
+        for &id in services.iter().flat_map(|(_, workers)| workers) {
+            self.refresh_spare(id);
         }
+        services
     }
 
     /// Places a step's tasks one by one; tells whether each found room.
@@ -113,6 +133,7 @@
             true => self.spare_for_lasting(open),
             false => f64::INFINITY,
         };
+        let mut rated = self.rated(step.task(0), spec, open);
         for (index, waiting_since) in tasks {
             spare -= f64::from(spec.demand.cpu_milli);
             if spare < 0.0 && self.now < waiting_since + RESERVE_WAIT {
@@ -120,12 +141,49 @@
                 return true;
             }
             let task = step.task(index);
-            let Some(worker) = self.choose(task, spec, open) else { return false };
+            let Some(worker) = self.choose_rated(task, spec, &mut rated) else { return false };
             self.intend(task, worker);
+            self.refresh_spare(worker);
         }
         true
     }
 
+    /// Rates the workers that may take a task of a step.
+    fn rated(&self, task: TaskId, spec: &Step, open: &[WorkerId]) -> Vec<(f64, WorkerId)> {
+        let may = open.iter().filter(|&&id| self.may_take(&self.workers[id], task, spec));
+        may.map(|&id| (self.rate(&self.workers[id], spec), id)).collect()
+    }
+
+    /// Chooses the best of rated workers for one more task of the step. What a worker is given
+    /// changes its own rating alone, so only the chosen one is rated anew.
+    fn choose_rated(
+        &self,
+        task: TaskId,
+        spec: &Step,
+        rated: &mut Vec<(f64, WorkerId)>,
+    ) -> Option<WorkerId> {
+        let shunned = self.jobs[&task.job].task(task).and_then(|task| task.shunned);
+        loop {
+            let welcome = |id: WorkerId| shunned != Some(id);
+            let best =
+                rated.iter().enumerate().rev().max_by(|(_, a), (_, b)| {
+                    welcome(a.1).cmp(&welcome(b.1)).then(a.0.total_cmp(&b.0))
+                });
+            let (at, &(rate, id)) = best?;
+            let worker = &self.workers[id];
+            if !self.may_take(worker, task, spec) {
+                rated.swap_remove(at);
+                continue;
+            }
+            let now = self.rate(worker, spec);
+            if now < rate {
+                rated[at].0 = now;
+                continue;
+            }
+            return Some(id);
+        }
+    }
+
     /// Returns the thousandths of a processor that tasks which last may still take.
     fn spare_for_lasting(&self, open: &[WorkerId]) -> f64 {
         let mut capacity = 0.0;
--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/rank.rs
@@ -53,8 +53,8 @@
     }
 
     fn rank(&self, job: &Job) -> Rank {
-        let objective = job.chain(false).mul_f64(job.terms.slack) + job.terms.allowance;
-        let finish = self.now.saturating_sub(job.due_since()) + job.chain(true);
+        let objective = job.chain.mul_f64(job.terms.slack) + job.terms.allowance;
+        let finish = self.now.saturating_sub(job.due_since()) + job.chain_left();
         let weight = if finish <= objective {
             1.0
         } else if finish <= objective.mul_f64(LATE_LIMIT) {
@@ -62,7 +62,7 @@
         } else {
             LOST_WORTH
         };
-        let work = job.work().max(LEAST_WORK);
+        let work = job.work.max(LEAST_WORK);
         let mean = self.mean_work(&job.accepted.queue).unwrap_or(work);
         let value = FIXED_PART + (1.0 - FIXED_PART) * work / mean;
         let gain = weight * value / job.work_left().max(LEAST_WORK);
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -82,7 +82,7 @@
         let terms = Terms::of(self.config.as_deref(), &accepted.queue);
         let state = Job::new(accepted, terms, self.now, self.arrivals);
         self.reserve.count(self.now, &state.accepted.spec);
-        Planner::learn_work(&mut self.works, &state.accepted.queue, state.work());
+        Planner::learn_work(&mut self.works, &state.accepted.queue, state.work);
         let scheduled = state.next_due().is_some();
         self.jobs.insert(job, state);
         self.waiting.insert(job);
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -20,6 +20,7 @@
 
 use crate::health::Health;
 use crate::host::Hosted;
+use crate::interfere::Image;
 use crate::interfere::Shares;
 use crate::settings::Settings;
 
@@ -59,6 +60,9 @@
     Sent(Time),
 }
 
+/// Headroom left, by serving image.
+pub(crate) type Spare = SmallVec<[(Image, f64); 3]>;
+
 /// An end that the worker lists until it is acknowledged.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Unacknowledged {
@@ -95,6 +99,9 @@
     /// The sum of what its runs reserve.
     pub(crate) reserved: Amount,
     pub(crate) health: Health,
+    /// Headroom that serving images have left beside what fills at full pace, the least of each
+    /// image; none when something has changed since it was worked out.
+    pub(crate) spare: Option<Spare>,
     /// What filling images used at the last account.
     pub(crate) shares: Shares,
     /// Nothing is placed there before this.
@@ -124,6 +131,7 @@
             runs: BTreeMap::new(),
             reserved: Amount::ZERO,
             health: Health::default(),
+            spare: None,
             shares: Shares::new(),
             closed_until: Time::ZERO,
         }
@@ -179,6 +187,7 @@
 
     pub(crate) fn host(&mut self, run: Run, hosted: Hosted) {
         self.reserved = self.reserved.plus(hosted.reserved());
+        self.spare = None;
         let before = self.runs.insert(run, hosted);
         debug_assert!(before.is_none(), "a run is hosted once");
     }
@@ -186,6 +195,7 @@
     pub(crate) fn release(&mut self, run: Run) -> Option<Hosted> {
         let hosted = self.runs.remove(&run)?;
         self.reserved = self.reserved.minus(hosted.reserved());
+        self.spare = None;
         Some(hosted)
     }
 
