--- a/bin/scheduler/src/desk.rs
+++ b/bin/scheduler/src/desk.rs
@@ -24,6 +24,7 @@
 use crate::clock;
 use crate::config::InForce;
 use crate::event;
+use crate::health::Health;
 use crate::intake::Intake;
 use crate::keys;
 use crate::link::Answer;
@@ -56,6 +57,7 @@
     config: InForce,
     intake: Intake,
     link: Link,
+    health: Health,
     holder: watch::Receiver<Option<Holder>>,
     counts: Arc<Mutex<Counts>>,
     log: Log,
@@ -68,10 +70,11 @@
         config: InForce,
         intake: Intake,
         link: Link,
+        health: Health,
         holder: watch::Receiver<Option<Holder>>,
         log: Log,
     ) -> Desk<S> {
-        Desk { store, config, intake, link, holder, counts: Arc::default(), log }
+        Desk { store, config, intake, link, health, holder, counts: Arc::default(), log }
     }
 
     async fn ask_owner(&self, question: Question) -> Option<Answer> {
@@ -81,9 +84,19 @@
 
     async fn get(&self, prefix: &str, job: JobId) -> Result<Option<kv::Entry>, Rejection> {
         let key = keys::of(prefix, job);
-        let snapshot = self.store.read(&key).await.map_err(|error| {
-            Rejection::new(Code::StoreDown, error.to_string()).retry_after(PAUSE)
-        })?;
+        if self.health.refuses(clock::now()) {
+            let reason = "the store did not answer a moment ago";
+            return Err(Rejection::new(Code::StoreDown, reason).retry_after(PAUSE));
+        }
+        let snapshot = match self.store.read(&key).await {
+            Ok(snapshot) => snapshot,
+            Err(error) => {
+                self.health.failed(clock::now());
+                let rejection = Rejection::new(Code::StoreDown, error.to_string());
+                return Err(rejection.retry_after(PAUSE));
+            }
+        };
+        self.health.answered();
         Ok(snapshot.entries.into_iter().find(|entry| entry.key == key))
     }
 
--- a/bin/scheduler/src/intake.rs
+++ b/bin/scheduler/src/intake.rs
@@ -19,7 +19,9 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::clock;
 use crate::event;
+use crate::health::Health;
 use crate::keys;
 use crate::log::Log;
 
@@ -31,7 +33,10 @@
 const SETTLE_PAUSE: Duration = Duration::from_millis(80);
 /// The part of a client's time in which an unsettled write is settled; what is left has to carry
 /// the answer back.
-const SETTLE_PART: f64 = 0.6;
+const SETTLE_PART: f64 = 0.4;
+/// The part of a client's time after which it is told that the outcome is not known: it then has
+/// time to ask another instance.
+const ANSWER_PART: f64 = 0.5;
 /// When to come back while the store refuses: outages last seconds, and the bound on a busy store
 /// passes within one.
 const STORE_PAUSE: Duration = Duration::from_secs(1);
@@ -49,13 +54,14 @@
 #[derive(Clone, Debug)]
 pub struct Intake {
     sender: mpsc::Sender<Item>,
+    health: Health,
 }
 
 /// Starts taking jobs in; ends when the last handle is dropped.
-pub fn spawn<S: Store>(store: S, log: Log) -> Intake {
+pub fn spawn<S: Store>(store: S, health: Health, log: Log) -> Intake {
     let (sender, receiver) = mpsc::channel(QUEUE);
-    tokio::spawn(gather(store, receiver, log));
-    Intake { sender }
+    tokio::spawn(gather(store, receiver, health.clone(), log));
+    Intake { sender, health }
 }
 
 impl Intake {
@@ -65,6 +71,10 @@
     ///
     /// As [`cowslipchute_ports::job::Desk::submit`].
     pub async fn submit(&self, job: JobId, accepted: &Accepted, within: Duration) -> Outcome {
+        if self.health.refuses(clock::now()) {
+            return Err(Rejection::new(Code::StoreDown, "the store did not answer a moment ago")
+                .retry_after(STORE_PAUSE));
+        }
         let (reply, outcome) = oneshot::channel();
         let until = Instant::now() + within.mul_f64(SETTLE_PART);
         let item = Item { job, value: record::encode(accepted), until, reply };
@@ -73,23 +83,30 @@
                 .retry_after(STORE_PAUSE));
         }
         let unknown = || Rejection::new(Code::StoreUnknown, "the write was not settled");
-        outcome.await.unwrap_or_else(|_| Err(unknown()))
+        // The write goes on; whether it comes through is found out when the client asks again.
+        let outcome = tokio::time::timeout(within.mul_f64(ANSWER_PART), outcome).await;
+        outcome.map_or_else(|_| Err(unknown()), |sent| sent.unwrap_or_else(|_| Err(unknown())))
     }
 }
 
-async fn gather<S: Store>(store: S, mut items: mpsc::Receiver<Item>, log: Log) {
+async fn gather<S: Store>(store: S, mut items: mpsc::Receiver<Item>, health: Health, log: Log) {
     let mut batch = Vec::new();
     while items.recv_many(&mut batch, TXN_ENTRIES / JOB_ENTRIES).await > 0 {
         let part = std::mem::take(&mut batch);
-        tokio::spawn(settle(store.clone(), part, log.clone()));
+        tokio::spawn(settle(store.clone(), part, health.clone(), log.clone()));
     }
 }
 
 /// Writes a batch until each of its jobs is settled or out of time.
-async fn settle<S: Store>(store: S, mut batch: Vec<Item>, log: Log) {
+async fn settle<S: Store>(store: S, mut batch: Vec<Item>, health: Health, log: Log) {
     let mut unsettled = false;
     while !batch.is_empty() {
-        match store.commit(txn(&batch)).await {
+        let outcome = store.commit(txn(&batch)).await;
+        match &outcome {
+            Ok(_) => health.answered(),
+            Err(_) => health.failed(clock::now()),
+        }
+        match outcome {
             Ok(verdict) if verdict.applied => {
                 for item in batch.drain(..) {
                     answer(item, Ok(()), &log);
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -26,6 +26,7 @@
 use crate::config;
 use crate::desk::Desk;
 use crate::event;
+use crate::health::Health;
 use crate::intake;
 use crate::link;
 use crate::log::Log;
@@ -64,8 +65,10 @@
     let holder =
         Holder { instance: settings.node_name.clone(), address: own, life: rand::random() };
     let seat = seat::spawn(store.clone(), holder, settings.limits.cpu_share, log.clone());
-    let intake = intake::spawn(store.clone(), log.clone());
-    let desk = Desk::open(store.clone(), in_force.clone(), intake, link, seat.holder, log.clone());
+    let health = Health::default();
+    let intake = intake::spawn(store.clone(), health.clone(), log.clone());
+    let desk =
+        Desk::open(store.clone(), in_force.clone(), intake, link, health, seat.holder, log.clone());
     let (stop, stopping) = watch::channel(false);
     let (wanted, want) = watch::channel(true);
     let clients = settings.listen.clients;
