--- a/crates/planner/src/colocate.rs
+++ b/crates/planner/src/colocate.rs
@@ -44,6 +44,9 @@
 /// A tail that stays over its target for this part of the time allowed has all tasks beside it stand
 /// still that may be the cause.
 const ALARM_PART: f64 = 0.45;
+/// A tail that stays over its target for this part of the time allowed has all tasks beside it stand
+/// still, whatever the model says: it may be wrong on a worker that differs from the others.
+const LAST_PART: f64 = 0.65;
 /// A task that was slowed below this, in percent, for [`MOVE_AFTER`] is moved.
 const MOVE_PACE: u8 = 60;
 /// How long a task may be held back before it is moved: less than moving it costs gains nothing.
@@ -165,6 +168,7 @@
     fn set_paces(&mut self, worker: WorkerId) {
         let now = self.now;
         let alarm = self.settings.harm_time.mul_f64(ALARM_PART);
+        let last = self.settings.harm_time.mul_f64(LAST_PART);
         let state = &self.workers[worker];
         let full = shares(state, |_| FULL_PACE);
         let mut paces: Vec<(Run, u8)> = Vec::new();
@@ -178,8 +182,11 @@
             for served in state.runs.values().filter(|served| served.serves()) {
                 let pressed = image(served);
                 let (weight, deviation) = self.model.weight(&pressed, &filling);
-                let over = served.over_since.is_some_and(|since| now >= since + alarm);
-                if over && (weight + deviation) * part >= LEAST_PRESSURE {
+                let over = |limit| served.over_since.is_some_and(|since| now >= since + limit);
+                if over(last) {
+                    pace = 0.0;
+                }
+                if over(alarm) && (weight + deviation) * part >= LEAST_PRESSURE {
                     pace = 0.0;
                 }
                 if weight * part < LEAST_PRESSURE {
