--- a/crates/e2e/src/soak.rs
+++ b/crates/e2e/src/soak.rs
@@ -347,14 +347,15 @@
         self.jobs.insert(id, known);
     }
 
+    /// Lists the jobs that were taken in and haven't been shown to have ended.
+    fn open_jobs(&self) -> Vec<JobId> {
+        let open = |known: &Known| known.accepted && !is_final(&known.shown);
+        self.jobs.iter().filter(|(_, known)| open(known)).map(|(id, _)| *id).collect()
+    }
+
     /// Looks at one job that is open, or cancels it.
     async fn look(&mut self) {
-        let open: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, known)| known.accepted && !is_final(&known.shown))
-            .map(|(id, _)| *id)
-            .collect();
+        let open = self.open_jobs();
         if open.is_empty() {
             return;
         }
@@ -412,12 +413,7 @@
     async fn finish(&mut self) {
         let start = Instant::now();
         loop {
-            let open: Vec<JobId> = self
-                .jobs
-                .iter()
-                .filter(|(_, known)| known.accepted && !is_final(&known.shown))
-                .map(|(id, _)| *id)
-                .collect();
+            let open = self.open_jobs();
             if open.is_empty() {
                 return;
             }
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -131,9 +131,17 @@
         self.timers.insert((self.now + pause, Timer::Order(worker, run)));
     }
 
-    fn read_clock(&mut self, worker: WorkerId, stamp: Stamp) {
-        let at = self.now;
-        self.workers[worker].reading = Some(Reading { stamp, at });
+    /// Finds the worker that an answer is of, and reads its clock.
+    fn answered(
+        &mut self,
+        name: &id::Instance,
+        outcome: Result<Stamp, Failure>,
+    ) -> Option<WorkerId> {
+        let worker = *self.names.get(name)?;
+        if let Ok(stamp) = outcome {
+            self.workers[worker].reading = Some(Reading { stamp, at: self.now });
+        }
+        Some(worker)
     }
 
     /// A worker answered a start, or did not.
@@ -143,10 +151,7 @@
         run: Run,
         outcome: Result<Stamp, Failure>,
     ) {
-        let Some(&worker) = self.names.get(name) else { return };
-        if let Ok(stamp) = outcome {
-            self.read_clock(worker, stamp);
-        }
+        let Some(worker) = self.answered(name, outcome) else { return };
         let now = self.now;
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         let Stage::Starting { order: Order::Sent, unsettled } = hosted.stage else {
@@ -228,10 +233,7 @@
         run: Run,
         outcome: Result<Stamp, Failure>,
     ) {
-        let Some(&worker) = self.names.get(name) else { return };
-        if let Ok(stamp) = outcome {
-            self.read_clock(worker, stamp);
-        }
+        let Some(worker) = self.answered(name, outcome) else { return };
         let now = self.now;
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         let Stage::Stopping { why, order: Order::Sent } = hosted.stage else { return };
--- /dev/null
+++ b/crates/planner/tests/world/check.rs
@@ -0,0 +1,77 @@
+//! What must hold in the planner's world, at every moment and at every order.
+
+use std::collections::BTreeMap;
+
+use cowslipchute_base::amount::Amount;
+use cowslipchute_ports::executor::How;
+use cowslipchute_ports::executor::Run;
+use cowslipchute_ports::job::TaskId;
+
+use super::World;
+
+impl World {
+    /// Remembers what a worker has been told to forget: from then on it stands for good.
+    pub(super) fn acknowledge(&mut self, name: &str, number: u64) {
+        let Some(worker) = self.by_name(name) else { return };
+        let told: Vec<TaskId> = worker
+            .ended
+            .iter()
+            .filter(|end| end.number <= number && end.how == How::Done)
+            .map(|end| end.run.task)
+            .collect();
+        for task in told {
+            self.check_stored(task);
+            self.acknowledged.insert(task);
+        }
+    }
+
+    /// What is acknowledged can be read from the store.
+    fn check_stored(&self, task: TaskId) {
+        let lasts = self.specs[&task.job].spec.steps[usize::from(task.step)].long_running;
+        if lasts || self.ends.contains_key(&task.job) {
+            return;
+        }
+        let record = self.records.get(&task.job).expect("a job with an end has a record");
+        let occurrence =
+            record.occurrences.iter().find(|occurrence| occurrence.number == task.occurrence);
+        let Some(occurrence) = occurrence else { return };
+        let stored = &occurrence.steps[usize::from(task.step)][task.index as usize];
+        assert!(stored.done, "{task} is acknowledged and the store doesn't hold it");
+    }
+
+    pub(super) fn check_start(&self, run: Run) {
+        let task = run.task;
+        let step = &self.specs[&task.job].spec.steps[usize::from(task.step)];
+        assert!(
+            step.long_running || !self.acknowledged.contains(&task),
+            "{task} is started after its end was acknowledged"
+        );
+        for &earlier in &step.after {
+            let count = self.specs[&task.job].spec.steps[usize::from(earlier)].count;
+            for index in 0..count {
+                let before = TaskId { step: earlier, index, ..task };
+                let done = self.finished.contains(&before);
+                assert!(
+                    done || self.acknowledged.contains(&before) || step.gang,
+                    "{task} is started before {before} is done"
+                );
+            }
+        }
+    }
+
+    /// What must hold at every moment.
+    pub(super) fn check(&self) {
+        let mut running: BTreeMap<TaskId, &str> = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| worker.up) {
+            let mut sum = Amount::ZERO;
+            for (run, active) in &worker.active {
+                let other = running.insert(run.task, &worker.name);
+                assert_eq!(other, None, "{} runs twice, also on {}", run.task, worker.name);
+                if !active.step.fills {
+                    sum = sum.plus(active.step.demand);
+                }
+            }
+            assert!(sum.fits(worker.capacity), "{} holds more than it has", worker.name);
+        }
+    }
+}
--- a/crates/standin/src/site/workers.rs
+++ b/crates/standin/src/site/workers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cowslipchute_base::id;
+use cowslipchute_base::id::Time;
 use cowslipchute_ports::executor::Ended;
 use cowslipchute_ports::executor::Failure;
 use cowslipchute_ports::executor::Hold;
@@ -170,22 +171,32 @@
     settle(outcome)
 }
 
-#[handler]
-fn stop_run(
+/// Carries out an order about a run.
+fn carry_out(
     request: &Request,
-    Json(order): Json<Order>,
-    state: Data<&Shared>,
-    machine: Data<&Machine>,
+    state: &Shared,
+    machine: &Machine,
+    order: &Order,
+    act: impl FnOnce(&mut Worker, Run, Time) -> Result<Stamp, Failure>,
 ) -> Response {
     let mut state = state.lock().expect("no server of the site has failed");
     let now = state.now();
     let Some(run) = order.run() else {
         return settle(Err(Failure::Refused(Refusal::Malformed, None)));
     };
-    settle(
-        meant(&mut state, &machine, request)
-            .and_then(|worker| worker.stop(order.fencing_token, run, now)),
-    )
+    settle(meant(&mut state, machine, request).and_then(|worker| act(worker, run, now)))
+}
+
+#[handler]
+fn stop_run(
+    request: &Request,
+    Json(order): Json<Order>,
+    state: Data<&Shared>,
+    machine: Data<&Machine>,
+) -> Response {
+    carry_out(request, &state, &machine, &order, |worker, run, now| {
+        worker.stop(order.fencing_token, run, now)
+    })
 }
 
 #[handler]
@@ -195,15 +206,9 @@
     state: Data<&Shared>,
     machine: Data<&Machine>,
 ) -> Response {
-    let mut state = state.lock().expect("no server of the site has failed");
-    let now = state.now();
-    let Some(run) = order.run() else {
-        return settle(Err(Failure::Refused(Refusal::Malformed, None)));
-    };
-    settle(
-        meant(&mut state, &machine, request)
-            .and_then(|worker| worker.pace(order.fencing_token, run, order.percent, now)),
-    )
+    carry_out(request, &state, &machine, &order, |worker, run, now| {
+        worker.pace(order.fencing_token, run, order.percent, now)
+    })
 }
 
 #[handler]
--- a/crates/tenure/src/lease.rs
+++ b/crates/tenure/src/lease.rs
@@ -30,9 +30,9 @@
 /// A call on its way. Its time is counted from before the send, so that the holder's reckoning of
 /// the lease never outlasts the store's.
 #[derive(Clone, Copy, Debug)]
-struct Sent {
-    ticket: Ticket,
-    at: Time,
+pub(crate) struct Sent {
+    pub(crate) ticket: Ticket,
+    pub(crate) at: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/tenure/src/seat.rs
+++ b/crates/tenure/src/seat.rs
@@ -13,6 +13,7 @@
 use cowslipchute_ports::kv;
 
 use crate::event::Ticket;
+use crate::lease::Sent;
 use crate::lease::Tickets;
 
 /// A lease is renewed after this part of its time.
@@ -118,12 +119,6 @@
     pub mark: Vec<u8>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Sent {
-    ticket: Ticket,
-    at: Time,
-}
-
 #[derive(Clone, Copy, Debug)]
 enum State {
     /// Somebody else owns it, or it is not known who does.
