--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -191,6 +191,7 @@
             self.learn_speed(hosted);
         }
         let job = ended.run.task.job;
+        self.begin(job);
         let detail = how_text(ended.how);
         self.note(Number::RunEnded, Some(job), Some(ended.run), Some(name), detail);
         self.end_run(worker, ended.run, ended.how, ended.checkpoint);
@@ -222,6 +223,7 @@
             hosted.moved = now;
         }
         hosted.figure = running.figure;
+        self.begin(running.run.task.job);
     }
 
     /// Stops a run that is in no place we know of: its job has ended, or an older order was carried
--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -171,7 +171,7 @@
     pub(crate) since: Time,
     /// Rises with age of acceptance.
     pub(crate) order: u64,
-    /// Whether a task has ever started.
+    /// Whether a task has surely started.
     pub(crate) started: bool,
     /// How many occurrences have become due.
     pub(crate) opened: u32,
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -162,6 +162,7 @@
             Ok(_) => {
                 hosted.stage = Stage::Running { since: now };
                 hosted.moved = now;
+                self.begin(run.task.job);
                 self.note(
                     Number::RunStarted,
                     Some(run.task.job),
@@ -192,6 +193,13 @@
         }
     }
 
+    /// A task of a job has surely started: it waits no more.
+    pub(crate) fn begin(&mut self, job: JobId) {
+        if let Some(job) = self.jobs.get_mut(&job) {
+            job.started = true;
+        }
+    }
+
     /// A start was surely not carried out by this order.
     fn refused(&mut self, worker: WorkerId, run: Run, unsettled: bool, failure: Failure) {
         let name = self.workers[worker].name.clone();
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -233,7 +233,6 @@
         let now = self.now;
         self.touch(task.job);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        job.started = true;
         let state = job.task_mut(task);
         state.attempt += 1;
         let run = Run { task, attempt: state.attempt };
