--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -97,7 +97,7 @@
             _ = terminate.recv() => break,
             // Everything that may change in the settings is read from the store; the rest is told
             // at the start.
-            _ = reload.recv() => event!(log, Event::ConfigIgnored, "reason" => "reload"),
+            _ = reload.recv() => event!(log, Event::ReloadAsked),
         }
     }
     event!(log, Event::Stopping);
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -65,6 +65,7 @@
     3 Stopped Info "The process ends with nothing of its own in progress.";
     4 StopForced Warning "The process ends with work in progress: its deadline passed or it was told twice.";
     5 StartRefused Error "A setting or address can't be used, so the process did not start.";
+    6 ReloadAsked Info "A reload was asked for; what may change while the process runs is read from the store, so nothing does.";
     10 StoreLost Warning "The platform's store stopped answering.";
     11 StoreBack Info "The platform's store answers again.";
     12 StoreUnsettled Warning "A write got no answer and is being settled by a read.";
--- a/crates/e2e/src/bin/demo.rs
+++ b/crates/e2e/src/bin/demo.rs
@@ -5,18 +5,28 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use anyhow::Context as _;
 use anyhow::Result;
 use cowslipchute_base::code::Code;
 use cowslipchute_e2e::await_until;
+use cowslipchute_e2e::await_until::LIMIT;
 use cowslipchute_e2e::cluster::Cluster;
 use cowslipchute_e2e::cluster::Plan;
 use cowslipchute_e2e::load;
 use cowslipchute_e2e::load::Tally;
+use cowslipchute_e2e::site;
+use cowslipchute_e2e::site::Deployment;
+use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::list::Role;
 use cowslipchute_standin::report::Report;
 use reqwest::Method;
 use reqwest::header::HeaderMap;
 
+/// The job that is handed in on the users' platform.
+const JOB: JobId = 0xc0ff_ee00;
+/// How long one of its tasks works: long enough for its owner to be killed meanwhile.
+const JOB_WORK: Duration = Duration::from_millis(600);
+
 /// What an operator declares: a paying service, its trial, and batch work of two teams.
 const RESOURCES: &str = r#"
 [[resource]]
@@ -94,7 +104,10 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let mut table = Table { start: Instant::now(), rows: Vec::new() };
-    let result = run(&mut table).await;
+    let result = match run(&mut table).await {
+        Ok(()) => run_site(&mut table).await,
+        failed => failed,
+    };
     table.print();
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -105,6 +118,34 @@
     }
 }
 
+/// Shows the scheduler on a stand-in of the users' platform: a job is taken in, the owner of the cell
+/// is killed, and the rest is done once.
+async fn run_site(table: &mut Table) -> Result<()> {
+    let mut deployment = Deployment::open("cowslipchute-demo-site", 3, 2).await?;
+    let owner =
+        await_until::some_async("the cell has an owner", LIMIT, || async { deployment.owner() })
+            .await;
+    let other =
+        deployment.members.keys().find(|name| **name != owner).context("no other member")?;
+    let other = other.clone();
+    table.row("platform", "3 schedulers and 2 workers on a stand-in of the users' platform");
+    let job = site::chain(3, 4, JOB_WORK);
+    let status = deployment.submit(&other, JOB, &job).await.context("no answer")?;
+    table.row("job", format!("3 steps of 4 tasks are handed in at {other}: {status}"));
+    deployment.await_state(&other, JOB, "active").await;
+    if let Some(member) = deployment.members.get_mut(&owner) {
+        member.process = None;
+    }
+    table.row("owner killed", format!("{owner} owned the cell"));
+    deployment.await_state(&other, JOB, "completed").await;
+    let (finished, broken) = {
+        let state = deployment.site.lock();
+        (state.finished.len(), state.broken.len())
+    };
+    table.row("completed", format!("{finished} tasks done, {broken} of them twice"));
+    Ok(())
+}
+
 async fn run(table: &mut Table) -> Result<()> {
     let plan = Plan {
         placers: 2,
