Planner: drop a field nothing reads, and say a refusal's case plainly

The time of the takeover was kept and never read. The check for an unhealthy worker compared through a rebuilt value what one pattern says. Left: the gang's choice of a worker stands beside the rated choice of single tasks; the rated one keeps a rating that rises, so putting one for the other needs a measurement.

--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -222,9 +222,7 @@
             state.closed_until = state.closed_until.max(until);
             self.timers.insert((until, Timer::Place));
         }
-        let spoilt = Failure::Refused(Refusal::Unhealthy, None);
-        if matches!(failure, Failure::Refused(refusal, _) if Failure::Refused(refusal, None) == spoilt)
-        {
+        if matches!(failure, Failure::Refused(Refusal::Unhealthy, _)) {
             self.strike(worker);
         }
         if unsettled {
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -37,8 +37,6 @@
     pub(crate) now: Time,
     /// The rank of the ownership, if the cell is owned.
     pub(crate) epoch: Option<id::Epoch>,
-    /// When the cell was taken over.
-    pub(crate) owned_at: Time,
     /// Orders may be sent until then.
     pub(crate) valid_until: Time,
     pub(crate) config: Option<Arc<Config>>,
@@ -79,7 +77,6 @@
             settings,
             now: Time::ZERO,
             epoch: None,
-            owned_at: Time::ZERO,
             valid_until: Time::ZERO,
             config: None,
             jobs: HashMap::new(),
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -47,7 +47,6 @@
             self.take_learnt(learnt);
         }
         self.epoch = Some(epoch);
-        self.owned_at = self.now;
         self.reserve = Reserve::open(self.now);
         for (job, accepted) in jobs {
             self.insert_job(job, accepted);
