Follow each step's own load, weigh what a fill costs against its work, and stop beside tasks over their targets

Now: load follows level and slope of each step with several filters, since loads turn at different paces; weights are learnt against that; processors in use come from the figures; paces and places go by expected cost against the work (risk), where what presses hardest for what it uses is slowed first; nothing is placed beside a task that reads over its target.

--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -8,8 +8,9 @@
 use cowslipchute_ports::job::TaskId;
 use smallvec::SmallVec;
 
-use crate::colocate::added_pressure;
+use crate::colocate::added_cost;
 use crate::colocate::image;
+use crate::figures::Outlook;
 use crate::host::Hosted;
 use crate::interfere::Model;
 use crate::planner::Planner;
@@ -18,7 +19,7 @@
 /// Least and most of its processors that a task which serves is taken to use.
 const SERVING_USE: std::ops::RangeInclusive<f64> = 0.2..=0.9;
 /// Added to that, since its load may rise while a task that fills runs.
-const SERVING_RISE: f64 = 0.05;
+const SERVING_RISE: f64 = 0.0;
 /// Tasks that fill are placed where at least this part of their processors is free, so that a
 /// little is shared rather than left unused.
 const FILL_PART: f64 = 0.8;
@@ -30,14 +31,14 @@
 /// What each further image that serves on a worker costs: more than any gap that is left. An image
 /// that fills finds a worker on which it presses on none the easier, the fewer serve there.
 const MIXED_RATE: f64 = 2.0;
-/// What pressure on a serving task costs, against free processors.
-const PRESSURE_RATE: f64 = 3.0;
+/// What the cost to serving tasks counts against free processors: for certain against by chance.
+const COST_RATE: f64 = 3.0;
 
 /// Estimates the part of its processors that a serving task uses, from its headroom: none is left
 /// at full use, and its image's usual headroom goes with half of it.
 fn serving_use(model: &Model, hosted: &Hosted) -> f64 {
     let usual = model.headroom(&image(hosted)).max(0.1);
-    let own = hosted.headroom.unwrap_or(usual);
+    let own = Outlook::of(hosted, model).mean();
     let used = 1.0 - own / (2.0 * usual) + SERVING_RISE;
     used.clamp(*SERVING_USE.start(), *SERVING_USE.end())
 }
@@ -98,7 +99,7 @@
     pub(crate) fn may_take(&self, worker: &Worker, task: TaskId, step: &Step) -> bool {
         let reserved = Hosted::new(step, crate::host::Stage::Inherited, self.now).reserved();
         worker.fits(&self.model, step, reserved)
-            && (!step.fills || added_pressure(&self.model, worker, step).is_some())
+            && (!step.fills || self.pays(worker, step))
             && step.required_label.as_deref().is_none_or(|label| worker.has_label(label))
             && (step.max_per_worker == 0 || worker.count(task) < step.max_per_worker)
     }
@@ -114,10 +115,10 @@
         let near = if away { 0.0 } else { 10.0 };
         if step.fills {
             let free = worker.fill_room(&self.model) as f64 / capacity;
-            let added = added_pressure(&self.model, worker, step).unwrap_or(f64::INFINITY);
+            let cost = added_cost(&self.model, worker, step);
             let press = step.image.as_ref().map_or(0.0, |image| self.model.press(image));
             let quiet = if worker.serves() { 0.0 } else { (press - USUAL_PRESS) * QUIET_RATE };
-            return near + free + quiet.clamp(-QUIET_RATE, QUIET_RATE) - added * PRESSURE_RATE;
+            return near + free + quiet.clamp(-QUIET_RATE, QUIET_RATE) - cost * COST_RATE;
         }
         let mixed = if step.target.is_some() { worker.other_images(step) } else { 0 };
         let left = f64::from(worker.room().cpu_milli.saturating_sub(step.demand.cpu_milli));
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -8,7 +8,8 @@
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::job::Step;
 
-use crate::interfere::Reading;
+use crate::figures::Outlook;
+use crate::load::Deviation;
 
 /// Pace of a run that works at its full speed, in percent.
 pub(crate) const FULL_PACE: u8 = 100;
@@ -91,10 +92,10 @@
     /// When `percent` last rose.
     pub(crate) moved: Time,
     pub(crate) figure: u32,
-    /// A serving task's target over its tail, without what fills beside it.
-    pub(crate) headroom: Option<f64>,
-    /// Its last reading.
-    pub(crate) reading: Option<Reading>,
+    /// What is expected of a serving task's headroom, once it was read.
+    pub(crate) outlook: Option<Outlook>,
+    /// How that differs from its step's.
+    pub(crate) deviation: Deviation,
     /// Since when a serving task's tail has been over its target.
     pub(crate) over_since: Option<Time>,
     /// Since when a filling task has been slowed down much.
@@ -126,8 +127,8 @@
             first_percent: 0,
             moved: now,
             figure: 0,
-            headroom: None,
-            reading: None,
+            outlook: None,
+            deviation: Deviation::default(),
             over_since: None,
             held_back: None,
             absent_since: None,
--- a/crates/planner/src/interfere.rs
+++ b/crates/planner/src/interfere.rs
@@ -6,9 +6,8 @@
 //! own and what others press on it. The model therefore works with the *headroom*, the target over
 //! the tail: one is just at the target, and each filling image takes away a weight of the pair
 //! times the part of the worker's processors that it uses. Weights are followed by a filter of
-//! Kalman's kind that keeps a variance for each and no covariances. Each reading is used twice:
-//! against the image's usual headroom, and against the same task's reading before, whose load is
-//! nearly the same.
+//! Kalman's kind that keeps a variance for each and no covariances; the task's own load comes from
+//! [`crate::load`].
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -17,6 +16,9 @@
 use serde::Serialize;
 use smallvec::SmallVec;
 
+use crate::load::Load;
+use crate::load::cut_off;
+
 /// Name of an image.
 pub(crate) type Image = Arc<str>;
 /// Parts of a worker's processors that filling images use.
@@ -31,12 +33,16 @@
 const FIRST_HEADROOM: f64 = 2.5;
 /// Its variance.
 const HEADROOM_VARIANCE: f64 = 1.0;
-/// Variance of a reading around its image's usual headroom, from the load's swing.
-const READING_VARIANCE: f64 = 1.0;
-/// Variance of the difference of two readings half a second apart.
-const STEP_VARIANCE: f64 = 0.3;
+/// Variance of the load of an image's tasks around its usual headroom: loads that swing by half were
+/// seen.
+const LOAD_VARIANCE: f64 = 1.0;
+/// Variance of a reading, beside what isn't known of load and weights: figures are off by a few
+/// parts in a hundred, and what fills beside a task changes within the time that they are of.
+pub(crate) const READING_VARIANCE: f64 = 0.04;
 /// Added to a variance with each reading, since what tasks do changes with time.
 const DRIFT: f64 = 0.002;
+/// A smaller part of the processors tells nothing about its image.
+const LEAST_SHARE: f64 = 0.005;
 /// Below this the queue is full: a lower headroom can't be told from this one.
 const FULL: f64 = 0.25;
 
@@ -83,37 +89,36 @@
     }
 
     /// Corrects the weights for an error in the headroom, which falls with each share.
-    fn correct(&mut self, error: f64, shares: &Shares, noise: f64) {
-        let mut total = noise;
-        for (filling, share) in shares {
-            total += self.weight(filling).variance * share * share;
-        }
-        for (filling, share) in shares {
+    fn correct(&mut self, error: f64, shares: &Shares, total: f64) {
+        for (filling, share) in shares.iter().filter(|(_, share)| *share >= LEAST_SHARE) {
             let weight = self.weights.entry(filling.clone()).or_insert(FIRST);
             weight.correct(error, -share, total);
         }
     }
 
-    fn learn_level(&mut self, reading: &Reading) {
-        let expected = self.headroom.mean - self.pressure(&reading.shares);
-        let error = reading.headroom - expected;
-        // A full queue shows no less, however hard it is pressed.
-        if reading.headroom <= FULL && error > 0.0 {
-            return;
+    /// Returns the variance of what these shares take away.
+    fn variance(&self, shares: &Shares) -> f64 {
+        shares.iter().map(|(filling, share)| self.weight(filling).variance * share * share).sum()
+    }
+
+    /// Corrects the weights for a reading of a task whose own load is known this well.
+    fn learn(&mut self, reading: &Reading, own: f64, own_variance: f64) {
+        let shares = &reading.shares;
+        let error = reading.headroom - (own - self.pressure(shares));
+        let total = READING_VARIANCE + own_variance + self.variance(shares);
+        if !reading.is_full() {
+            self.correct(cut_off(error, total), shares, total);
+        } else if error < 0.0 {
+            self.raise(cut_off(error, total), shares, total);
         }
-        let total = READING_VARIANCE + self.headroom.variance;
-        self.correct(error, &reading.shares, total);
-        self.headroom.correct(error, 1.0, total);
     }
 
-    fn learn_step(&mut self, before: &Reading, reading: &Reading) {
-        if before.headroom <= FULL || reading.headroom <= FULL {
-            return;
+    /// Raises weights for a queue that was full: they are at least that high, and no better known.
+    fn raise(&mut self, error: f64, shares: &Shares, total: f64) {
+        for (filling, share) in shares.iter().filter(|(_, share)| *share >= LEAST_SHARE) {
+            let weight = self.weights.entry(filling.clone()).or_insert(FIRST);
+            weight.mean -= weight.variance * share / total * error;
         }
-        let change = difference(&reading.shares, &before.shares);
-        let expected = -self.pressure(&change);
-        let error = reading.headroom - before.headroom - expected;
-        self.correct(error, &change, STEP_VARIANCE);
     }
 }
 
@@ -126,6 +131,13 @@
     pub(crate) shares: Shares,
 }
 
+impl Reading {
+    /// Tells whether the queue was full, so that the reading shows no more than that.
+    pub(crate) fn is_full(&self) -> bool {
+        self.headroom <= FULL
+    }
+}
+
 /// What is known of all pairs.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -134,13 +146,24 @@
 }
 
 impl Model {
-    /// Learns from a reading, and from what changed since the one before.
-    pub(crate) fn learn(&mut self, image: &Image, before: Option<&Reading>, reading: &Reading) {
+    /// Learns from a reading what presses on an image, and how well that is known.
+    pub(crate) fn learn(&mut self, image: &Image, reading: &Reading, load: &Load) {
         let serving = self.images.entry(image.clone()).or_default();
-        if let Some(before) = before {
-            serving.learn_step(before, reading);
+        serving.learn(reading, load.level(), load.variance());
+    }
+
+    /// Learns an image's usual headroom from that of a task without what fills beside it.
+    pub(crate) fn learn_usual(&mut self, image: &Image, own: f64) {
+        let usual = &mut self.images.entry(image.clone()).or_default().headroom;
+        usual.correct(own - usual.mean, 1.0, LOAD_VARIANCE + usual.variance);
+    }
+
+    /// Returns the variance of [`Model::pressure`].
+    pub(crate) fn variance(&self, image: &Image, shares: &Shares) -> f64 {
+        match self.images.get(image) {
+            Some(serving) => serving.variance(shares),
+            None => shares.iter().map(|(_, share)| FIRST_VARIANCE * share * share).sum(),
         }
-        serving.learn_level(reading);
     }
 
     /// Returns how much of an image's headroom these shares take away.
@@ -172,15 +195,6 @@
     }
 }
 
-/// Returns the first shares less the second.
-fn difference(now: &Shares, before: &Shares) -> Shares {
-    let mut shares = now.clone();
-    for (image, part) in before {
-        add(&mut shares, image, -part);
-    }
-    shares
-}
-
 /// Adds a part to an image's share.
 pub(crate) fn add(shares: &mut Shares, image: &Image, part: f64) {
     match shares.iter_mut().find(|(known, _)| known == image) {
--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -13,6 +13,7 @@
 use smallvec::SmallVec;
 
 use crate::advice::Leave;
+use crate::load::Load;
 use crate::record;
 use crate::record::Attempts;
 use crate::record::Record;
@@ -80,6 +81,8 @@
     pub(crate) open: bool,
     /// Where the advisory service lets it run, as far as it was asked.
     pub(crate) leave: Option<Leave>,
+    /// The load of a step that serves, once it was read.
+    pub(crate) load: Option<Load>,
 }
 
 impl Step {
@@ -133,6 +136,7 @@
             done: 0,
             open: false,
             leave: None,
+            load: None,
         });
         let mut occurrence = Occurrence { number, since, steps: steps.collect() };
         occurrence.open_steps(spec);
@@ -325,6 +329,16 @@
         self.end.is_none() && steps.any(|step| step.open && step.waiting > 0)
     }
 
+    /// Returns the core-seconds of tasks that fill and could be placed.
+    pub(crate) fn waiting_fill_work(&self) -> f64 {
+        let steps = self
+            .occurrences
+            .iter()
+            .flat_map(|occurrence| occurrence.steps.iter().zip(&self.accepted.spec.steps));
+        let open = steps.filter(|(state, step)| state.open && step.fills);
+        open.map(|(state, step)| f64::from(state.waiting) * task_work(step)).sum()
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.opened == self.total() && self.occurrences.iter().all(Occurrence::is_done)
     }
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -59,12 +59,17 @@
 impl Planner {
     pub(crate) fn place(&mut self) {
         let mut pass = Pass { refused: Vec::new(), open: self.open_workers() };
+        let mut backlog = 0.0;
         for job in self.ranked() {
             self.place_job(job, &mut pass);
-            if !self.jobs.get(&job).is_some_and(|job| job.has_waiting()) {
-                self.waiting.remove(&job);
+            match self.jobs.get(&job).filter(|job| job.has_waiting()) {
+                Some(job) => backlog += job.waiting_fill_work(),
+                None => drop(self.waiting.remove(&job)),
             }
         }
+        let open = pass.open.iter().flat_map(|(_, workers)| workers);
+        let milli: u64 = open.map(|&id| u64::from(self.workers[id].capacity.cpu_milli)).sum();
+        self.fill_backlog = backlog * 1e3 / (milli.max(1) as f64);
     }
 
     fn place_job(&mut self, job: JobId, pass: &mut Pass) {
@@ -114,7 +119,7 @@
             }
         }
         for &id in services.iter().flat_map(|(_, workers)| workers) {
-            self.refresh_spare(id);
+            self.refresh_margins(id);
         }
         services
     }
@@ -143,7 +148,7 @@
             let task = step.task(index);
             let Some(worker) = self.choose_rated(task, spec, &mut rated) else { return false };
             self.intend(task, worker);
-            self.refresh_spare(worker);
+            self.refresh_margins(worker);
         }
         true
     }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -62,6 +62,9 @@
     pub(crate) reserve: Reserve,
     /// Which images slow which.
     pub(crate) model: Model,
+    /// Work of tasks that fill and found no room in the last placing pass, in seconds of the whole
+    /// cell's work.
+    pub(crate) fill_backlog: f64,
     /// What is due when.
     pub(crate) timers: BTreeSet<(Time, Timer)>,
     /// Whether a placing pass may find something that the last one did not.
@@ -92,6 +95,7 @@
             calendar: Calendar::default(),
             reserve: Reserve::default(),
             model: Model::default(),
+            fill_backlog: 0.0,
             timers: BTreeSet::new(),
             room_changed: false,
             writing: Writing::default(),
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -60,8 +60,17 @@
     Sent(Time),
 }
 
-/// Headroom left, by serving image.
-pub(crate) type Spare = SmallVec<[(Image, f64); 3]>;
+/// How far a serving task is expected to stay from its target, in headroom.
+#[derive(Clone, Debug)]
+pub(crate) struct Margin {
+    pub(crate) image: Image,
+    pub(crate) margin: f64,
+    /// Standard deviation of that.
+    pub(crate) deviation: f64,
+}
+
+/// Margins of all serving tasks of a worker.
+pub(crate) type Margins = SmallVec<[Margin; 8]>;
 
 /// An end that the worker lists until it is acknowledged.
 #[derive(Clone, Copy, Debug)]
@@ -99,11 +108,12 @@
     /// The sum of what its runs reserve.
     pub(crate) reserved: Amount,
     pub(crate) health: Health,
-    /// Headroom that serving images have left beside what fills at full pace, the least of each
-    /// image; none when something has changed since it was worked out.
-    pub(crate) spare: Option<Spare>,
-    /// What filling images used at the last account.
+    /// None when something has changed since they were worked out.
+    pub(crate) margins: Option<Margins>,
+    /// What filling images used when figures were last read.
     pub(crate) shares: Shares,
+    /// When that was.
+    pub(crate) figures_at: Time,
     /// Nothing is placed there before this.
     pub(crate) closed_until: Time,
 }
@@ -131,8 +141,9 @@
             runs: BTreeMap::new(),
             reserved: Amount::ZERO,
             health: Health::default(),
-            spare: None,
+            margins: None,
             shares: Shares::new(),
+            figures_at: Time::ZERO,
             closed_until: Time::ZERO,
         }
     }
@@ -187,7 +198,7 @@
 
     pub(crate) fn host(&mut self, run: Run, hosted: Hosted) {
         self.reserved = self.reserved.plus(hosted.reserved());
-        self.spare = None;
+        self.margins = None;
         let before = self.runs.insert(run, hosted);
         debug_assert!(before.is_none(), "a run is hosted once");
     }
@@ -195,7 +206,7 @@
     pub(crate) fn release(&mut self, run: Run) -> Option<Hosted> {
         let hosted = self.runs.remove(&run)?;
         self.reserved = self.reserved.minus(hosted.reserved());
-        self.spare = None;
+        self.margins = None;
         Some(hosted)
     }
 
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -5,7 +5,9 @@
 //! interval=MS count=N]` with a step a line (`count=N cpu=N memory=N time=MS [after=N,..]` and any of
 //! `gang`, `lasts`, `fills`, `saves`, `tight`, `image=I`, `target=MS`, `apart=N`, `near=R`, `needs=L`);
 //! `cancel id=H`; `cut|heal|crash|rebirth|drain|unlist|list|fail|mend|hang|lose name=w`, `slow name=w x=N`, `load name=w
-//! percent=N` (of its serving tasks by their own users);
+//! [percent=N] [swing=N] [period=MS] [rough=N] [press=(I, W, ..)]` (of its serving tasks by their own users, and what all its
+//! processors add to that when an image fills them); `harm stretch=MS all=MS` (whether fills kept a serving task over
+//! its target for no longer);
 //! `store state=down|up [delay=MS]`; `run ms=N` (prints nothing); `show` (how far each job is); `notes
 //! [of=(Event, ..)]` (what was noted since the last look); `stored` (the numbers of jobs and records).
 
@@ -19,6 +21,7 @@
 use cowslipchute_ports::job::Schedule;
 use cowslipchute_ports::job::Spec;
 use cowslipchute_ports::job::Step;
+use cowslipchute_standin::site::worker::Worker;
 use datadriven::TestCase;
 use world::World;
 
@@ -78,6 +81,7 @@
         "stored" => {
             return format!("jobs {}, records {}", world.jobs.len(), world.records.len());
         }
+        "harm" => return harm(world, case),
         "notes" => return notes(world, case),
         other => fault(world, case, other),
     }
@@ -94,7 +98,7 @@
         "hang" => worker.hangs = true,
         "mend" => (worker.fails, worker.hangs, worker.slow) = (false, false, 1),
         "slow" => worker.slow = number(case, "x").unwrap_or(6),
-        "load" => worker.load = number(case, "percent").unwrap_or(40),
+        "load" => load(worker, case),
         "lose" => worker.lose = number(case, "answers").unwrap_or(1),
         "drain" => {
             worker.draining = true;
@@ -104,6 +108,35 @@
     }
 }
 
+fn load(worker: &mut Worker, case: &TestCase) {
+    let serving = &mut worker.serving;
+    serving.load = number(case, "percent").unwrap_or(serving.load);
+    serving.swing = number(case, "swing").unwrap_or(serving.swing);
+    serving.rough = number(case, "rough").unwrap_or(serving.rough);
+    if let Some(period) = number(case, "period") {
+        serving.period = Duration::from_millis(period);
+    }
+    let presses = case.args.get("press").map_or(&[][..], |words| words);
+    for press in presses.chunks(2) {
+        let [image, weight] = press else { panic!("press holds images, each with its weight") };
+        serving.presses.insert(image.clone(), weight.parse().expect("a weight"));
+    }
+}
+
+/// Tells whether tasks that fill kept one that serves over its target for longer than this, at a
+/// stretch and in all.
+fn harm(world: &World, case: &TestCase) -> String {
+    let stretch = Duration::from_millis(number(case, "stretch").expect("harm says how long"));
+    let all = Duration::from_millis(number(case, "all").expect("harm says how long in all"));
+    let servings = || world.workers.values().map(|worker| &worker.serving);
+    let longest = servings().map(|serving| serving.longest).max().unwrap_or_default();
+    let harmed: Duration = servings().map(|serving| serving.harmed).sum();
+    if longest <= stretch && harmed <= all {
+        return String::from("within");
+    }
+    format!("{} ms at a stretch, {} ms in all", longest.as_millis(), harmed.as_millis())
+}
+
 fn id(case: &TestCase) -> JobId {
     JobId::from_str_radix(arg(case, "id").expect("a job has an id"), 16).expect("hexadecimal")
 }
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -4,6 +4,7 @@
 //! It plays the platform's part in tests, in the demo and in the soak, and checks what only it can
 //! see: that no task runs twice at once, and that nothing runs that nobody asked for.
 
+pub mod serving;
 pub mod store;
 pub mod worker;
 mod workers;
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -20,6 +20,8 @@
 use cowslipchute_ports::executor::Start;
 use cowslipchute_ports::job::Step;
 
+use crate::site::serving::Serving;
+
 /// How long a gang's member waits for the others.
 pub const GANG_TIME: Duration = Duration::from_millis(3000);
 /// How long a stop takes.
@@ -74,8 +76,8 @@
     pub hangs: bool,
     /// Work takes this many times as long.
     pub slow: u32,
-    /// Load of its serving tasks by their own users, in percent.
-    pub load: u32,
+    /// How its serving tasks respond.
+    pub serving: Serving,
     /// The next so many answers get lost, after the order was carried out.
     pub lose: u32,
     /// The highest epoch that it has seen.
@@ -110,7 +112,7 @@
             fails: false,
             hangs: false,
             slow: 1,
-            load: 40,
+            serving: Serving::default(),
             lose: 0,
             epoch: 0,
             deadline: 0,
@@ -149,6 +151,7 @@
         if !self.up {
             return;
         }
+        self.serve(now, passed);
         let lapsed = self.clock(now) > self.deadline;
         let runs: Vec<Run> = self.active.keys().copied().collect();
         for run in runs {
@@ -303,17 +306,26 @@
         Ok(self.report(now))
     }
 
-    fn tail(&self, target: Duration) -> u32 {
-        // A fill of half the processors doubles the tail, whatever the images.
-        let fills: f64 = self
-            .active
-            .values()
-            .filter(|active| active.step.fills)
-            .map(|active| f64::from(active.step.demand.cpu_milli) * f64::from(active.pace) / 100.0)
-            .sum();
-        let load = f64::from(self.load) / 100.0 + fills / f64::from(self.capacity.cpu_milli);
-        let unloaded = target.as_secs_f64() * 1e3 / 6.0;
-        (unloaded / (1.0 - load.min(0.99))) as u32
+    /// Returns the part of the worker's processors that each filling run uses.
+    fn fills(&self) -> Vec<(String, f64)> {
+        let filling = self.active.values().filter(|active| active.step.fills);
+        filling
+            .map(|active| {
+                let image = active.step.image.as_deref().unwrap_or_default().to_owned();
+                let milli =
+                    f64::from(active.step.demand.cpu_milli * u32::from(active.pace)) / 100.0;
+                (image, milli / f64::from(self.capacity.cpu_milli))
+            })
+            .collect()
+    }
+
+    fn serve(&mut self, now: Time, passed: Duration) {
+        let fills = self.fills();
+        for (run, active) in &self.active {
+            if let Some(target) = active.step.target {
+                self.serving.advance(*run, target, &fills, now, passed);
+            }
+        }
     }
 
     /// Lists what runs and what has ended.
@@ -328,8 +340,8 @@
                     .then(|| format!("{}:{}", run.task, total.as_millis()).into()),
                 percent: if active.step.long_running && !self.hangs { 100 } else { percent as u8 },
                 figure: match active.step.target {
-                    Some(target) => self.tail(target),
-                    None => active.step.demand.cpu_milli,
+                    Some(_) => self.serving.reported(*run, now).as_millis() as u32,
+                    None => active.step.demand.cpu_milli * u32::from(active.pace) / 100,
                 },
             }
         });
