Let a job of fills that has nothing at work in a mostly free cell go where it costs least

Four of nine filling images press hard on four of five serving ones there; jobs of theirs that were late came last, and found no worker on which they pay for a minute, beside room. Also a burst of a second kept a worker closed, and a backlog did not count when a place was weighed.

Ruled out: beginning at a lower pace (trial before).

--- a/crates/planner/src/colocate.rs
+++ b/crates/planner/src/colocate.rs
@@ -7,6 +7,8 @@
 //! comes near its target all the same, those that press on it are slowed down, and moved away if
 //! that lasts.
 
+use std::time::Duration;
+
 use cowslipchute_ports::job::Step;
 
 use crate::figures::Outlook;
@@ -18,6 +20,7 @@
 use crate::interfere::Shares;
 use crate::planner::Planner;
 use crate::risk::cost;
+use crate::risk::fill_value;
 use crate::worker::Margin;
 use crate::worker::Margins;
 use crate::worker::Worker;
@@ -26,6 +29,10 @@
 /// A pressure below this is noise and isn't slowed down.
 pub(crate) const LEAST_PRESSURE: f64 = 0.06;
 
+/// A task that is over its target for longer is over it for another reason than a burst of its own,
+/// which lasts for a second or two, and figures come each half second.
+const OVER_PAUSE: Duration = Duration::from_millis(900);
+
 const NO_IMAGE: &str = "";
 
 /// Returns what a run runs.
@@ -103,10 +110,15 @@
     }
 
     /// Tells whether a filling step's work is worth more than what it costs a worker's serving
-    /// tasks. Nothing is added beside one that is over its target already, whatever the model says.
+    /// tasks. Nothing is added beside one that has been over its target for a while, whatever the
+    /// model says.
     pub(crate) fn pays(&self, worker: &Worker, step: &Step) -> bool {
-        let over = worker.runs.values().any(|hosted| hosted.over_since.is_some());
-        !over && added_cost(&self.model, worker, step) < share(step.demand.cpu_milli, worker)
+        let long_over = |since| self.now >= since + OVER_PAUSE;
+        if worker.runs.values().any(|hosted| hosted.over_since.is_some_and(long_over)) {
+            return false;
+        }
+        let work = share(step.demand.cpu_milli, worker) * fill_value(self.fill_backlog).max(1.0);
+        added_cost(&self.model, worker, step) < work
     }
 
     /// Learns from a worker's figures and sets the paces that follow.
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -97,9 +97,13 @@
 
     /// Tells whether a worker may take a task of a step.
     pub(crate) fn may_take(&self, worker: &Worker, task: TaskId, step: &Step) -> bool {
+        self.has_room(worker, task, step) && (!step.fills || self.pays(worker, step))
+    }
+
+    /// Tells whether a worker has room for a task of a step, whatever that costs tasks that serve.
+    pub(crate) fn has_room(&self, worker: &Worker, task: TaskId, step: &Step) -> bool {
         let reserved = Hosted::new(step, crate::host::Stage::Inherited, self.now).reserved();
         worker.fits(&self.model, step, reserved)
-            && (!step.fills || self.pays(worker, step))
             && step.required_label.as_deref().is_none_or(|label| worker.has_label(label))
             && (step.max_per_worker == 0 || worker.count(task) < step.max_per_worker)
     }
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -14,9 +14,11 @@
 use cowslipchute_ports::job::StepId;
 use cowslipchute_ports::job::TaskId;
 
+use crate::colocate::added_cost;
 use crate::host::Hosted;
 use crate::host::Stage;
 use crate::job::Place;
+use crate::job::Task;
 use crate::order::Timer;
 use crate::planner::Planner;
 use crate::worker::WorkerId;
@@ -27,6 +29,12 @@
 /// How often such a task is looked at again.
 const RESERVE_LOOK: Duration = Duration::from_millis(500);
 
+/// How long a job of tasks that fill has nothing at work, though most of the cell is free, until one
+/// of its tasks goes where it costs the least: after three seconds the job counts as lost.
+const STARVE_TIME: Duration = Duration::from_millis(1200);
+/// Part of the processors that may be reserved then. The users speak of half.
+const MOSTLY_FREE: f64 = 0.6;
+
 /// A demand for which no room was found in this pass; a larger one of the same kind needs no second
 /// look.
 struct Refused {
@@ -42,6 +50,8 @@
     refused: Vec<Refused>,
     /// The workers that take new tasks, by service.
     open: Vec<(id::Service, Vec<WorkerId>)>,
+    /// Whether more of their processors is free than is reserved.
+    mostly_free: bool,
 }
 
 impl Refused {
@@ -58,7 +68,9 @@
 
 impl Planner {
     pub(crate) fn place(&mut self) {
-        let mut pass = Pass { refused: Vec::new(), open: self.open_workers() };
+        let open = self.open_workers();
+        let mostly_free = self.is_mostly_free(&open);
+        let mut pass = Pass { refused: Vec::new(), open, mostly_free };
         let mut backlog = 0.0;
         for job in self.ranked() {
             self.place_job(job, &mut pass);
@@ -82,13 +94,14 @@
         let accepted = self.jobs[&step.job].accepted.clone();
         let spec = &accepted.spec.steps[usize::from(step.step)];
         let advice = self.queue(step.job).and_then(|queue| queue.advice);
+        let starves = pass.mostly_free && spec.fills && self.starves(step);
         let narrow = spec.max_per_worker > 0
             || spec.required_label.is_some()
             || spec.data_rack.is_some()
             || spec.same_rack
             || spec.gang
             || advice.is_some();
-        if !narrow && pass.refused.iter().any(|seen| seen.covers(spec)) {
+        if !narrow && !starves && pass.refused.iter().any(|seen| seen.covers(spec)) {
             return;
         }
         let service = self.service(step.job);
@@ -105,6 +118,9 @@
         if !self.place_tasks(step, spec, &open) && !narrow {
             pass.refused.push(Refused::new(spec));
         }
+        if starves {
+            self.place_starved(step, spec, &open);
+        }
     }
 
     fn open_workers(&mut self) -> Vec<(id::Service, Vec<WorkerId>)> {
@@ -124,6 +140,48 @@
         services
     }
 
+    fn is_mostly_free(&self, open: &[(id::Service, Vec<WorkerId>)]) -> bool {
+        let workers = || open.iter().flat_map(|(_, ids)| ids).map(|&id| &self.workers[id]);
+        let capacity: u64 = workers().map(|worker| u64::from(worker.capacity.cpu_milli)).sum();
+        let reserved: u64 = workers().map(|worker| u64::from(worker.reserved.cpu_milli)).sum();
+        (reserved as f64) < capacity as f64 * MOSTLY_FREE
+    }
+
+    /// Tells whether a step's job has had nothing at work for a while.
+    fn starves(&self, step: StepId) -> bool {
+        let job = &self.jobs[&step.job];
+        let mut tasks = job.steps(step.job).flat_map(|(_, state)| &state.tasks);
+        if tasks.any(|task| matches!(task.place, Place::At(_))) {
+            return false;
+        }
+        let waiting = job.step(step).into_iter().flat_map(|state| &state.tasks);
+        let waiting = waiting.filter(|task| task.place == Place::Waiting);
+        waiting
+            .map(|task| task.waiting_since)
+            .min()
+            .is_some_and(|since| self.now >= since + STARVE_TIME)
+    }
+
+    /// Places one task of a step that found no worker on which it pays, where it costs the least.
+    fn place_starved(&mut self, step: StepId, spec: &Step, open: &[WorkerId]) {
+        if !self.starves(step) {
+            return;
+        }
+        let Some(state) = self.jobs[&step.job].step(step) else { return };
+        let ready = |task: &Task| task.place == Place::Waiting && task.not_before <= self.now;
+        let Some(index) = state.tasks.iter().position(ready) else { return };
+        let task = step.task(index as u32);
+        let roomy = open.iter().filter(|&&id| self.has_room(&self.workers[id], task, spec));
+        let cheapest = roomy.min_by(|&&a, &&b| {
+            let cost = |id| added_cost(&self.model, &self.workers[id], spec);
+            cost(a).total_cmp(&cost(b))
+        });
+        if let Some(&worker) = cheapest {
+            self.intend(task, worker);
+            self.refresh_margins(worker);
+        }
+    }
+
     /// Places a step's tasks one by one; tells whether each found room.
     fn place_tasks(&mut self, step: StepId, spec: &Step, open: &[WorkerId]) -> bool {
         let Some(state) = self.jobs[&step.job].step(step) else { return true };
