Serve metrics, tell every answer to one place, and remove old ends from the store

Three things that an on-call engineer and an operator lacked, in one commit since they share the process's parts:

- Requests that the front refused itself (bad JSON, no such queue) had no log line; the front now tells the desk of each answer, which logs refusals (251, 252, 268) and counts all.

Ruled out: a read of each end's age (not stored), a lease on each end (lapses while the store is down, and the job would be unknown).

--- a/bin/scheduler/src/config.rs
+++ b/bin/scheduler/src/config.rs
@@ -10,8 +10,10 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::clock;
 use crate::event;
 use crate::log::Log;
+use crate::metrics::Metrics;
 use crate::watcher;
 use crate::watcher::Change;
 
@@ -19,10 +21,10 @@
 pub type InForce = watch::Receiver<Option<Arc<Config>>>;
 
 /// Starts following the operator's configuration.
-pub fn spawn<S: Store>(store: S, log: Log) -> InForce {
+pub fn spawn<S: Store>(store: S, log: Log, metrics: Metrics) -> InForce {
     let (sender, receiver) = watch::channel(None);
     let changes = watcher::spawn(store, operator::CONFIG, None, log.clone());
-    tokio::spawn(follow(changes, sender, log));
+    tokio::spawn(follow(changes, sender, log, metrics));
     receiver
 }
 
@@ -30,22 +32,29 @@
     mut changes: mpsc::Receiver<Change>,
     sender: watch::Sender<Option<Arc<Config>>>,
     log: Log,
+    metrics: Metrics,
 ) {
     while let Some(change) = changes.recv().await {
         match change {
             Change::All(snapshot) => {
                 for entry in snapshot.entries {
-                    take(&entry.key, &entry.value, &sender, &log);
+                    take(&entry.key, &entry.value, &sender, &log, &metrics);
                 }
             }
-            Change::Put(entry) => take(&entry.key, &entry.value, &sender, &log),
+            Change::Put(entry) => take(&entry.key, &entry.value, &sender, &log, &metrics),
             // An operator replaces the configuration and never removes it.
             Change::Deleted { .. } => {}
         }
     }
 }
 
-fn take(key: &str, value: &[u8], sender: &watch::Sender<Option<Arc<Config>>>, log: &Log) {
+fn take(
+    key: &str,
+    value: &[u8],
+    sender: &watch::Sender<Option<Arc<Config>>>,
+    log: &Log,
+    metrics: &Metrics,
+) {
     if key != operator::CONFIG {
         return;
     }
@@ -66,6 +75,7 @@
         newer
     });
     if newer {
+        metrics.configured(clock::now(), version);
         event!(log, Event::ConfigApplied, "version" => version, "queues" => queues);
     }
 }
--- a/bin/scheduler/src/desk.rs
+++ b/bin/scheduler/src/desk.rs
@@ -13,6 +13,7 @@
 use cowslipchute_ports::deployment::Queue;
 use cowslipchute_ports::job;
 use cowslipchute_ports::job::Accepted;
+use cowslipchute_ports::job::Asked;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::Rejection;
 use cowslipchute_ports::job::Spec;
@@ -31,6 +32,7 @@
 use crate::link::Link;
 use crate::link::Question;
 use crate::log::Log;
+use crate::metrics::Metrics;
 use crate::seat::Holder;
 
 /// Counts of jobs that wait are asked for again after this; they may be two seconds old.
@@ -61,8 +63,12 @@
     holder: watch::Receiver<Option<Holder>>,
     counts: Arc<Mutex<Counts>>,
     log: Log,
+    metrics: Metrics,
 }
 
+/// Result of a request that was served, in the metrics.
+const SERVED: &str = "Served";
+
 impl<S: Store> Desk<S> {
     /// Opens the desk.
     pub fn open(
@@ -73,8 +79,9 @@
         health: Health,
         holder: watch::Receiver<Option<Holder>>,
         log: Log,
+        metrics: Metrics,
     ) -> Desk<S> {
-        Desk { store, config, intake, link, health, holder, counts: Arc::default(), log }
+        Desk { store, config, intake, link, health, holder, counts: Arc::default(), log, metrics }
     }
 
     async fn ask_owner(&self, question: Question) -> Option<Answer> {
@@ -236,4 +243,18 @@
                 .retry_after(PAUSE)
         })
     }
+
+    fn answered(&self, request: job::Request, outcome: Result<(), &Rejection>, took: Duration) {
+        let result = outcome.map_or_else(|rejection| rejection.code.name(), |()| SERVED);
+        self.metrics.request(request.asked.name(), result, took);
+        let Err(rejection) = outcome else { return };
+        let event = match (request.asked, rejection.code) {
+            (Asked::Submit, Code::StoreUnknown) => Event::JobUnsettled,
+            (Asked::Submit, _) => Event::JobRefused,
+            _ => Event::RequestRefused,
+        };
+        let job = request.job.map(|job| format!("{job:016x}"));
+        event!(self.log, event, "job" => job, "asked" => request.asked.name(),
+            "code" => rejection.code.number(), "reason" => rejection.reason.clone());
+    }
 }
--- a/bin/scheduler/src/intake.rs
+++ b/bin/scheduler/src/intake.rs
@@ -159,16 +159,9 @@
 }
 
 fn answer(item: Item, outcome: Outcome, log: &Log) {
-    let job = format!("{:016x}", item.job);
-    match &outcome {
-        Ok(()) => event!(log, Event::JobAccepted, "job" => job),
-        Err(rejection) if rejection.code == Code::StoreUnknown => {
-            event!(log, Event::JobUnsettled, "job" => job, "reason" => rejection.reason.clone());
-        }
-        Err(rejection) => {
-            event!(log, Event::JobRefused, "job" => job, "code" => rejection.code.number(),
-                "reason" => rejection.reason.clone());
-        }
+    // Whoever answers the client tells of refusals.
+    if outcome.is_ok() {
+        event!(log, Event::JobAccepted, "job" => format!("{:016x}", item.job));
     }
     // The client may have left.
     let _ = item.reply.send(outcome);
--- a/bin/scheduler/src/log.rs
+++ b/bin/scheduler/src/log.rs
@@ -16,6 +16,8 @@
 use slog::Logger;
 use slog::o;
 
+use crate::metrics::Metrics;
+
 /// How often gathered lines are written.
 const FLUSH: Duration = Duration::from_millis(300);
 /// Bytes that may wait to be written.
@@ -60,14 +62,15 @@
     logger: Logger,
     buffer: Buffer,
     budget: Arc<Mutex<Budget>>,
+    metrics: Metrics,
 }
 
-/// Opens the log. Lines reach standard output within a fraction of a second.
+/// Opens the log, whose events are counted. Lines reach standard output within a fraction of a second.
 ///
 /// # Errors
 ///
 /// When the system refuses the thread that writes.
-pub fn open(instance: &str, level: slog::Level) -> io::Result<Log> {
+pub fn open(instance: &str, level: slog::Level, metrics: Metrics) -> io::Result<Log> {
     let buffer = Buffer::default();
     let json = slog_json::Json::new(buffer.clone())
         .add_default_keys()
@@ -84,7 +87,7 @@
             write_out(&writer);
         }
     })?;
-    Ok(Log { logger, buffer, budget: Arc::default() })
+    Ok(Log { logger, buffer, budget: Arc::default(), metrics })
 }
 
 fn write_out(buffer: &Buffer) {
@@ -112,6 +115,7 @@
     /// Logs an event unless its budget for this second is spent. `fields` is called only if it is
     /// logged.
     pub fn event(&self, event: Event, fields: impl FnOnce(&Logger)) {
+        self.metrics.event(event);
         let second = crate::clock::now().as_secs();
         let dropped = {
             let mut budget = self.budget.lock().expect("nobody panics while counting lines");
--- a/bin/scheduler/src/main.rs
+++ b/bin/scheduler/src/main.rs
@@ -9,6 +9,7 @@
 use cowslipchute_platform::settings::Settings as Platform;
 use cowslipchute_scheduler::event;
 use cowslipchute_scheduler::log;
+use cowslipchute_scheduler::metrics::Metrics;
 use cowslipchute_scheduler::process;
 use cowslipchute_scheduler::settings::settings as parser;
 
@@ -16,13 +17,16 @@
     let settings = parse_or_exit(parser());
     let platform = Platform::read(&settings.settings)
         .unwrap_or_else(|error| refuse(Code::BadSetting, &error.to_string()));
-    let log = log::open(&platform.node_name, settings.log_level)
+    let metrics =
+        Metrics::open().unwrap_or_else(|error| refuse(Code::BadSetting, &error.to_string()));
+    let log = log::open(&platform.node_name, settings.log_level, metrics.clone())
         .unwrap_or_else(|error| refuse(Code::BindFailed, &error.to_string()));
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .unwrap_or_else(|error| refuse(Code::BindFailed, &error.to_string()));
-    let outcome = runtime.block_on(process::run(platform, log.clone()));
+    let outcome =
+        runtime.block_on(process::run(platform, settings.metrics_port, log.clone(), metrics));
     if let Err(error) = outcome {
         let reason = format!("{error:#}");
         event!(log, Event::StartRefused, "reason" => reason.clone());
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -34,7 +34,9 @@
 use crate::journal::Outranked;
 use crate::keys;
 use crate::log::Log;
+use crate::metrics::Metrics;
 use crate::seat::Word;
+use crate::sweep;
 use crate::watcher;
 use crate::watcher::Change;
 
@@ -61,12 +63,16 @@
     pub advisor: A,
     /// The configuration in force.
     pub config: InForce,
+    /// How long ends of jobs are kept.
+    pub keep_ends: Duration,
     /// The planner.
     pub planner: Shared,
     /// Words to the seat.
     pub words: mpsc::UnboundedSender<Word>,
     /// The log.
     pub log: Log,
+    /// The metrics.
+    pub metrics: Metrics,
 }
 
 impl<S: Clone, F: Clone, A: Clone> Clone for Parts<S, F, A> {
@@ -77,9 +83,11 @@
             fleet: self.fleet.clone(),
             advisor: self.advisor.clone(),
             config: self.config.clone(),
+            keep_ends: self.keep_ends,
             planner: self.planner.clone(),
             words: self.words.clone(),
             log: self.log.clone(),
+            metrics: self.metrics.clone(),
         }
     }
 }
@@ -116,6 +124,8 @@
     let (writes, write_receiver) = mpsc::unbounded_channel();
     let mut tasks = JoinSet::new();
     tasks.spawn(keep_learnt(journal.clone(), parts.planner.clone(), parts.words.clone()));
+    let (store, log) = (parts.store.clone(), parts.log.clone());
+    tasks.spawn(sweep::run(store, epoch, parts.keep_ends, log));
     tasks.spawn(write(journal, write_receiver, sender.clone(), parts.words.clone()));
     let jobs =
         watcher::spawn(parts.store.clone(), keys::JOBS, Some(loaded.revision), parts.log.clone());
@@ -401,7 +411,10 @@
                 // The writer is gone only after it has said that the ownership is lost.
                 let _ = self.writes.send((batch, changes));
             }
-            Action::Note(note) => log_note(&self.parts.log, note),
+            Action::Note(note) => {
+                self.parts.metrics.note(clock::now(), &note);
+                log_note(&self.parts.log, note);
+            }
         }
     }
 }
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -30,6 +30,8 @@
 use crate::intake;
 use crate::link;
 use crate::log::Log;
+use crate::measured::Measured;
+use crate::metrics::Metrics;
 use crate::owner;
 use crate::owner::Parts;
 use crate::seat;
@@ -43,6 +45,10 @@
 /// Part of that time after which the process ends, whatever is left.
 const END_PART: f64 = 0.85;
 
+/// How much longer than clients may ask for it a job's end is kept.
+const KEEP_SLACK: Duration = Duration::from_secs(10);
+/// Where metrics are served.
+const METRICS_PATH: &str = "/metrics";
 /// How long changes of the workers' directory are gathered: a leaving worker has to get nothing new
 /// after two seconds, and each look is a call that the platform counts.
 const DIRECTORY_GAP: Duration = Duration::from_millis(350);
@@ -52,23 +58,38 @@
 /// # Errors
 ///
 /// When an address of the settings can't be bound.
-pub async fn run(settings: Settings, log: Log) -> anyhow::Result<()> {
+pub async fn run(
+    settings: Settings,
+    metrics_port: Option<u16>,
+    log: Log,
+    metrics: Metrics,
+) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let client = Client::open();
-    let store = Keys::open(client.clone(), settings.platform.address);
-    let in_force = config::spawn(store.clone(), log.clone());
+    let keys = Keys::open(client.clone(), settings.platform.address);
+    let store = Measured::open(keys.clone(), metrics.clone());
+    let in_force = config::spawn(store.clone(), log.clone(), metrics.clone());
     let planner = Arc::new(Mutex::new(Planner::open(figures(&settings))));
     let own = SocketAddr::new(settings.ip, settings.internal_ports.0);
     let link =
         link::bind(own, planner.clone()).await.with_context(|| format!("can't bind {own}"))?;
     let holder =
         Holder { instance: settings.node_name.clone(), address: own, life: rand::random() };
-    let seat = seat::spawn(store.clone(), holder, settings.limits.cpu_share, log.clone());
+    let seat =
+        seat::spawn(store.clone(), holder, settings.limits.cpu_share, log.clone(), metrics.clone());
     let health = Health::default();
     let intake = intake::spawn(store.clone(), health.clone(), log.clone());
-    let desk =
-        Desk::open(store.clone(), in_force.clone(), intake, link, health, seat.holder, log.clone());
+    let desk = Desk::open(
+        store.clone(),
+        in_force.clone(),
+        intake,
+        link,
+        health,
+        seat.holder,
+        log.clone(),
+        metrics.clone(),
+    );
     let (stop, stopping) = watch::channel(false);
     let (wanted, want) = watch::channel(true);
     let clients = settings.listen.clients;
@@ -77,19 +98,29 @@
         .with_context(|| format!("can't bind {clients}"))?;
     let ready = in_force.clone();
     let readiness = settings.listen.readiness;
-    front::serve_readiness(readiness, move || *want.borrow() && ready.borrow().is_some(), stopping)
+    let wanted_now = move || *want.borrow() && ready.borrow().is_some();
+    front::serve_readiness(readiness, wanted_now, stopping.clone())
         .await
         .with_context(|| format!("can't bind {readiness}"))?;
+    if let Some(port) = metrics_port {
+        let address = SocketAddr::new(settings.ip, port);
+        let text = text(planner.clone(), metrics.clone(), log.clone());
+        front::serve_text(address, METRICS_PATH, text, stopping)
+            .await
+            .with_context(|| format!("can't bind {address}"))?;
+    }
     event!(log, Event::Started, "clients" => clients.to_string(), "peers" => own.to_string());
     let parts = Parts {
-        directory: store.clone().with_watch_gap(DIRECTORY_GAP),
+        directory: Measured::open(keys.with_watch_gap(DIRECTORY_GAP), metrics.clone()),
         store,
         fleet: Executors::open(client.clone()),
         advisor: Advice::open(client, settings.advisor),
         config: in_force,
+        keep_ends: kept(&settings),
         planner,
         words: seat.words.clone(),
         log: log.clone(),
+        metrics,
     };
     let tenure = tokio::spawn(hold_seat(parts, seat.turns));
     loop {
@@ -113,13 +144,40 @@
     Ok(())
 }
 
+/// Renders the metrics; with what is known of the cell where this process owns it.
+fn text(
+    planner: owner::Shared,
+    metrics: Metrics,
+    log: Log,
+) -> impl Fn() -> Option<String> + Clone + Send {
+    move || {
+        let now = clock::now();
+        let census = {
+            let planner = owner::lock(&planner);
+            planner.owns(now).then(|| planner.census())
+        };
+        match metrics.render(now, census) {
+            Ok(text) => Some(text),
+            Err(error) => {
+                event!(log, Event::MetricsUnreadable, "reason" => error.to_string());
+                None
+            }
+        }
+    }
+}
+
+/// Returns how long a job's end is kept: as long as clients may ask for it, and a little longer.
+fn kept(settings: &Settings) -> Duration {
+    settings.bounds.status + KEEP_SLACK
+}
+
 fn figures(settings: &Settings) -> Figures {
     let bounds = &settings.bounds;
     let defaults = Figures::default();
     Figures {
         max_hold: bounds.max_hold_ms,
         lease: defaults.lease.min(bounds.max_hold_ms),
-        remember: bounds.status + Duration::from_secs(10),
+        remember: kept(settings),
         remote_factor: bounds.remote_factor,
         harm_time: bounds.impact_ms,
         stop_time: bounds.stop_timeout_ms,
@@ -135,17 +193,21 @@
 
 /// Runs the cell whenever this process owns it.
 async fn hold_seat(
-    parts: Parts<Keys, Executors, Advice>,
+    parts: Parts<Measured<Keys>, Executors, Advice>,
     mut turns: mpsc::UnboundedReceiver<Turn>,
 ) {
     let mut tenure: Option<Tenure> = None;
+    let mut lease_until = cowslipchute_base::id::Time::ZERO;
     while let Some(turn) = turns.recv().await {
         match turn {
             Turn::Own { epoch, until } => {
                 event!(parts.log, Event::SeatTaken, "epoch" => epoch);
+                lease_until = until;
                 tenure = Some(begin(&parts, epoch, until));
             }
             Turn::Extend { until } => {
+                parts.metrics.renewed(lease_until.saturating_sub(clock::now()));
+                lease_until = until;
                 if let Some(tenure) = &tenure {
                     // Its task ends only with the ownership.
                     let _ = tenure.facts.send(Fact::Renewed { until });
@@ -156,6 +218,7 @@
                     tenure.task.abort();
                 }
                 owner::lock(&parts.planner).step(clock::now(), Fact::Disowned, &mut Vec::new());
+                parts.metrics.disowned();
                 event!(parts.log, Event::SeatLost);
             }
         }
@@ -163,7 +226,7 @@
 }
 
 fn begin(
-    parts: &Parts<Keys, Executors, Advice>,
+    parts: &Parts<Measured<Keys>, Executors, Advice>,
     epoch: cowslipchute_base::id::Revision,
     until: cowslipchute_base::id::Time,
 ) -> Tenure {
--- a/bin/scheduler/src/seat.rs
+++ b/bin/scheduler/src/seat.rs
@@ -16,10 +16,12 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::clock;
 use crate::keys;
 use crate::log::Log;
+use crate::metrics::Metrics;
 use crate::watcher;
 use crate::watcher::Change;
 
@@ -86,7 +88,13 @@
 }
 
 /// Starts the seat of this process.
-pub fn spawn<S: Store>(store: S, holder: Holder, cpu_share: f64, log: Log) -> Handle {
+pub fn spawn<S: Store>(
+    store: S,
+    holder: Holder,
+    cpu_share: f64,
+    log: Log,
+    metrics: Metrics,
+) -> Handle {
     let delay = CORE_DELAY.div_f64(cpu_share.clamp(0.01, 1.0))
         + SPREAD.mul_f64(rand::random_range(0.0..1.0));
     let mark = cowslipchute_planner::record::encode(&holder);
@@ -103,6 +111,7 @@
         turns: turn_sender,
         holder: holder_sender,
         results: result_sender,
+        metrics,
     };
     tokio::spawn(runner.run(changes, word_receiver, results));
     Handle { turns, words, holder }
@@ -115,6 +124,7 @@
     turns: mpsc::UnboundedSender<Turn>,
     holder: watch::Sender<Option<Holder>>,
     results: mpsc::UnboundedSender<Event>,
+    metrics: Metrics,
 }
 
 impl<S: Store> Runner<S> {
@@ -129,6 +139,7 @@
                 Some(due) => due.saturating_sub(clock::now()).min(TICK),
                 None => TICK,
             };
+            let due = Instant::now() + pause;
             let event = tokio::select! {
                 Some(change) = changes.recv() => self.seen(change),
                 Some(word) = words.recv() => Some(match word {
@@ -136,7 +147,10 @@
                     Word::Drain => Event::Drain,
                 }),
                 Some(result) = results.recv() => Some(result),
-                () = tokio::time::sleep(pause) => Some(Event::Tick),
+                () = tokio::time::sleep_until(due) => {
+                    self.metrics.woke(due.elapsed());
+                    Some(Event::Tick)
+                }
             };
             let Some(event) = event else { continue };
             let mut actions = Vec::new();
--- a/bin/scheduler/src/settings.rs
+++ b/bin/scheduler/src/settings.rs
@@ -13,6 +13,9 @@
     /// The settings file that the platform writes
     #[bpaf(long("settings"), env(PATH_VARIABLE), argument("PATH"))]
     pub settings: PathBuf,
+    /// The port at which metrics are served, under /metrics; none without it
+    #[bpaf(long("metrics-port"), env("COWSLIPCHUTE_METRICS_PORT"), argument("PORT"), optional)]
+    pub metrics_port: Option<u16>,
     /// Least level of log lines: debug, info, warning or error
     #[bpaf(
         long("log-level"),
--- a/bin/scheduler/tests/journal.rs
+++ b/bin/scheduler/tests/journal.rs
@@ -1,133 +1,20 @@
 //! Records are written as the owner only, and each once, whatever becomes of the answers.
 
-use std::collections::BTreeMap;
+mod support;
+
 use std::collections::HashMap;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::time::Duration;
 
 use cowslipchute_planner::action::Change;
 use cowslipchute_planner::record;
 use cowslipchute_planner::record::Record;
 use cowslipchute_ports::job::State;
-use cowslipchute_ports::kv;
-use cowslipchute_ports::kv::Store;
-use cowslipchute_ports::kv::Update;
 use cowslipchute_scheduler::journal::Journal;
 use cowslipchute_scheduler::journal::Outranked;
 use cowslipchute_scheduler::keys;
 use cowslipchute_scheduler::log;
-use tokio::sync::mpsc;
-
-/// What becomes of the next transactions.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fate {
-    /// It is decided, and the answer gets lost.
-    AnswerLost,
-    /// It never arrives, and the caller can't tell.
-    Dropped,
-    /// The store turns it away.
-    Refused,
-}
-
-#[derive(Debug, Default)]
-struct Inner {
-    revision: u64,
-    keys: BTreeMap<String, (Vec<u8>, u64)>,
-    fates: Vec<Fate>,
-    commits: usize,
-    entries: usize,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Fake(Arc<Mutex<Inner>>);
-
-impl Fake {
-    fn put(&self, key: &str, value: Vec<u8>) -> u64 {
-        let mut inner = self.0.lock().unwrap();
-        inner.revision += 1;
-        let revision = inner.revision;
-        inner.keys.insert(key.to_owned(), (value, revision));
-        revision
-    }
-
-    fn has(&self, key: &str) -> bool {
-        self.0.lock().unwrap().keys.contains_key(key)
-    }
-}
-
-impl Inner {
-    fn decide(&mut self, txn: &kv::Txn) -> kv::Verdict {
-        self.entries = self.entries.max(txn.guards.len() + txn.changes.len());
-        let holds = txn.guards.iter().all(|guard| match guard {
-            kv::Guard::Missing(key) => !self.keys.contains_key(key),
-            kv::Guard::Unchanged(key, revision) => {
-                self.keys.get(key).is_some_and(|(_, current)| current == revision)
-            }
-            kv::Guard::Present(key) => self.keys.contains_key(key),
-        });
-        if !holds {
-            let current = txn.guards.iter().filter_map(|guard| {
-                let (kv::Guard::Missing(key)
-                | kv::Guard::Unchanged(key, _)
-                | kv::Guard::Present(key)) = guard;
-                let (value, revision) = self.keys.get(key)?;
-                let (key, value, revision) = (key.clone(), value.clone(), *revision);
-                Some(kv::Entry { key, value, revision, lease: 0 })
-            });
-            return kv::Verdict { applied: false, revision: 0, current: current.collect() };
-        }
-        self.revision += 1;
-        for change in &txn.changes {
-            match change {
-                kv::Change::Put { key, value, .. } => {
-                    self.keys.insert(key.clone(), (value.clone(), self.revision));
-                }
-                kv::Change::Delete { key } => {
-                    self.keys.remove(key);
-                }
-            }
-        }
-        kv::Verdict { applied: true, revision: self.revision, current: Vec::new() }
-    }
-}
-
-impl Store for Fake {
-    async fn read(&self, _: &str) -> Result<kv::Snapshot, kv::Error> {
-        Ok(kv::Snapshot::default())
-    }
-
-    async fn commit(&self, txn: kv::Txn) -> Result<kv::Verdict, kv::Error> {
-        let mut inner = self.0.lock().unwrap();
-        inner.commits += 1;
-        let lost = || Err(kv::Error::Unknown(String::from("no answer")));
-        match inner.fates.pop() {
-            None => Ok(inner.decide(&txn)),
-            Some(Fate::AnswerLost) => {
-                inner.decide(&txn);
-                lost()
-            }
-            Some(Fate::Dropped) => lost(),
-            Some(Fate::Refused) => Err(kv::Error::Unavailable(String::from("busy"))),
-        }
-    }
-
-    async fn grant(&self, _: Duration) -> Result<kv::LeaseId, kv::Error> {
-        Ok(1)
-    }
-
-    async fn keep_alive(&self, _: kv::LeaseId) -> Result<Duration, kv::Error> {
-        Ok(Duration::from_secs(1))
-    }
-
-    async fn revoke(&self, _: kv::LeaseId) -> Result<(), kv::Error> {
-        Ok(())
-    }
-
-    async fn watch(&self, _: &str, _: u64) -> Result<mpsc::Receiver<Update>, kv::Error> {
-        Err(kv::Error::Unavailable(String::from("not watched here")))
-    }
-}
+use cowslipchute_scheduler::metrics::Metrics;
+use support::Fake;
+use support::Fate;
 
 fn progress(job: u64, opened: u32) -> Change {
     Change::Progress { job, record: Record { started: true, opened, occurrences: Vec::new() } }
@@ -141,7 +28,7 @@
 
 fn open(fake: &Fake) -> Journal<Fake> {
     let epoch = fake.put(keys::SEAT, b"ours".to_vec());
-    let log = log::open("test", slog::Level::Error).unwrap();
+    let log = log::open("test", slog::Level::Error, Metrics::open().unwrap()).unwrap();
     Journal::open(fake.clone(), epoch, HashMap::new(), log)
 }
 
--- /dev/null
+++ b/bin/scheduler/tests/support/mod.rs
@@ -0,0 +1,129 @@
+//! A store in memory whose answers get lost as a test says.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use cowslipchute_ports::kv;
+use cowslipchute_ports::kv::Store;
+use cowslipchute_ports::kv::Update;
+use tokio::sync::mpsc;
+
+/// What becomes of the next transactions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It is decided, and the answer gets lost.
+    AnswerLost,
+    /// It never arrives, and the caller can't tell.
+    Dropped,
+    /// The store turns it away.
+    Refused,
+}
+
+#[derive(Debug, Default)]
+pub struct Inner {
+    pub revision: u64,
+    pub keys: BTreeMap<String, (Vec<u8>, u64)>,
+    pub fates: Vec<Fate>,
+    pub commits: usize,
+    pub entries: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Fake(pub Arc<Mutex<Inner>>);
+
+impl Fake {
+    pub fn put(&self, key: &str, value: Vec<u8>) -> u64 {
+        let mut inner = self.0.lock().unwrap();
+        inner.revision += 1;
+        let revision = inner.revision;
+        inner.keys.insert(key.to_owned(), (value, revision));
+        revision
+    }
+
+    pub fn has(&self, key: &str) -> bool {
+        self.0.lock().unwrap().keys.contains_key(key)
+    }
+}
+
+impl Inner {
+    fn decide(&mut self, txn: &kv::Txn) -> kv::Verdict {
+        self.entries = self.entries.max(txn.guards.len() + txn.changes.len());
+        let holds = txn.guards.iter().all(|guard| match guard {
+            kv::Guard::Missing(key) => !self.keys.contains_key(key),
+            kv::Guard::Unchanged(key, revision) => {
+                self.keys.get(key).is_some_and(|(_, current)| current == revision)
+            }
+            kv::Guard::Present(key) => self.keys.contains_key(key),
+        });
+        if !holds {
+            let current = txn.guards.iter().filter_map(|guard| {
+                let (kv::Guard::Missing(key)
+                | kv::Guard::Unchanged(key, _)
+                | kv::Guard::Present(key)) = guard;
+                let (value, revision) = self.keys.get(key)?;
+                let (key, value, revision) = (key.clone(), value.clone(), *revision);
+                Some(kv::Entry { key, value, revision, lease: 0 })
+            });
+            return kv::Verdict { applied: false, revision: 0, current: current.collect() };
+        }
+        self.revision += 1;
+        for change in &txn.changes {
+            match change {
+                kv::Change::Put { key, value, .. } => {
+                    self.keys.insert(key.clone(), (value.clone(), self.revision));
+                }
+                kv::Change::Delete { key } => {
+                    self.keys.remove(key);
+                }
+            }
+        }
+        kv::Verdict { applied: true, revision: self.revision, current: Vec::new() }
+    }
+}
+
+impl Store for Fake {
+    async fn read(&self, prefix: &str) -> Result<kv::Snapshot, kv::Error> {
+        let inner = self.0.lock().unwrap();
+        let found = inner.keys.iter().filter(|(key, _)| key.starts_with(prefix));
+        let entries = found.map(|(key, (value, revision))| {
+            let (key, value, revision) = (key.clone(), value.clone(), *revision);
+            kv::Entry { key, value, revision, lease: 0 }
+        });
+        Ok(kv::Snapshot { revision: inner.revision, entries: entries.collect() })
+    }
+
+    async fn commit(&self, txn: kv::Txn) -> Result<kv::Verdict, kv::Error> {
+        let mut inner = self.0.lock().unwrap();
+        inner.commits += 1;
+        let lost = || Err(kv::Error::Unknown(String::from("no answer")));
+        match inner.fates.pop() {
+            None => Ok(inner.decide(&txn)),
+            Some(Fate::AnswerLost) => {
+                inner.decide(&txn);
+                lost()
+            }
+            Some(Fate::Dropped) => lost(),
+            Some(Fate::Refused) => Err(kv::Error::Unavailable(String::from("busy"))),
+        }
+    }
+
+    async fn grant(&self, _: Duration) -> Result<kv::LeaseId, kv::Error> {
+        Ok(1)
+    }
+
+    async fn keep_alive(&self, _: kv::LeaseId) -> Result<Duration, kv::Error> {
+        Ok(Duration::from_secs(1))
+    }
+
+    async fn revoke(&self, _: kv::LeaseId) -> Result<(), kv::Error> {
+        Ok(())
+    }
+
+    async fn watch(&self, _: &str, _: u64) -> Result<mpsc::Receiver<Update>, kv::Error> {
+        Err(kv::Error::Unavailable(String::from("not watched here")))
+    }
+}
--- /dev/null
+++ b/bin/scheduler/tests/sweep.rs
@@ -0,0 +1,85 @@
+//! Ends of jobs go from the store once they are old, and only then.
+
+mod support;
+
+use std::time::Duration;
+
+use cowslipchute_scheduler::keys;
+use cowslipchute_scheduler::log;
+use cowslipchute_scheduler::metrics::Metrics;
+use cowslipchute_scheduler::sweep;
+use support::Fake;
+use support::Fate;
+
+const PERIOD: Duration = Duration::from_secs(130);
+
+/// Opens a store with an owner whose sweep runs until the runtime is dropped.
+fn sweeping(fake: &Fake) {
+    let epoch = fake.put(keys::SEAT, b"ours".to_vec());
+    let log = log::open("test", slog::Level::Error, Metrics::open().unwrap()).unwrap();
+    tokio::spawn(sweep::run(fake.clone(), epoch, PERIOD, log));
+}
+
+fn end(fake: &Fake, job: u64) {
+    fake.put(&keys::of(keys::ENDS, job), b"completed".to_vec());
+}
+
+fn ends(fake: &Fake) -> usize {
+    fake.0.lock().unwrap().keys.keys().filter(|key| key.starts_with(keys::ENDS)).count()
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_end_stays_for_a_whole_period_and_goes_after_two() {
+    let fake = Fake::default();
+    sweeping(&fake);
+    tokio::time::sleep(PERIOD / 2).await;
+    end(&fake, 7);
+    tokio::time::sleep(PERIOD).await;
+    assert_eq!(ends(&fake), 1, "it is half a period old at the first look");
+    tokio::time::sleep(PERIOD).await;
+    assert_eq!(ends(&fake), 0);
+    assert!(fake.has(keys::SEAT), "nothing else goes");
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_that_was_written_anew_counts_as_new() {
+    let fake = Fake::default();
+    sweeping(&fake);
+    end(&fake, 7);
+    tokio::time::sleep(PERIOD + PERIOD / 2).await;
+    end(&fake, 7);
+    tokio::time::sleep(PERIOD).await;
+    assert_eq!(ends(&fake), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn many_go_in_transactions_that_the_store_takes() {
+    let fake = Fake::default();
+    sweeping(&fake);
+    (0..100).for_each(|job| end(&fake, job));
+    tokio::time::sleep(PERIOD * 2 + Duration::from_secs(1)).await;
+    assert_eq!(ends(&fake), 0);
+    assert!(fake.0.lock().unwrap().entries <= 32);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_a_refused_write_left_goes_a_period_later() {
+    let fake = Fake::default();
+    sweeping(&fake);
+    end(&fake, 7);
+    fake.0.lock().unwrap().fates.push(Fate::Refused);
+    tokio::time::sleep(PERIOD * 2 + Duration::from_secs(1)).await;
+    assert_eq!(ends(&fake), 1);
+    tokio::time::sleep(PERIOD).await;
+    assert_eq!(ends(&fake), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_former_owner_removes_nothing() {
+    let fake = Fake::default();
+    sweeping(&fake);
+    end(&fake, 7);
+    fake.put(keys::SEAT, b"another's".to_vec());
+    tokio::time::sleep(PERIOD * 4).await;
+    assert_eq!(ends(&fake), 1);
+}
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -66,6 +66,7 @@
     4 StopForced Warning "The process ends with work in progress: its deadline passed or it was told twice.";
     5 StartRefused Error "A setting or address can't be used, so the process did not start.";
     6 ReloadAsked Info "A reload was asked for; what may change while the process runs is read from the store, so nothing does.";
+    7 MetricsUnreadable Warning "The metrics could not be rendered.";
     10 StoreLost Warning "The platform's store stopped answering.";
     11 StoreBack Info "The platform's store answers again.";
     12 StoreUnsettled Warning "A write got no answer and is being settled by a read.";
@@ -131,10 +132,12 @@
     265 WorkerLapsed Warning "A worker could not be reached until its deadline had surely passed; its runs are over.";
     266 WorkerReplaced Info "Another life answers at a worker's address; the earlier one's runs are over.";
     267 EventsDropped Warning "Lines of this event were left out to keep the log within its budget.";
+    268 RequestRefused Info "A client's request was not served; the result's number and the reason are given.";
     270 SeatTaken Info "This process owns the cell from now on.";
     271 SeatLost Warning "This process owns the cell no more.";
     272 SeatLeft Info "This process gave the cell up for a planned stop.";
     273 CellLoaded Info "The records of the cell are read; how many is given.";
+    274 EndsRemoved Info "Ends of jobs that nobody asks for any more were removed from the store.";
     300 ConfigApplied Info "A revision of the configuration is in force here.";
     301 ConfigIgnored Debug "An older revision of the configuration came and was ignored.";
     302 ConfigFromPeer Info "The configuration was learnt from a peer.";
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -42,6 +42,8 @@
     pub clients: SocketAddr,
     /// Where the platform asks whether it wants new connections.
     pub readiness: SocketAddr,
+    /// Where it serves its metrics.
+    pub metrics: SocketAddr,
     /// Between it and the store.
     pub store: Proxy,
     settings: PathBuf,
@@ -112,12 +114,13 @@
 
     async fn add_member(&mut self, name: &str) -> Result<()> {
         let store = proxy::open(self.site.store).await?;
-        let (clients, readiness) = (port::free()?, port::free()?);
+        let (clients, readiness, metrics) = (port::free()?, port::free()?, port::free()?);
         let peers = port::free()?.port();
         let text = self.site.settings(name, store.address, clients, readiness, peers);
         let settings = self.directory.join(format!("{name}.json"));
         fs::write(&settings, text)?;
-        let member = Member { process: None, clients, readiness, store, settings, starts: 0 };
+        let member =
+            Member { process: None, clients, readiness, metrics, store, settings, starts: 0 };
         self.members.insert(name.to_owned(), member);
         self.start(name)
     }
@@ -130,7 +133,12 @@
     pub fn start(&mut self, name: &str) -> Result<()> {
         let member = self.members.get_mut(name).context("no such member")?;
         member.starts += 1;
-        let arguments = [String::from("--settings"), member.settings.display().to_string()];
+        let arguments = [
+            String::from("--settings"),
+            member.settings.display().to_string(),
+            String::from("--metrics-port"),
+            member.metrics.port().to_string(),
+        ];
         let log = format!("{name}-{}", member.starts);
         let process = Process::spawn("cowslipchute-scheduler", &log, &self.directory, &arguments)?;
         member.process = Some(process);
@@ -185,6 +193,14 @@
         Some(self.client.delete(url).header("Host", HOST).send().await.ok()?.status())
     }
 
+    /// Reads a series of a member's metrics; nothing if it isn't there.
+    pub async fn metric(&self, member: &str, series: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.members.get(member)?.metrics);
+        let text = self.client.get(url).send().await.ok()?.text().await.ok()?;
+        let line = text.lines().find(|line| line.starts_with(series))?;
+        line.rsplit_once(' ')?.1.parse().ok()
+    }
+
     /// Waits until a member shows a job in a state.
     pub async fn await_state(&self, member: &str, id: JobId, wanted: &str) {
         await_until::some_async(&format!("the job is {wanted}"), LIMIT, || async {
--- a/crates/e2e/tests/site.rs
+++ b/crates/e2e/tests/site.rs
@@ -193,3 +193,34 @@
         assert!(deployment.site.lock().store.keys("job/").is_empty());
     });
 }
+
+#[test]
+fn metrics_and_log_tell_of_jobs_done_and_refused() {
+    block_on(async {
+        let deployment = Deployment::open("site-metrics", 2, 1).await.unwrap();
+        let owner = owner(&deployment).await;
+        let job = chain(1, 2, WORK);
+        assert_eq!(deployment.submit(&owner, 0xa1, &job).await, Some(StatusCode::OK));
+        deployment.await_state(&owner, 0xa1, "completed").await;
+        let refused = deployment.post(&owner, "/q/00000000000000a2", String::from("{")).await;
+        assert_eq!(refused, Some(StatusCode::BAD_REQUEST));
+        for (series, least) in [
+            ("cowslipchute_cell_owned", 1.0),
+            ("cowslipchute_events_total{event=\"RunEnded\"}", 2.0),
+            ("cowslipchute_job_start_seconds_count", 1.0),
+            ("cowslipchute_job_seconds_count{state=\"completed\"}", 1.0),
+            ("cowslipchute_requests_total{request=\"submit\",result=\"Served\"}", 1.0),
+            ("cowslipchute_requests_total{request=\"submit\",result=\"BadJob\"}", 1.0),
+            ("cowslipchute_workers{contact=\"answering\"}", 1.0),
+        ] {
+            let found = deployment.metric(&owner, series).await;
+            assert!(found.is_some_and(|found| found >= least), "{series}: {found:?}");
+        }
+        let log = || deployment.members[&owner].process.as_ref().unwrap().log();
+        await_until::some_async("the refusal is logged with its job", LIMIT, || async {
+            let line = log().lines().find(|line| line.contains("JobRefused"))?.to_owned();
+            (line.contains("00000000000000a2") && line.contains("1107")).then_some(())
+        })
+        .await;
+    });
+}
--- /dev/null
+++ b/crates/planner/src/census.rs
@@ -0,0 +1,78 @@
+//! Counts of what the owner knows of its cell, for its metrics.
+
+use crate::job::Place;
+use crate::planner::Planner;
+use crate::worker::Contact;
+
+/// Tasks of one kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Tasks {
+    waiting: i64,
+    placed: i64,
+}
+
+/// Counts of jobs, tasks and workers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Census {
+    queued: i64,
+    active: i64,
+    lasting: Tasks,
+    filling: Tasks,
+    short: Tasks,
+    answering: i64,
+    silent: i64,
+    unfenced: i64,
+}
+
+impl Census {
+    /// Returns the jobs by state.
+    pub fn jobs(&self) -> impl Iterator<Item = (&'static str, i64)> + use<> {
+        [("queued", self.queued), ("active", self.active)].into_iter()
+    }
+
+    /// Returns the tasks by kind and state.
+    pub fn tasks(&self) -> impl Iterator<Item = (&'static str, &'static str, i64)> + use<> {
+        let kinds = [("lasting", self.lasting), ("filling", self.filling), ("short", self.short)];
+        kinds.into_iter().flat_map(|(kind, tasks)| {
+            [(kind, "waiting", tasks.waiting), (kind, "placed", tasks.placed)]
+        })
+    }
+
+    /// Returns the workers by whether they answer.
+    pub fn workers(&self) -> impl Iterator<Item = (&'static str, i64)> + use<> {
+        let counts =
+            [("answering", self.answering), ("silent", self.silent), ("unfenced", self.unfenced)];
+        counts.into_iter()
+    }
+}
+
+impl Planner {
+    /// Counts what is known of the cell.
+    pub fn census(&self) -> Census {
+        let mut census = Census::default();
+        for (id, job) in self.jobs.iter().filter(|(_, job)| job.end.is_none()) {
+            *if job.started { &mut census.active } else { &mut census.queued } += 1;
+            for (step, state) in job.steps(*id) {
+                let spec = job.spec(step.step);
+                let tasks = if spec.long_running {
+                    &mut census.lasting
+                } else if spec.fills {
+                    &mut census.filling
+                } else {
+                    &mut census.short
+                };
+                tasks.waiting += if state.open { i64::from(state.waiting) } else { 0 };
+                let placed = |place| matches!(place, Place::At(_));
+                tasks.placed += state.tasks.iter().filter(|task| placed(task.place)).count() as i64;
+            }
+        }
+        for (_, worker) in self.workers.iter() {
+            *match worker.contact {
+                Contact::Answering { .. } => &mut census.answering,
+                Contact::Silent { .. } => &mut census.silent,
+                Contact::Unfenced { .. } => &mut census.unfenced,
+            } += 1;
+        }
+        census
+    }
+}
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod action;
 mod advice;
+mod census;
 mod colocate;
 mod end;
 pub mod event;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -19,6 +19,7 @@
 
 use crate::action::Action;
 use crate::action::Note;
+pub use crate::census::Census;
 use crate::event::Event;
 use crate::interfere::Model;
 use crate::job::Job;
--- a/crates/ports/src/job.rs
+++ b/crates/ports/src/job.rs
@@ -207,6 +207,43 @@
     }
 }
 
+/// What a client asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// To take a job in.
+    Submit,
+    /// How far a job is.
+    State,
+    /// To cancel a job.
+    Cancel,
+    /// How many jobs of a queue wait.
+    Pending,
+    /// Something that isn't served.
+    Other,
+}
+
+impl Asked {
+    /// Returns its word in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Asked::Submit => "submit",
+            Asked::State => "state",
+            Asked::Cancel => "cancel",
+            Asked::Pending => "pending",
+            Asked::Other => "other",
+        }
+    }
+}
+
+/// A client's request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// What was asked for.
+    pub asked: Asked,
+    /// The job that it named, if it named one.
+    pub job: Option<JobId>,
+}
+
 /// What clients may ask of a process.
 pub trait Desk: Clone + Send + Sync + 'static {
     /// Returns the configuration in force, if one is known yet.
@@ -234,4 +271,7 @@
 
     /// Counts the jobs of a queue of which no task has started.
     fn pending(&self, queue: &Queue) -> impl Future<Output = Result<u32, Rejection>> + Send;
+
+    /// Is told of each answer, also to requests that reached none of the other methods.
+    fn answered(&self, request: Request, outcome: Result<(), &Rejection>, took: Duration);
 }
