--- a/bin/scheduler/src/config.rs
+++ b/bin/scheduler/src/config.rs
@@ -13,7 +13,6 @@
 use crate::clock;
 use crate::event;
 use crate::log::Log;
-use crate::metrics::Metrics;
 use crate::watcher;
 use crate::watcher::Change;
 
@@ -21,10 +20,10 @@
 pub type InForce = watch::Receiver<Option<Arc<Config>>>;
 
 /// Starts following the operator's configuration.
-pub fn spawn<S: Store>(store: S, log: Log, metrics: Metrics) -> InForce {
+pub fn spawn<S: Store>(store: S, log: Log) -> InForce {
     let (sender, receiver) = watch::channel(None);
     let changes = watcher::spawn(store, operator::CONFIG, None, log.clone());
-    tokio::spawn(follow(changes, sender, log, metrics));
+    tokio::spawn(follow(changes, sender, log));
     receiver
 }
 
@@ -32,29 +31,22 @@
     mut changes: mpsc::Receiver<Change>,
     sender: watch::Sender<Option<Arc<Config>>>,
     log: Log,
-    metrics: Metrics,
 ) {
     while let Some(change) = changes.recv().await {
         match change {
             Change::All(snapshot) => {
                 for entry in snapshot.entries {
-                    take(&entry.key, &entry.value, &sender, &log, &metrics);
+                    take(&entry.key, &entry.value, &sender, &log);
                 }
             }
-            Change::Put(entry) => take(&entry.key, &entry.value, &sender, &log, &metrics),
+            Change::Put(entry) => take(&entry.key, &entry.value, &sender, &log),
             // An operator replaces the configuration and never removes it.
             Change::Deleted { .. } => {}
         }
     }
 }
 
-fn take(
-    key: &str,
-    value: &[u8],
-    sender: &watch::Sender<Option<Arc<Config>>>,
-    log: &Log,
-    metrics: &Metrics,
-) {
+fn take(key: &str, value: &[u8], sender: &watch::Sender<Option<Arc<Config>>>, log: &Log) {
     if key != operator::CONFIG {
         return;
     }
@@ -75,7 +67,7 @@
         newer
     });
     if newer {
-        metrics.configured(clock::now(), version);
+        log.metrics().configured(clock::now(), version);
         event!(log, Event::ConfigApplied, "version" => version, "queues" => queues);
     }
 }
--- a/bin/scheduler/src/desk.rs
+++ b/bin/scheduler/src/desk.rs
@@ -32,7 +32,6 @@
 use crate::link::Link;
 use crate::link::Question;
 use crate::log::Log;
-use crate::metrics::Metrics;
 use crate::seat::Holder;
 
 /// Counts of jobs that wait are asked for again after this; they may be two seconds old.
@@ -63,7 +62,6 @@
     holder: watch::Receiver<Option<Holder>>,
     counts: Arc<Mutex<Counts>>,
     log: Log,
-    metrics: Metrics,
 }
 
 /// Result of a request that was served, in the metrics.
@@ -79,9 +77,8 @@
         health: Health,
         holder: watch::Receiver<Option<Holder>>,
         log: Log,
-        metrics: Metrics,
     ) -> Desk<S> {
-        Desk { store, config, intake, link, health, holder, counts: Arc::default(), log, metrics }
+        Desk { store, config, intake, link, health, holder, counts: Arc::default(), log }
     }
 
     async fn ask_owner(&self, question: Question) -> Option<Answer> {
@@ -246,7 +243,7 @@
 
     fn answered(&self, request: job::Request, outcome: Result<(), &Rejection>, took: Duration) {
         let result = outcome.map_or_else(|rejection| rejection.code.name(), |()| SERVED);
-        self.metrics.request(request.asked.name(), result, took);
+        self.log.metrics().request(request.asked.name(), result, took);
         let Err(rejection) = outcome else { return };
         let event = match (request.asked, rejection.code) {
             (Asked::Submit, Code::StoreUnknown) => Event::JobUnsettled,
--- a/bin/scheduler/src/log.rs
+++ b/bin/scheduler/src/log.rs
@@ -107,6 +107,11 @@
 }
 
 impl Log {
+    /// Returns the metrics that count beside this log.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Writes what is gathered, before the process ends.
     pub fn flush(&self) {
         write_out(&self.buffer);
--- a/bin/scheduler/src/main.rs
+++ b/bin/scheduler/src/main.rs
@@ -19,14 +19,13 @@
         .unwrap_or_else(|error| refuse(Code::BadSetting, &error.to_string()));
     let metrics =
         Metrics::open().unwrap_or_else(|error| refuse(Code::BadSetting, &error.to_string()));
-    let log = log::open(&platform.node_name, settings.log_level, metrics.clone())
+    let log = log::open(&platform.node_name, settings.log_level, metrics)
         .unwrap_or_else(|error| refuse(Code::BindFailed, &error.to_string()));
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .unwrap_or_else(|error| refuse(Code::BindFailed, &error.to_string()));
-    let outcome =
-        runtime.block_on(process::run(platform, settings.metrics_port, log.clone(), metrics));
+    let outcome = runtime.block_on(process::run(platform, settings.metrics_port, log.clone()));
     if let Err(error) = outcome {
         let reason = format!("{error:#}");
         event!(log, Event::StartRefused, "reason" => reason.clone());
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -34,7 +34,6 @@
 use crate::journal::Outranked;
 use crate::keys;
 use crate::log::Log;
-use crate::metrics::Metrics;
 use crate::seat::Word;
 use crate::sweep;
 use crate::watcher;
@@ -71,8 +70,6 @@
     pub words: mpsc::UnboundedSender<Word>,
     /// The log.
     pub log: Log,
-    /// The metrics.
-    pub metrics: Metrics,
 }
 
 impl<S: Clone, F: Clone, A: Clone> Clone for Parts<S, F, A> {
@@ -87,7 +84,6 @@
             planner: self.planner.clone(),
             words: self.words.clone(),
             log: self.log.clone(),
-            metrics: self.metrics.clone(),
         }
     }
 }
@@ -412,7 +408,7 @@
                 let _ = self.writes.send((batch, changes));
             }
             Action::Note(note) => {
-                self.parts.metrics.note(clock::now(), &note);
+                self.parts.log.metrics().note(clock::now(), &note);
                 log_note(&self.parts.log, note);
             }
         }
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -31,7 +31,6 @@
 use crate::link;
 use crate::log::Log;
 use crate::measured::Measured;
-use crate::metrics::Metrics;
 use crate::owner;
 use crate::owner::Parts;
 use crate::seat;
@@ -58,38 +57,24 @@
 /// # Errors
 ///
 /// When an address of the settings can't be bound.
-pub async fn run(
-    settings: Settings,
-    metrics_port: Option<u16>,
-    log: Log,
-    metrics: Metrics,
-) -> anyhow::Result<()> {
+pub async fn run(settings: Settings, metrics_port: Option<u16>, log: Log) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let client = Client::open();
     let keys = Keys::open(client.clone(), settings.platform.address);
-    let store = Measured::open(keys.clone(), metrics.clone());
-    let in_force = config::spawn(store.clone(), log.clone(), metrics.clone());
+    let store = Measured::open(keys.clone(), log.metrics().clone());
+    let in_force = config::spawn(store.clone(), log.clone());
     let planner = Arc::new(Mutex::new(Planner::open(figures(&settings))));
     let own = SocketAddr::new(settings.ip, settings.internal_ports.0);
     let link =
         link::bind(own, planner.clone()).await.with_context(|| format!("can't bind {own}"))?;
     let holder =
         Holder { instance: settings.node_name.clone(), address: own, life: rand::random() };
-    let seat =
-        seat::spawn(store.clone(), holder, settings.limits.cpu_share, log.clone(), metrics.clone());
+    let seat = seat::spawn(store.clone(), holder, settings.limits.cpu_share, log.clone());
     let health = Health::default();
     let intake = intake::spawn(store.clone(), health.clone(), log.clone());
-    let desk = Desk::open(
-        store.clone(),
-        in_force.clone(),
-        intake,
-        link,
-        health,
-        seat.holder,
-        log.clone(),
-        metrics.clone(),
-    );
+    let desk =
+        Desk::open(store.clone(), in_force.clone(), intake, link, health, seat.holder, log.clone());
     let (stop, stopping) = watch::channel(false);
     let (wanted, want) = watch::channel(true);
     let clients = settings.listen.clients;
@@ -104,14 +89,14 @@
         .with_context(|| format!("can't bind {readiness}"))?;
     if let Some(port) = metrics_port {
         let address = SocketAddr::new(settings.ip, port);
-        let text = text(planner.clone(), metrics.clone(), log.clone());
+        let text = text(planner.clone(), log.clone());
         front::serve_text(address, METRICS_PATH, text, stopping)
             .await
             .with_context(|| format!("can't bind {address}"))?;
     }
     event!(log, Event::Started, "clients" => clients.to_string(), "peers" => own.to_string());
     let parts = Parts {
-        directory: Measured::open(keys.with_watch_gap(DIRECTORY_GAP), metrics.clone()),
+        directory: Measured::open(keys.with_watch_gap(DIRECTORY_GAP), log.metrics().clone()),
         store,
         fleet: Executors::open(client.clone()),
         advisor: Advice::open(client, settings.advisor),
@@ -120,7 +105,6 @@
         planner,
         words: seat.words.clone(),
         log: log.clone(),
-        metrics,
     };
     let tenure = tokio::spawn(hold_seat(parts, seat.turns));
     loop {
@@ -145,18 +129,14 @@
 }
 
 /// Renders the metrics; with what is known of the cell where this process owns it.
-fn text(
-    planner: owner::Shared,
-    metrics: Metrics,
-    log: Log,
-) -> impl Fn() -> Option<String> + Clone + Send {
+fn text(planner: owner::Shared, log: Log) -> impl Fn() -> Option<String> + Clone + Send {
     move || {
         let now = clock::now();
         let census = {
             let planner = owner::lock(&planner);
             planner.owns(now).then(|| planner.census())
         };
-        match metrics.render(now, census) {
+        match log.metrics().render(now, census) {
             Ok(text) => Some(text),
             Err(error) => {
                 event!(log, Event::MetricsUnreadable, "reason" => error.to_string());
@@ -206,7 +186,7 @@
                 tenure = Some(begin(&parts, epoch, until));
             }
             Turn::Extend { until } => {
-                parts.metrics.renewed(lease_until.saturating_sub(clock::now()));
+                parts.log.metrics().renewed(lease_until.saturating_sub(clock::now()));
                 lease_until = until;
                 if let Some(tenure) = &tenure {
                     // Its task ends only with the ownership.
@@ -218,7 +198,7 @@
                     tenure.task.abort();
                 }
                 owner::lock(&parts.planner).step(clock::now(), Fact::Disowned, &mut Vec::new());
-                parts.metrics.disowned();
+                parts.log.metrics().disowned();
                 event!(parts.log, Event::SeatLost);
             }
         }
--- a/bin/scheduler/src/seat.rs
+++ b/bin/scheduler/src/seat.rs
@@ -88,13 +88,7 @@
 }
 
 /// Starts the seat of this process.
-pub fn spawn<S: Store>(
-    store: S,
-    holder: Holder,
-    cpu_share: f64,
-    log: Log,
-    metrics: Metrics,
-) -> Handle {
+pub fn spawn<S: Store>(store: S, holder: Holder, cpu_share: f64, log: Log) -> Handle {
     let delay = CORE_DELAY.div_f64(cpu_share.clamp(0.01, 1.0))
         + SPREAD.mul_f64(rand::random_range(0.0..1.0));
     let mark = cowslipchute_planner::record::encode(&holder);
@@ -103,7 +97,7 @@
     let (words, word_receiver) = mpsc::unbounded_channel();
     let (holder_sender, holder) = watch::channel(None);
     let (result_sender, results) = mpsc::unbounded_channel();
-    let changes = watcher::spawn(store.clone(), keys::SEAT, None, log);
+    let changes = watcher::spawn(store.clone(), keys::SEAT, None, log.clone());
     let runner = Runner {
         store,
         mark: settings.mark.clone(),
@@ -111,7 +105,7 @@
         turns: turn_sender,
         holder: holder_sender,
         results: result_sender,
-        metrics,
+        metrics: log.metrics().clone(),
     };
     tokio::spawn(runner.run(changes, word_receiver, results));
     Handle { turns, words, holder }
