Follow a job through all logs with one command

`cowslipchutectl trace JOB FILE..` reads the logs of all instances, says in a few lines what became of the job, and lists what was decided about it with what happened to the owner and the store meanwhile; as a table or JSON.

--- a/bin/ctl/src/command.rs
+++ b/bin/ctl/src/command.rs
@@ -146,6 +146,19 @@
         #[bpaf(positional("INSTANCE"))]
         instance: String,
     },
+    /// Follow a job of the users' platform through the logs of all instances
+    ///
+    /// Shows what was decided about it, when and why, and what happened to the owner and the store
+    /// meanwhile. Needs no operator process.
+    #[bpaf(command)]
+    Trace {
+        /// The job's number
+        #[bpaf(positional("JOB"))]
+        job: String,
+        /// Logs, or standard input if none is given
+        #[bpaf(positional("FILE"), many)]
+        files: Vec<PathBuf>,
+    },
     /// Make the keys and certificates by which the processes know each other
     ///
     /// Without --issue a new authority and a first certificate are made. Files that exist are never
--- a/bin/ctl/src/lib.rs
+++ b/bin/ctl/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod show;
 pub mod spread;
 pub mod stream;
+pub mod trace;
--- a/bin/ctl/src/run.rs
+++ b/bin/ctl/src/run.rs
@@ -20,6 +20,8 @@
 use crate::show;
 use crate::spread;
 use crate::stream;
+use crate::trace;
+use crate::trace::Trace;
 
 /// Carries out a command and returns what is to be printed.
 ///
@@ -35,6 +37,9 @@
         };
         return Ok(made.iter().map(|path| format!("{}\n", path.display())).collect());
     }
+    if let Command::Trace { job, files } = options.command {
+        return Ok(Trace::open(trace::read(&files)?, &job)?.render(output));
+    }
     // A bad file is told also where no operator is given.
     let resources = match &options.command {
         Command::Apply { file, .. } => apply::read(file)?,
@@ -63,7 +68,7 @@
             Ok(show::events(&answer, output))
         }
         Command::Drain { instance } => drain(&client, &instance, output).await,
-        Command::Keys { .. } => unreachable!("carried out above"),
+        Command::Keys { .. } | Command::Trace { .. } => unreachable!("carried out above"),
     }
 }
 
