--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -81,6 +81,8 @@
     pub(crate) open: bool,
     /// Where the advisory service lets it run, as far as it was asked.
     pub(crate) leave: Option<Leave>,
+    /// Whether it was told that its tasks found no worker.
+    pub(crate) waits: bool,
     /// The load of a step that serves, once it was read.
     pub(crate) load: Option<Load>,
 }
@@ -136,6 +138,7 @@
             done: 0,
             open: false,
             leave: None,
+            waits: false,
             load: None,
         });
         let mut occurrence = Occurrence { number, since, steps: steps.collect() };
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cowslipchute_base::amount::Amount;
+use cowslipchute_base::event::Event as Number;
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::deployment::Queue;
@@ -102,6 +103,7 @@
             || spec.gang
             || advice.is_some();
         if !narrow && !starves && pass.refused.iter().any(|seen| seen.covers(spec)) {
+            self.note_wait(step, spec, &pass.open);
             return;
         }
         let service = self.service(step.job);
@@ -115,8 +117,11 @@
             self.place_gang(step, spec, &open);
             return;
         }
-        if !self.place_tasks(step, spec, &open) && !narrow {
-            pass.refused.push(Refused::new(spec));
+        if !self.place_tasks(step, spec, &open) {
+            self.note_wait(step, spec, &pass.open);
+            if !narrow {
+                pass.refused.push(Refused::new(spec));
+            }
         }
         if starves {
             self.place_starved(step, spec, &open);
@@ -140,6 +145,25 @@
         services
     }
 
+    /// Tells once that a step's tasks wait, and what is free meanwhile.
+    fn note_wait(&mut self, step: StepId, spec: &Step, open: &[(id::Service, Vec<WorkerId>)]) {
+        let state = self.jobs.get_mut(&step.job).and_then(|job| job.step_mut(step));
+        let Some(state) = state.filter(|state| !state.waits) else { return };
+        state.waits = true;
+        let waiting = state.waiting;
+        let workers = || open.iter().flat_map(|(_, ids)| ids).map(|&id| &self.workers[id]);
+        let free: u64 = workers().map(|worker| u64::from(worker.room().cpu_milli)).sum();
+        let most = workers().map(|worker| worker.room().cpu_milli).max().unwrap_or(0);
+        let kind = if spec.fills { "filling" } else { "reserving" };
+        let detail = format!(
+            "step {}: {waiting} tasks, {kind} {} each; free {free} in all, {most} on one of {} workers",
+            step.step,
+            spec.demand.cpu_milli,
+            workers().count()
+        );
+        self.note(Number::StepWaits, Some(step.job), None, None, detail);
+    }
+
     fn is_mostly_free(&self, open: &[(id::Service, Vec<WorkerId>)]) -> bool {
         let workers = || open.iter().flat_map(|(_, ids)| ids).map(|&id| &self.workers[id]);
         let capacity: u64 = workers().map(|worker| u64::from(worker.capacity.cpu_milli)).sum();
