--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -39,6 +39,7 @@
 mod reserve;
 mod risk;
 pub mod settings;
+mod spare;
 mod takeover;
 mod wave;
 mod worker;
--- a/crates/planner/src/wave.rs
+++ b/crates/planner/src/wave.rs
@@ -21,8 +21,6 @@
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::executor::Run;
-use cowslipchute_ports::job::StepId;
-use cowslipchute_ports::job::TaskId;
 use cowslipchute_ports::machine::Failure;
 use cowslipchute_ports::machine::Machine;
 use cowslipchute_ports::machine::Name;
@@ -31,9 +29,7 @@
 use cowslipchute_ports::machine::WaveNumber;
 
 use crate::action::Action;
-use crate::host::Stage;
 use crate::host::Why;
-use crate::job::Place;
 use crate::order::Timer;
 use crate::planner::Planner;
 use crate::worker::Contact;
@@ -58,8 +54,6 @@
 const AGAIN: Duration = Duration::from_millis(400);
 /// Part of the time that is aimed at: many machines can't be spared at once.
 const TIME_PART: f64 = 0.35;
-/// Tasks of a step that may be away at once where its client doesn't say.
-const AWAY: u32 = 1;
 
 /// How far a machine of a wave is, before and after its upkeep begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -421,69 +415,6 @@
         passing.is_empty() && self.workers[worker].unacknowledged.is_empty()
     }
 
-    /// Counts a worker's tasks that last by their steps.
-    fn lasting_steps(&self, worker: WorkerId) -> BTreeMap<StepId, Vec<Run>> {
-        let mut steps: BTreeMap<StepId, Vec<Run>> = BTreeMap::new();
-        for (run, _) in self.workers[worker].runs.iter().filter(|(_, hosted)| hosted.lasts) {
-            steps.entry(run.task.step_id()).or_default().push(*run);
-        }
-        steps
-    }
-
-    /// Tells whether every step that lasts can spare its tasks on a worker, all at once.
-    fn can_be_spared(&self, worker: WorkerId) -> bool {
-        let steps = self.lasting_steps(worker);
-        steps.iter().all(|(step, runs)| {
-            self.away_beside(*step, worker) + runs.len() <= self.most_away(*step)
-        })
-    }
-
-    /// Moves a task off a worker that runs more of one step than may be away at once.
-    fn thin_out(&mut self, worker: Option<WorkerId>) {
-        let Some(worker) = worker else { return };
-        for (step, runs) in self.lasting_steps(worker) {
-            let most = self.most_away(step);
-            let Some(&run) = runs.last().filter(|_| runs.len() > most) else { continue };
-            let moving = runs.iter().any(|run| {
-                self.workers[worker].runs.get(run).is_some_and(|hosted| hosted.is_stopping())
-            });
-            if !moving && self.away_beside(step, worker) < most {
-                self.shun(worker, run);
-                self.stop_run(worker, run, Why::Leaving);
-            }
-        }
-    }
-
-    /// Returns how many tasks of a step its client allows to be away at once.
-    fn most_away(&self, step: StepId) -> usize {
-        let job = self.jobs.get(&step.job);
-        let most = job.and_then(|job| job.spec(step.step).max_unavailable);
-        most.unwrap_or(AWAY) as usize
-    }
-
-    /// Counts a step's tasks that aren't at work, or soon won't be, beside those on one worker.
-    fn away_beside(&self, step: StepId, beside: WorkerId) -> usize {
-        let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
-        let tasks = state.into_iter().flat_map(|state| state.tasks.iter().enumerate());
-        let elsewhere = tasks.filter(|(_, task)| task.place != Place::At(beside));
-        let away = elsewhere.filter(|(index, task)| {
-            let id = step.task(*index as id::TaskIndex);
-            !self.is_at_work(id, task.place, task.attempt)
-        });
-        away.count()
-    }
-
-    fn is_at_work(&self, task: TaskId, place: Place, attempt: id::Attempt) -> bool {
-        let Place::At(worker) = place else { return false };
-        let Some(worker) = self.workers.get(worker) else { return false };
-        if worker.upkeep || !worker.answers() {
-            return false;
-        }
-        worker.runs.get(&Run { task, attempt }).is_some_and(|hosted| {
-            matches!(hosted.stage, Stage::Running { .. }) && hosted.percent >= 100
-        })
-    }
-
     fn keep_wave(&mut self, number: WaveNumber, progress: Progress) {
         let Some(upkeep) = self.waves.open.get(&number) else { return };
         let begun = upkeep.begun.iter().cloned().collect();
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -9,6 +9,7 @@
 
 mod check;
 mod machines;
+mod orders;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -28,10 +29,8 @@
 use cowslipchute_ports::deployment::Config;
 use cowslipchute_ports::deployment::Limits;
 use cowslipchute_ports::deployment::Queue;
-use cowslipchute_ports::executor::Failure;
 use cowslipchute_ports::executor::How;
 use cowslipchute_ports::executor::Registration;
-use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
@@ -363,145 +362,6 @@
         self.push(self.now + WAY, Arrival::Event(term, event));
     }
 
-    fn order(&mut self, term: u32, action: Action) {
-        if let Action::Advise { step, workers, .. } = &action {
-            self.advise(term, *step, workers);
-            return;
-        }
-        match action {
-            Action::Upkeep { wave, machine } => return self.upkeep(term, wave, &machine),
-            Action::KeepWave { wave, progress, begun } => {
-                if term == self.term {
-                    self.keep_wave(wave, progress, begun);
-                }
-                return;
-            }
-            _ => {}
-        }
-        if let Action::Hold { hold, .. } = &action {
-            let until = self.now + hold.wait;
-            self.wait(term, action, until);
-            return;
-        }
-        self.deliver(term, action);
-    }
-
-    fn advise(&mut self, term: u32, step: StepId, workers: &[id::Instance]) {
-        let rows: Vec<_> = workers
-            .iter()
-            .filter(|name| self.allowed.contains(&***name))
-            .map(|name| (name.clone(), Arc::from(format!("{step}@{name}"))))
-            .collect();
-        let at =
-            self.now + Duration::from_millis(30) + Duration::from_millis(5) * workers.len() as u32;
-        self.push(at, Arrival::Event(term, Event::Advised { step, outcome: Ok(rows) }));
-    }
-
-    /// A hold is answered when something has ended, or when its wait is over.
-    fn wait(&mut self, term: u32, action: Action, until: Time) {
-        let Action::Hold { target, hold } = &action else { return };
-        let acknowledged = hold.acknowledged;
-        let epoch = id::Epoch::from(term);
-        let worker = self.by_name(&target.name.clone());
-        let ended = worker.is_none_or(|worker| {
-            !worker.up
-                || worker.cut
-                || worker.epoch > epoch
-                || worker.ended.iter().any(|end| end.number > acknowledged)
-        });
-        if ended || self.now >= until {
-            self.deliver(term, action);
-        } else {
-            // It holds from its arrival on, whenever it is answered.
-            let (name, hold) = (target.name.clone(), *hold);
-            let now = self.now;
-            if let Some(worker) = self.by_name(&name) {
-                drop(worker.hold(epoch, &hold, now));
-            }
-            self.push(self.now + STEP, Arrival::Hold(term, action, until));
-        }
-    }
-
-    fn deliver(&mut self, term: u32, action: Action) {
-        let now = self.now;
-        let epoch = id::Epoch::from(term);
-        let (Action::Start { target, .. }
-        | Action::Stop { target, .. }
-        | Action::Pace { target, .. }
-        | Action::Hold { target, .. }) = &action
-        else {
-            return;
-        };
-        let name = target.name.clone();
-        let spec = match &action {
-            Action::Start { start, .. } => Some(self.spec(start.run)),
-            _ => None,
-        };
-        if let Action::Hold { hold, .. } = &action {
-            self.acknowledge(&name, hold.acknowledged);
-        }
-        let other_life = self.workers.values().any(|worker| {
-            worker.name.split('+').next() == name.split('+').next() && worker.name != name
-        });
-        let Some(worker) = self.by_name(&name) else {
-            let refusal = cowslipchute_ports::executor::Refusal::OtherLife;
-            let failure =
-                if other_life { Failure::Refused(refusal, None) } else { Failure::Unknown };
-            let event = failed(action, failure);
-            self.answer(term, event);
-            return;
-        };
-        if worker.cut || !worker.up {
-            let event = failed(action, Failure::Unknown);
-            self.push(now + TIMEOUT, Arrival::Event(term, event));
-            return;
-        }
-        let lost = worker.lose > 0 && !matches!(action, Action::Hold { .. });
-        if lost {
-            worker.lose -= 1;
-        }
-        let event = match action.clone() {
-            Action::Start { start, .. } => {
-                let (step, work) = spec.expect("a start has a spec");
-                let outcome = worker.start(epoch, &start, &step, work, now);
-                Event::Started { worker: name.clone(), run: start.run, outcome }
-            }
-            Action::Stop { run, .. } => {
-                Event::Stopped { worker: name.clone(), run, outcome: worker.stop(epoch, run, now) }
-            }
-            Action::Pace { run, percent, .. } => {
-                let outcome = worker.pace(epoch, run, percent, now);
-                Event::Paced { worker: name.clone(), run, percent, outcome }
-            }
-            Action::Hold { hold, .. } => {
-                Event::Held { worker: name.clone(), outcome: worker.hold(epoch, &hold, now) }
-            }
-            Action::Advise { .. }
-            | Action::Write { .. }
-            | Action::Upkeep { .. }
-            | Action::KeepWave { .. }
-            | Action::Note(_) => return,
-        };
-        if let Event::Started { run, outcome: Ok(_), .. } = &event {
-            self.starts += 1;
-            self.check_start(*run);
-        }
-        if lost {
-            let event = failed(action, Failure::Unknown);
-            self.push(now + TIMEOUT, Arrival::Event(term, event));
-        } else {
-            self.answer(term, event);
-        }
-    }
-
-    fn spec(&self, run: Run) -> (cowslipchute_ports::job::Step, Duration) {
-        let accepted =
-            self.specs.get(&run.task.job).expect("nothing is started that was not asked");
-        let step = accepted.spec.steps[usize::from(run.task.step)].clone();
-        let work = self.work.get(&run.task.job).copied().unwrap_or(step.estimate);
-        (step, work)
-    }
-
     /// A gang works from when all its runs are there; when one ends, the others do.
     fn join_gangs(&mut self) {
         let mut present: BTreeMap<(StepId, id::Attempt), u32> = BTreeMap::new();
@@ -553,27 +413,6 @@
     }
 }
 
-/// The event that tells of an order's failure.
-fn failed(action: Action, failure: Failure) -> Event {
-    match action {
-        Action::Start { target, start } => {
-            Event::Started { worker: target.name, run: start.run, outcome: Err(failure) }
-        }
-        Action::Stop { target, run } => {
-            Event::Stopped { worker: target.name, run, outcome: Err(failure) }
-        }
-        Action::Pace { target, run, percent } => {
-            Event::Paced { worker: target.name, run, percent, outcome: Err(failure) }
-        }
-        Action::Hold { target, .. } => Event::Held { worker: target.name, outcome: Err(failure) },
-        Action::Advise { .. }
-        | Action::Write { .. }
-        | Action::Upkeep { .. }
-        | Action::KeepWave { .. }
-        | Action::Note(_) => Event::Tick,
-    }
-}
-
 fn registration(worker: &Worker) -> Registration {
     // The address stays with the machine, whichever life it has.
     let machine = worker.name.split('+').next().unwrap_or_default();
