--- a/crates/planner/src/pace.rs
+++ b/crates/planner/src/pace.rs
@@ -138,13 +138,7 @@
                 && matches!(hosted.stage, Stage::Running { .. })
                 && hosted.held_back.is_some_and(|since| now >= since + MOVE_AFTER)
         };
-        let runs: Vec<Run> = self.workers[worker]
-            .runs
-            .iter()
-            .filter(|(_, hosted)| held(hosted))
-            .map(|(run, _)| *run)
-            .collect();
-        for run in runs {
+        for run in self.workers[worker].runs_where(held) {
             if self.fits_elsewhere(worker, run) {
                 self.stop_run(worker, run, Why::Harmful);
             }
--- a/crates/planner/src/progress.rs
+++ b/crates/planner/src/progress.rs
@@ -69,13 +69,7 @@
     /// Looks at what a worker's runs have done since they began.
     pub(crate) fn watch_progress(&mut self, worker: WorkerId) {
         let now = self.now;
-        let runs = &self.workers[worker].runs;
-        let still: Vec<Run> = runs
-            .iter()
-            .filter(|(_, hosted)| hosted.stands_still(now))
-            .map(|(run, _)| *run)
-            .collect();
-        for run in still {
+        for run in self.workers[worker].runs_where(|hosted| hosted.stands_still(now)) {
             self.shun(worker, run);
             self.strike(worker);
             self.stop_run(worker, run, Why::Stalled);
@@ -119,13 +113,7 @@
             let left = 1.0 - f64::from(hosted.percent) / 100.0;
             hosted.is_short() && left / speed.max(0.01) > MOVE_GAIN / usual
         };
-        let runs: Vec<Run> = self.workers[worker]
-            .runs
-            .iter()
-            .filter(|(_, hosted)| gains(hosted))
-            .map(|(run, _)| *run)
-            .collect();
-        for run in runs {
+        for run in self.workers[worker].runs_where(gains) {
             self.shun(worker, run);
             self.stop_run(worker, run, Why::Stalled);
         }
--- a/crates/planner/src/spare.rs
+++ b/crates/planner/src/spare.rs
@@ -25,8 +25,8 @@
     /// Counts a worker's tasks that last by their steps.
     fn lasting_steps(&self, worker: WorkerId) -> BTreeMap<StepId, Vec<Run>> {
         let mut steps: BTreeMap<StepId, Vec<Run>> = BTreeMap::new();
-        for (run, _) in self.workers[worker].runs.iter().filter(|(_, hosted)| hosted.lasts) {
-            steps.entry(run.task.step_id()).or_default().push(*run);
+        for run in self.workers[worker].runs_where(|hosted| hosted.lasts) {
+            steps.entry(run.task.step_id()).or_default().push(run);
         }
         steps
     }
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -249,13 +249,7 @@
 
     /// A leaving worker ends what runs on it: what lasts, or can't finish before, is moved.
     fn evacuate(&mut self, worker: WorkerId) {
-        let runs: Vec<Run> = self.workers[worker]
-            .runs
-            .iter()
-            .filter(|(_, hosted)| hosted.lasts || hosted.checkpointing)
-            .map(|(run, _)| *run)
-            .collect();
-        for run in runs {
+        for run in self.workers[worker].runs_where(|hosted| hosted.lasts || hosted.checkpointing) {
             self.stop_run(worker, run, Why::Leaving);
         }
     }
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -213,6 +213,11 @@
         Some(hosted)
     }
 
+    /// Returns the runs of which something holds.
+    pub(crate) fn runs_where(&self, holds: impl Fn(&Hosted) -> bool) -> Vec<Run> {
+        self.runs.iter().filter(|(_, hosted)| holds(hosted)).map(|(run, _)| *run).collect()
+    }
+
     pub(crate) fn room(&self) -> Amount {
         self.capacity.minus(self.reserved)
     }
