Nothing goes over the room of workers that don't refuse

Causes: (1) a run that a worker lists though its job is forgotten reserved nothing: it counts as the whole worker until it is gone. (2) an earlier owner was stopping a run whose job had ended in the store; the account doesn't list a run that is ending, so the next owner took its room for free: a worker whose service doesn't refuse is given nothing for the time of a stop after its first answer. Ruled out: a start order that arrived late (refused by its epoch), the worker's new life.

--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -152,6 +152,7 @@
             Contact::Unfenced { .. } => {
                 self.note(Number::WorkerFenced, None, None, Some(name), "");
                 self.room_changed = true;
+                self.await_stops(worker);
             }
             Contact::Silent { .. } => {
                 self.note(Number::WorkerHealthy, None, None, Some(name), "answers again");
@@ -172,6 +173,25 @@
         self.watch_progress(worker);
     }
 
+    /// Keeps a worker that takes whatever it is given from new runs until those that an earlier
+    /// owner was stopping are gone: their jobs may have ended and be forgotten, and the account
+    /// doesn't list a run that is ending. A worker that refuses needs no such pause.
+    fn await_stops(&mut self, worker: WorkerId) {
+        if self.refuses_excess(&self.workers[worker].service) {
+            return;
+        }
+        let until = self.now + self.settings.stop_time;
+        let state = &mut self.workers[worker];
+        state.closed_until = state.closed_until.max(until);
+        self.timers.insert((until, Timer::Place));
+    }
+
+    /// Tells whether the workers of a service refuse what doesn't fit; not while nobody has said so.
+    fn refuses_excess(&self, service: &id::Service) -> bool {
+        let Some(config) = &self.config else { return false };
+        config.services.iter().all(|known| known.name != *service || known.guarded)
+    }
+
     fn take_end(&mut self, worker: WorkerId, ended: Ended) {
         let state = &mut self.workers[worker];
         if ended.number <= state.seen {
@@ -232,7 +252,7 @@
         let stage = Stage::Running { since: self.now };
         let hosted = match self.jobs.get(&run.task.job).filter(|job| job.task(run.task).is_some()) {
             Some(job) => Hosted::new(job.spec(run.task.step), stage, self.now),
-            None => Hosted::stray(stage, self.now),
+            None => Hosted::stray(self.workers[worker].capacity, stage, self.now),
         };
         self.workers[worker].host(run, hosted);
         self.stop_run(worker, run, Why::Needless);
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -138,9 +138,10 @@
         }
     }
 
-    /// A run that the worker lists though we know of no place there.
-    pub(crate) fn stray(stage: Stage, now: Time) -> Hosted {
-        Hosted::new(&Step::default(), stage, now)
+    /// A run that the worker lists though nobody knows its job any more. It may take all of the
+    /// worker's room, so it counts as that until it is gone.
+    pub(crate) fn stray(capacity: Amount, stage: Stage, now: Time) -> Hosted {
+        Hosted::new(&Step { demand: capacity, ..Step::default() }, stage, now)
     }
 
     /// A run that an earlier owner placed.
--- a/crates/planner/tests/interleavings.rs
+++ b/crates/planner/tests/interleavings.rs
@@ -182,6 +182,10 @@
         let capacity = Amount { cpu_milli: 4000, memory_mib: 8000, accelerators: 0 };
         world.add_worker(&name(at), capacity, if at < 2 { "r1" } else { "r2" });
     }
+    // Half of them take whatever they are given.
+    for at in 0..WORKERS / 2 {
+        world.workers.get_mut(&name(at)).expect("workers stay").guards = false;
+    }
     world.take_over(&World::config(0, ATTEMPTS, false));
     for step in steps {
         take(&mut world, &mut jobs, &mut waves, step);
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -4,7 +4,7 @@
 //! `advised=w`); `kill` (the owner goes without a word); `job id=H [queue=q] [work=MS] [start=MS
 //! interval=MS count=N]` with a step a line (`count=N cpu=N memory=N time=MS [after=N,..]` and any of
 //! `gang`, `lasts`, `fills`, `saves`, `tight`, `image=I`, `target=MS`, `spares=N`, `apart=N`, `near=R`, `needs=L`);
-//! `cancel id=H`; `cut|heal|crash|rebirth|drain|unlist|list|fail|mend|hang|lose name=w`, `slow name=w x=N`, `load name=w
+//! `cancel id=H`; `cut|heal|crash|rebirth|drain|unlist|list|unguard|fail|mend|hang|lose name=w`, `slow name=w x=N`, `load name=w
 //! [percent=N] [swing=N] [period=MS] [rough=N] [press=(I, W, ..)]` (of its serving tasks by their own users, and what all its
 //! processors add to that when an image fills them); `harm stretch=MS all=MS` (whether fills kept a serving task over
 //! its target for no longer);
@@ -98,6 +98,7 @@
     match directive {
         "cut" => worker.cut = true,
         "heal" => worker.cut = false,
+        "unguard" => worker.guards = false,
         "fail" => worker.fails = true,
         "hang" => worker.hangs = true,
         "mend" => (worker.fails, worker.hangs, worker.slow) = (false, false, 1),
--- a/crates/planner/tests/world/check.rs
+++ b/crates/planner/tests/world/check.rs
@@ -67,9 +67,11 @@
             for (run, active) in &worker.active {
                 let other = running.insert(run.task, &worker.name);
                 assert_eq!(other, None, "{} runs twice, also on {}", run.task, worker.name);
-                if !active.step.fills {
-                    sum = sum.plus(active.step.demand);
+                let mut demand = active.step.demand;
+                if active.step.fills {
+                    demand.cpu_milli = 0;
                 }
+                sum = sum.plus(demand);
             }
             assert!(sum.fits(worker.capacity), "{} holds more than it has", worker.name);
         }
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -29,6 +29,7 @@
 use cowslipchute_ports::deployment::Config;
 use cowslipchute_ports::deployment::Limits;
 use cowslipchute_ports::deployment::Queue;
+use cowslipchute_ports::deployment::Service;
 use cowslipchute_ports::executor::How;
 use cowslipchute_ports::executor::Registration;
 use cowslipchute_ports::job::Accepted;
@@ -154,6 +155,18 @@
         self.arrivals.insert((at, self.sequence), arrival);
     }
 
+    /// A configuration whose services refuse what doesn't fit if all their workers do.
+    fn with_services(&self, config: &Arc<Config>) -> Arc<Config> {
+        let mut guarded: BTreeMap<id::Service, bool> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let service = registration(worker).service;
+            *guarded.entry(service).or_insert(true) &= worker.guards;
+        }
+        let services =
+            guarded.into_iter().map(|(name, guarded)| Service { name, guarded, standby: false });
+        Arc::new(Config { services: services.collect(), ..Config::clone(config) })
+    }
+
     /// A new owner takes the cell over; whatever the former one had on its way goes on.
     pub fn take_over(&mut self, config: &Arc<Config>) {
         self.term += 1;
@@ -161,9 +174,10 @@
         let mut actions = Vec::new();
         let jobs = self.jobs.iter().map(|(id, job)| (*id, job.clone())).collect();
         let records = self.records.iter().map(|(id, record)| (*id, record.clone())).collect();
+        let config = self.with_services(config);
         let events = [
             Event::Wall { wall: self.now },
-            Event::Config { config: config.clone() },
+            Event::Config { config },
             Event::Owned { epoch: self.term.into(), jobs, records, learnt: None },
             Event::Renewed { until: self.now + LEASE },
         ];
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -70,6 +70,8 @@
     pub cut: bool,
     /// Whether it is about to leave.
     pub draining: bool,
+    /// It refuses what doesn't fit.
+    pub guards: bool,
     /// It fails all that it starts.
     pub fails: bool,
     /// What runs there makes no progress.
@@ -109,6 +111,7 @@
             listed: true,
             cut: false,
             draining: false,
+            guards: true,
             fails: false,
             hangs: false,
             slow: 1,
@@ -235,7 +238,7 @@
         if step.fills {
             demand.cpu_milli = 0;
         }
-        if !self.reserved().plus(demand).fits(self.capacity) {
+        if self.guards && !self.reserved().plus(demand).fits(self.capacity) {
             return Err(self.no(Refusal::Room, now));
         }
         let before = start.checkpoint.as_ref().and_then(|text| text.rsplit(':').next());
