--- a/crates/planner/src/load.rs
+++ b/crates/planner/src/load.rs
@@ -44,7 +44,7 @@
     slope: f64,
     /// Variances of the level, of both together, and of the slope.
     variance: [f64; 3],
-    /// How badly it foretold the latest readings: less their logarithmic likelihood, twice.
+    /// How badly it foretold the latest readings: minus twice their logarithmic likelihood.
     misfit: f64,
 }
 
--- a/crates/planner/src/pace.rs
+++ b/crates/planner/src/pace.rs
@@ -22,7 +22,6 @@
 use crate::planner::Planner;
 use crate::risk::cost;
 use crate::risk::fill_value;
-
 use crate::worker::Worker;
 use crate::worker::WorkerId;
 
