--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -61,7 +61,7 @@
 pub async fn run(settings: Settings, metrics_port: Option<u16>, log: Log) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
-    let client = Client::open();
+    let client = Client::open(settings.limits.idle_connections());
     let keys = Keys::open(client.clone(), settings.platform.address);
     let health = Health::default();
     let store = Measured::open(keys.clone(), log.metrics().clone(), health.clone());
