Starts are sent as fast as a part of the link carries

The bound is what the link carries: one owner can't start more, which is for the work of several instances.

--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -181,6 +181,7 @@
         checkpoint_interval: bounds.checkpoint_interval,
         remote_factor: bounds.remote_factor,
         harm_time: bounds.impact_ms,
+        link: settings.limits.link(),
         stop_time: bounds.stop_timeout_ms,
         ..defaults
     }
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -154,6 +154,11 @@
         self.fills && self.paced != Some(self.pace) && !self.pacing
     }
 
+    /// Tells whether its start is due once more, after an answer has stayed out.
+    pub(crate) fn is_repeat(&self) -> bool {
+        matches!(self.stage, Stage::Starting { order: Order::Due(_), unsettled: true })
+    }
+
     pub(crate) fn serves(&self) -> bool {
         self.target.is_some()
     }
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod record;
 mod reserve;
 mod risk;
+mod sending;
 pub mod settings;
 mod spare;
 mod takeover;
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -21,6 +21,7 @@
 use crate::host::Stage;
 use crate::host::Why;
 use crate::planner::Planner;
+use crate::sending::SENDING_LOOK;
 use crate::worker::Reading;
 use crate::worker::WorkerId;
 
@@ -85,10 +86,15 @@
     }
 
     fn send_order(&mut self, worker: WorkerId, run: Run) {
-        let Some(state) = self.workers.get_mut(worker) else { return };
+        let Some(state) = self.workers.get(worker) else { return };
         let Some(target) = state.target() else { return };
         let answers = state.answers();
-        let Some(hosted) = state.runs.get_mut(&run) else { return };
+        let Some(hosted) = state.runs.get(&run) else { return };
+        if hosted.is_repeat() && answers && !self.may_repeat(run) {
+            self.schedule(worker, run, SENDING_LOOK);
+            return;
+        }
+        let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         let wants_pace = hosted.wants_pace();
         match &mut hosted.stage {
             // A start gives a deadline too, and a silent worker is given none.
@@ -115,6 +121,16 @@
         }
     }
 
+    /// Tells whether a start may be sent once more now, which takes as much of the link as the first time.
+    fn may_repeat(&mut self, run: Run) -> bool {
+        let allowed = self.sending.allows(self.now);
+        if allowed {
+            let job = self.jobs.get(&run.task.job);
+            self.sending.spend(job.map_or(0, |job| job.accepted.spec.payload.len()));
+        }
+        allowed
+    }
+
     fn send_start(&mut self, worker: WorkerId, run: Run) {
         let Some(deadline) = self.grant(worker) else { return };
         let Some(target) = self.workers[worker].target() else { return };
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -26,6 +26,7 @@
 use crate::job::Task;
 use crate::order::Timer;
 use crate::planner::Planner;
+use crate::sending::SENDING_LOOK;
 use crate::worker::WorkerId;
 
 /// How long a task that lasts may wait beside free room, which is kept for short ones: after three
@@ -284,6 +285,10 @@
         self.ratings += open.len() as u64;
         let mut rated = self.rated(&request, open);
         for (index, waiting_since) in tasks {
+            if !self.sending.allows(self.now) && !self.starves(step) {
+                self.timers.insert((self.now + SENDING_LOOK, Timer::Place));
+                return true;
+            }
             spare -= f64::from(spec.demand.cpu_milli);
             if spare < 0.0 && self.now < waiting_since + RESERVE_WAIT {
                 self.timers.insert((self.now + RESERVE_LOOK, Timer::Place));
@@ -385,6 +390,7 @@
         let now = self.now;
         self.touch(task.job);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        self.sending.spend(job.accepted.spec.payload.len());
         let state = job.task_mut(task);
         state.attempt += 1;
         let run = Run { task, attempt: state.attempt };
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -28,6 +28,7 @@
 use crate::occurrence::Calendar;
 use crate::order::Timer;
 use crate::reserve::Reserve;
+use crate::sending::Sending;
 use crate::settings::Settings;
 use crate::wave::Waves;
 use crate::worker::Worker;
@@ -75,6 +76,8 @@
     /// Work of tasks that fill and found no room in the last placing pass, in seconds of the whole
     /// cell's work.
     pub(crate) fill_backlog: f64,
+    /// How fast starts may be sent.
+    pub(crate) sending: Sending,
     /// When tasks that fill are placed again.
     pub(crate) fills_at: Time,
     /// How often a worker was rated for a step that waits, in this ownership.
@@ -93,6 +96,7 @@
     /// Opens a planner that owns nothing yet.
     pub fn open(settings: Settings) -> Planner {
         Planner {
+            sending: Sending::open(settings.link),
             settings,
             now: Time::ZERO,
             epoch: None,
--- a/crates/planner/src/settings.rs
+++ b/crates/planner/src/settings.rs
@@ -23,6 +23,8 @@
     pub checkpoint_interval: Duration,
     /// How much longer work away from its data or its rack takes.
     pub remote_factor: f64,
+    /// Bytes a second that the link of this instance carries, where that is known.
+    pub link: Option<f64>,
     /// How long a stop may take until the worker's next answer should show it.
     pub stop_time: Duration,
 }
@@ -38,6 +40,7 @@
             harm_time: Duration::from_secs(4),
             checkpoint_interval: Duration::from_secs(2),
             remote_factor: 2.0,
+            link: None,
             stop_time: Duration::from_millis(900),
         }
     }
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -1,8 +1,8 @@
 //! Runs the scenario files of `filetests`. Each file is one world.
 //!
 //! Directives: `worker name=w cpu=N [memory=N] [rack=R] [count=N]`; `own` (a new owner takes over, `attempts=N`, `advised=w`);
-//! `kill` (the owner goes without a word); `busy ms=N` (its orders leave so much later than it decides on them); `job
-//! id=H [queue=q] [work=MS] [start=MS interval=MS count=N]` with a step a line (`count=N cpu=N memory=N time=MS
+//! `kill` (the owner goes without a word); `busy ms=N` (its orders leave so much later than it decides on them); `link rate=N` (bytes a second
+//! of the link of owners from then on); `job id=H [queue=q] [payload=N] [work=MS] [start=MS interval=MS count=N]` with a step a line (`count=N cpu=N memory=N time=MS
 //! [after=N,..]` and any of `gang`, `lasts`, `fills`, `saves`, `tight`, `image=I`, `target=MS`, `spares=N`, `apart=N`,
 //! `near=R`, `needs=L`); `foreign name=e at=w [service=S]` (an entry of another writer at a worker's address); `cancel
 //! id=H`; `cut|heal|crash|rebirth|drain|unlist|list|unguard|fail|mend|hang|lose name=w`, `late name=w [orders=N]
@@ -75,6 +75,10 @@
             world.take_over(&config);
         }
         "kill" => world.kill_owner(),
+        "link" => {
+            world.link =
+                Some(world::link::Link::open(number(case, "rate").expect("bytes a second")));
+        }
         "busy" => world.order_delay = Duration::from_millis(number(case, "ms").unwrap_or(0)),
         "job" => submit(world, case),
         "cancel" => world.cancel(id(case)),
@@ -191,7 +195,11 @@
     let accepted = Accepted {
         queue: arg(case, "queue").unwrap_or("q").into(),
         service: "desk".into(),
-        spec: Spec { payload: "payload".into(), steps, schedule },
+        spec: Spec {
+            payload: "p".repeat(number(case, "payload").unwrap_or(8)).into(),
+            steps,
+            schedule,
+        },
         cancelled: false,
     };
     if let Some(work) = number(case, "work") {
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -8,6 +8,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
 mod check;
+pub mod link;
 mod machines;
 mod orders;
 
@@ -30,6 +31,7 @@
 use cowslipchute_ports::deployment::Limits;
 use cowslipchute_ports::deployment::Queue;
 use cowslipchute_ports::deployment::Service;
+use cowslipchute_ports::executor::Failure;
 use cowslipchute_ports::executor::How;
 use cowslipchute_ports::executor::Registration;
 use cowslipchute_ports::job::Accepted;
@@ -85,6 +87,8 @@
     pub renewals: bool,
     /// How long the owner's orders, but holds, wait until it has the time to send them.
     pub order_delay: Duration,
+    /// The owner's link, if it is narrow.
+    pub link: Option<link::Link>,
     arrivals: BTreeMap<(Time, u64), Arrival>,
     sequence: u64,
     /// Ends that are acknowledged for good.
@@ -116,6 +120,7 @@
             store_delay: Duration::from_millis(4),
             renewals: true,
             order_delay: Duration::ZERO,
+            link: None,
             arrivals: BTreeMap::new(),
             sequence: 0,
             acknowledged: BTreeSet::new(),
@@ -178,7 +183,8 @@
     pub fn take_over(&mut self, config: &Arc<Config>) {
         self.term += 1;
         self.owned_at = self.now;
-        let mut planner = Planner::open(Settings::default());
+        let link = self.link.as_ref().map(|link| link.rate);
+        let mut planner = Planner::open(Settings { link, ..Settings::default() });
         let mut actions = Vec::new();
         let jobs = self.jobs.iter().map(|(id, job)| (*id, job.clone())).collect();
         let records = self.records.iter().map(|(id, record)| (*id, record.clone())).collect();
@@ -300,10 +306,9 @@
             self.join_gangs();
             self.advance_machines();
             if self.renewals && self.store_up {
-                self.push(
-                    self.now,
-                    Arrival::Event(self.term, Event::Renewed { until: self.now + LEASE }),
-                );
+                let queue = self.link.as_ref().map_or(Duration::ZERO, |link| link.queue(self.now));
+                let renewed = Event::Renewed { until: self.now + LEASE };
+                self.push(self.now + queue, Arrival::Event(self.term, renewed));
             }
             while let Some((&key, _)) = self.arrivals.first_key_value() {
                 if key.0 > self.now {
@@ -341,20 +346,32 @@
                     self.notes.push(text.trim_end().to_owned());
                 }
                 Action::Write { batch, changes } => {
-                    self.push(
-                        self.now + self.store_delay / 2,
-                        Arrival::Write(term, batch, changes),
-                    );
+                    let queue = self.transmit(link::write_bytes(&changes));
+                    let at = self.now + queue + self.store_delay / 2;
+                    self.push(at, Arrival::Write(term, batch, changes));
                 }
                 order => {
                     let asks = matches!(order, Action::Hold { .. });
                     let delay = if asks { Duration::ZERO } else { self.order_delay };
-                    self.push(self.now + delay + WAY, Arrival::Order(term, order));
+                    let now = self.now;
+                    let queue = self.transmit(link::order_bytes(&order));
+                    if queue > TIMEOUT {
+                        let event = orders::failed(order, Failure::Unknown);
+                        self.push(now + TIMEOUT, Arrival::Event(term, event));
+                    } else {
+                        self.push(now + queue + delay + WAY, Arrival::Order(term, order));
+                    }
                 }
             }
         }
     }
 
+    /// Sends bytes over the owner's link; returns when the last of them has left.
+    fn transmit(&mut self, bytes: usize) -> Duration {
+        let now = self.now;
+        self.link.as_mut().map_or(Duration::ZERO, |link| link.send(now, bytes))
+    }
+
     fn arrive(&mut self, arrival: Arrival) {
         match arrival {
             Arrival::Event(term, event) => {
--- a/crates/planner/tests/world/orders.rs
+++ b/crates/planner/tests/world/orders.rs
@@ -213,7 +213,7 @@
 }
 
 /// The event that tells of an order's failure.
-fn failed(action: Action, failure: Failure) -> Event {
+pub(super) fn failed(action: Action, failure: Failure) -> Event {
     match action {
         Action::Start { target, start } => {
             Event::Started { worker: target.name, run: start.run, outcome: Err(failure) }
