--- a/bin/measure/src/lib.rs
+++ b/bin/measure/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod capacity;
 pub mod loopback;
 pub mod memory;
+pub mod passes;
 pub mod processor;
 pub mod requests;
 pub mod sample;
--- a/bin/measure/src/main.rs
+++ b/bin/measure/src/main.rs
@@ -5,6 +5,7 @@
 use cowslipchute_measure::capacity;
 use cowslipchute_measure::loopback;
 use cowslipchute_measure::loopback::drive;
+use cowslipchute_measure::passes;
 use cowslipchute_measure::requests;
 use cowslipchute_measure::tasks;
 
@@ -29,6 +30,9 @@
     /// Slopes of each role's cost, and what they come to at the size of two years from now
     #[bpaf(command)]
     Capacity,
+    /// What an owner's turns cost by the size of its cell
+    #[bpaf(command)]
+    Passes,
     /// Load over loopback against the running entry and its backend server, in turns
     #[bpaf(command)]
     Entry {
@@ -86,6 +90,10 @@
     match command().run() {
         Command::Requests { seed, case, json } => print_requests(&seed, case.as_deref(), json),
         Command::Capacity => print_capacity(),
+        Command::Passes => {
+            print!("{}", passes::report::markdown());
+            Ok(())
+        }
         Command::Entry { entry, direct, pid, seconds, connections, rate } => {
             print_entry(&drive::Plan { entry, direct, pid, seconds, connections, rate })
         }
