An entry of the directory that says the same as before sets nothing going

Cause: workers refresh their entries each second or two; at 3,000 workers 2,000 of them a second each set a hold's timer and asked for a placing pass, also where nothing waits. Tests: crates/planner/tests/listing.rs, the first of which failed before. The check that a service is still named comes first, as before.

--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -188,8 +188,12 @@
             self.set_aside(registration);
             return;
         }
+        let known = self.names.get(&registration.name).map(|&worker| &self.workers[worker]);
+        if known.is_some_and(|worker| worker.is_listed_as(registration)) {
+            return;
+        }
         self.strangers.remove(&registration.name);
-        let known = self.names.contains_key(&registration.name);
+        let known = known.is_some();
         let worker = self.ensure_worker(&registration.name);
         let was_draining = self.workers[worker].draining;
         let was_nowhere = self.workers[worker].address.is_none();
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -179,6 +179,18 @@
         self.listed = true;
     }
 
+    /// Tells whether the directory said the same before. Workers refresh their entries each second or two.
+    pub(crate) fn is_listed_as(&self, registration: &Registration) -> bool {
+        self.listed
+            && self.address == Some(registration.address)
+            && self.draining == registration.draining
+            && self.capacity == registration.capacity
+            && self.service == registration.service
+            && self.domain == registration.domain
+            && self.labels == registration.labels
+            && self.rack == registration.rack
+    }
+
     pub(crate) fn target(&self) -> Option<Target> {
         Some(Target { name: self.name.clone(), address: self.address? })
     }
--- /dev/null
+++ b/crates/planner/tests/listing.rs
@@ -0,0 +1,83 @@
+//! What the directory's entries set going, which workers refresh each second or two.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cowslipchute_base::amount::Amount;
+use cowslipchute_base::id::Time;
+use cowslipchute_planner::event::Event;
+use cowslipchute_planner::planner::Planner;
+use cowslipchute_planner::settings::Settings;
+use cowslipchute_ports::deployment::Config;
+use cowslipchute_ports::deployment::Limits;
+use cowslipchute_ports::deployment::Service;
+use cowslipchute_ports::executor::Registration;
+use cowslipchute_ports::executor::Report;
+
+const NOW: Time = Duration::from_secs(1000);
+
+fn config() -> Arc<Config> {
+    let limits = Limits {
+        head: 1 << 14,
+        body: 1 << 18,
+        head_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    };
+    let services = vec![Service { name: "desk".into(), guarded: true, standby: false }];
+    Arc::new(Config { version: 1, queues: Vec::new(), services, limits })
+}
+
+fn registration() -> Registration {
+    Registration {
+        name: "worker".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        service: "desk".into(),
+        domain: "domain".into(),
+        draining: false,
+        capacity: Amount { cpu_milli: 32_000, memory_mib: 128_000, accelerators: 0 },
+        labels: [Arc::from("a")].into_iter().collect(),
+        rack: Some("rack".into()),
+        cold: Duration::ZERO,
+    }
+}
+
+/// An owner whose only worker has been listed and has answered.
+fn owner() -> Planner {
+    let mut planner = Planner::open(Settings::default());
+    let (jobs, records) = (Vec::new(), Vec::new());
+    let events = [
+        Event::Config { config: config() },
+        Event::Owned { epoch: 1, jobs, records, learnt: None },
+        Event::Renewed { until: NOW + Duration::from_secs(60) },
+        Event::Listed { registration: registration() },
+    ];
+    for event in events {
+        planner.step(NOW, event, &mut Vec::new());
+    }
+    planner.settle(NOW, &mut Vec::new());
+    let outcome = Ok(Report { clock: 5000, ..Report::default() });
+    planner.step(NOW, Event::Held { worker: "worker".into(), outcome }, &mut Vec::new());
+    let later = NOW + Duration::from_secs(1);
+    planner.settle(later, &mut Vec::new());
+    planner.settle(later + Duration::from_secs(1), &mut Vec::new());
+    planner
+}
+
+#[test]
+fn an_entry_that_says_the_same_sets_nothing_going() {
+    let now = NOW + Duration::from_secs(3);
+    let mut planner = owner();
+    let due = planner.next_due();
+    planner.step(now, Event::Listed { registration: registration() }, &mut Vec::new());
+    assert_eq!(planner.next_due(), due);
+}
+
+#[test]
+fn an_entry_that_says_something_else_is_acted_on_at_once() {
+    let now = NOW + Duration::from_secs(3);
+    let mut planner = owner();
+    let changed = Registration { draining: true, ..registration() };
+    planner.step(now, Event::Listed { registration: changed }, &mut Vec::new());
+    assert!(planner.next_due().is_some_and(|due| due <= now));
+}
