--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -222,8 +222,16 @@
                     Some(event) => events.push(event),
                     None => return,
                 },
-                Some(change) = jobs.recv() => self.job_changed(change, &mut events),
-                Some(change) = workers.recv() => self.worker_changed(change, &mut events),
+                Some(change) = jobs.recv() => {
+                    for change in watcher::gathered(change, &mut jobs) {
+                        self.job_changed(change, &mut events);
+                    }
+                }
+                Some(change) = workers.recv() => {
+                    for change in watcher::gathered(change, &mut workers) {
+                        self.worker_changed(change, &mut events);
+                    }
+                }
                 Ok(()) = config.changed() => {
                     if let Some(config) = config.borrow_and_update().clone() {
                         events.push(Event::Config { config });
@@ -234,9 +242,6 @@
             while let Ok(event) = inbox.try_recv() {
                 events.push(event);
             }
-            while let Ok(change) = jobs.try_recv() {
-                self.job_changed(change, &mut events);
-            }
             while self.tasks.try_join_next().is_some() {}
         }
     }
--- a/bin/scheduler/src/watcher.rs
+++ b/bin/scheduler/src/watcher.rs
@@ -36,6 +36,16 @@
     },
 }
 
+/// Returns a change with all that wait behind it, in order. Whoever takes one change a turn falls behind
+/// those who make them as soon as there are more changes than turns.
+pub fn gathered(first: Change, changes: &mut mpsc::Receiver<Change>) -> Vec<Change> {
+    let mut all = vec![first];
+    while let Ok(change) = changes.try_recv() {
+        all.push(change);
+    }
+    all
+}
+
 /// Starts following a prefix until the receiver is dropped. With `after`, what the prefix held at
 /// that revision is known already. With `health`, it is told there whether the store
 /// answers: a waiting watch is often the first to be cut.
