--- a/bin/measure/src/capacity/report.rs
+++ b/bin/measure/src/capacity/report.rs
@@ -28,7 +28,7 @@
 # Capacity
 
 This page is the output of `cargo run --release -p cowslipchute-measure -- capacity`; nothing on it
-is edited by hand. It tells what each role costs at the size that is expected within two years, and
+is edited by hand but its last section, whose text stands beside the program. It tells what each role costs at the size that is expected within two years, and
 which limits the present design then misses. Counts of bytes are exact and repeat. Times are processor
 time of one thread on the machine that printed them; with that machine's other work they vary by up to
 a factor of two between runs. Slopes are least-squares lines; the residual is the root of
@@ -40,6 +40,9 @@
 [MEASUREMENTS.md](MEASUREMENTS.md).
 ";
 
+/// What the scheduler costs on the users' platform, measured there and kept as text.
+const PLATFORM: &str = include_str!("platform.md");
+
 /// Renders the whole page.
 pub fn markdown(costs: &Costs, urgent: &Figures) -> String {
     let mut out = String::from(HEAD);
@@ -53,6 +56,7 @@
     store(&mut out, costs);
     times(&mut out, urgent);
     misses::list(&mut out, costs, urgent);
+    out.push_str(PLATFORM);
     out
 }
 
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -156,6 +156,14 @@
         }
     }
 
+    /// Returns what a task would cost a worker's serving tasks, in the worker's processors; nothing for one
+    /// that doesn't fill.
+    pub(crate) fn cost(&self, worker: &Worker, request: &Request<'_>) -> f64 {
+        let Some(press) = &request.press else { return 0.0 };
+        let part = share(request.step.demand.cpu_milli, worker);
+        self.beside(worker).added_cost(press, part)
+    }
+
     /// Rates a worker for a task that fills; nothing where its work doesn't pay.
     fn fill_rate(&self, worker: &Worker, step: &Step, press: &Press) -> Option<f64> {
         let beside = self.beside(worker);
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod action;
 mod advice;
 mod census;
+mod choice;
 mod colocate;
 mod end;
 pub mod event;
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -1,7 +1,5 @@
 //! The placing pass: what waits, in order, onto the workers that have room.
 
-use std::cmp::Ordering;
-use std::collections::BinaryHeap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,8 +15,6 @@
 use cowslipchute_ports::job::TaskId;
 use foldhash::HashMap;
 
-use crate::colocate::NO_IMAGE;
-use crate::colocate::share;
 use crate::fit::Request;
 use crate::host::Hosted;
 use crate::host::Stage;
@@ -68,34 +64,6 @@
     fills: bool,
 }
 
-/// A worker that may take a task. Of equal ones the lower index comes first, so that the order in which
-/// they were asked is of no matter.
-#[derive(Clone, Copy, Debug)]
-struct Rated {
-    rate: f64,
-    worker: WorkerId,
-}
-
-impl Ord for Rated {
-    fn cmp(&self, other: &Rated) -> Ordering {
-        self.rate.total_cmp(&other.rate).then_with(|| other.worker.cmp(&self.worker))
-    }
-}
-
-impl PartialOrd for Rated {
-    fn partial_cmp(&self, other: &Rated) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl PartialEq for Rated {
-    fn eq(&self, other: &Rated) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-
-impl Eq for Rated {}
-
 impl Refused {
     fn new(spec: &Step) -> Refused {
         let filling = spec.fills.then(|| spec.image.clone());
@@ -255,11 +223,7 @@
         let task = step.task(index as u32);
         let request = Request::new(&self.model, task, spec);
         let roomy = open.iter().filter(|&&id| self.has_room(&self.workers[id], &request));
-        let press = self.model.press(&spec.image.clone().unwrap_or_else(|| NO_IMAGE.into()));
-        let cost = |id: WorkerId| {
-            let worker = &self.workers[id];
-            self.beside(worker).added_cost(&press, share(spec.demand.cpu_milli, worker))
-        };
+        let cost = |id: WorkerId| self.cost(&self.workers[id], &request);
         let cheapest = roomy.min_by(|&&a, &&b| cost(a).total_cmp(&cost(b)));
         if let Some(&worker) = cheapest {
             self.intend(task, worker);
@@ -308,42 +272,6 @@
         true
     }
 
-    /// Rates the workers that may take a task of a step.
-    fn rated(&self, request: &Request<'_>, open: &[WorkerId]) -> BinaryHeap<Rated> {
-        let rated = open.iter().filter_map(|&worker| {
-            Some(Rated { rate: self.rate(&self.workers[worker], request)?, worker })
-        });
-        rated.collect()
-    }
-
-    /// Chooses the best of rated workers for one more task of the step; one that it shuns only if there
-    /// is no other. What a worker is given changes its own rating alone, so only the best is rated anew.
-    fn choose_rated(
-        &self,
-        request: &Request<'_>,
-        shunned: Option<WorkerId>,
-        rated: &mut BinaryHeap<Rated>,
-    ) -> Option<WorkerId> {
-        let mut last_choice = None;
-        let mut chosen = None;
-        while let Some(best) = rated.pop() {
-            if shunned == Some(best.worker) && last_choice.is_none() {
-                last_choice = Some(best.worker);
-                continue;
-            }
-            let Some(rate) = self.rate(&self.workers[best.worker], request) else { continue };
-            rated.push(Rated { rate, worker: best.worker });
-            if rate >= best.rate {
-                chosen = Some(best.worker);
-                break;
-            }
-        }
-        let Some(worker) = last_choice else { return chosen };
-        let Some(rate) = self.rate(&self.workers[worker], request) else { return chosen };
-        rated.push(Rated { rate, worker });
-        chosen.or(Some(worker))
-    }
-
     /// Returns the thousandths of a processor that tasks which last may still take.
     fn spare_for_lasting(&self, open: &[WorkerId]) -> f64 {
         let mut capacity = 0.0;
