Sight: who is placed while a step waits, and how jobs are served by their size

Logs told that a step waits and what is free, but not where the room went nor who was passed by whom. Event 281 says it each four seconds a step waits, JobKnown tells a job's size, and cowslipchutectl sizes shows by tenths of a queue's jobs, by work, demand of a task, count of tasks and length, how many were done in time and at all. No decision changes.

--- a/bin/ctl/src/command.rs
+++ b/bin/ctl/src/command.rs
@@ -159,6 +159,16 @@
         #[bpaf(positional("FILE"), many)]
         files: Vec<PathBuf>,
     },
+    /// Show how jobs of the users' platform were served by their size, from the logs of all instances
+    ///
+    /// For each queue and each tenth of its jobs: the part that was done in time, and the part that was
+    /// done at all before it counted as lost. Needs no operator process.
+    #[bpaf(command)]
+    Sizes {
+        /// Logs, or standard input if none is given
+        #[bpaf(positional("FILE"), many)]
+        files: Vec<PathBuf>,
+    },
     /// Make the keys and certificates by which the processes know each other
     ///
     /// Without --issue a new authority and a first certificate are made. Files that exist are never
--- a/bin/ctl/src/lib.rs
+++ b/bin/ctl/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod output;
 pub mod run;
 pub mod show;
+pub mod sizes;
 pub mod spread;
 pub mod stream;
+
 pub mod trace;
--- a/bin/ctl/src/run.rs
+++ b/bin/ctl/src/run.rs
@@ -18,6 +18,7 @@
 use crate::keys;
 use crate::output::Format;
 use crate::show;
+use crate::sizes;
 use crate::spread;
 use crate::stream;
 use crate::trace;
@@ -40,6 +41,9 @@
     if let Command::Trace { job, files } = options.command {
         return Ok(Trace::open(trace::read(&files)?, &job)?.render(output));
     }
+    if let Command::Sizes { files } = options.command {
+        return Ok(sizes::Report::open(trace::read(&files)?).render(output));
+    }
     // A bad file is told also where no operator is given.
     let resources = match &options.command {
         Command::Apply { file, .. } => apply::read(file)?,
@@ -68,7 +72,9 @@
             Ok(show::events(&answer, output))
         }
         Command::Drain { instance } => drain(&client, &instance, output).await,
-        Command::Keys { .. } | Command::Trace { .. } => unreachable!("carried out above"),
+        Command::Keys { .. } | Command::Trace { .. } | Command::Sizes { .. } => {
+            unreachable!("carried out above")
+        }
     }
 }
 
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod event;
 pub mod id;
 pub mod name;
+pub mod size;
 pub mod table;
 pub mod unit;
--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -5,6 +5,7 @@
 
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
+use cowslipchute_base::size::Size;
 use cowslipchute_ports::deployment::Config;
 use cowslipchute_ports::job;
 use cowslipchute_ports::job::Accepted;
@@ -81,8 +82,8 @@
     pub(crate) open: bool,
     /// Where the advisory service lets it run, as far as it was asked.
     pub(crate) leave: Option<Leave>,
-    /// Whether it was told that its tasks found no worker.
-    pub(crate) waits: bool,
+    /// When it was last told that its tasks found no worker.
+    pub(crate) told_waiting: Option<Time>,
     /// The load of a step that serves, once it was read.
     pub(crate) load: Option<Load>,
 }
@@ -138,7 +139,7 @@
             done: 0,
             open: false,
             leave: None,
-            waits: false,
+            told_waiting: None,
             load: None,
         });
         let mut occurrence = Occurrence { number, since, steps: steps.collect() };
@@ -220,6 +221,24 @@
         job
     }
 
+    /// Returns how soon its client wants an occurrence to be done.
+    pub(crate) fn objective(&self) -> Duration {
+        self.chain.mul_f64(self.terms.slack) + self.terms.allowance
+    }
+
+    /// Returns how large one occurrence of it is.
+    pub(crate) fn size(&self) -> Size {
+        let steps = &self.accepted.spec.steps;
+        Size {
+            queue: self.accepted.queue.to_string(),
+            tasks: steps.iter().map(|step| step.count).sum(),
+            work: self.work,
+            widest_milli: steps.iter().map(|step| step.demand.cpu_milli).max().unwrap_or(0),
+            chain: self.chain,
+            objective: self.objective(),
+        }
+    }
+
     /// Returns how many occurrences the job has in all.
     fn total(&self) -> u32 {
         self.accepted.spec.schedule.map_or(1, |schedule| schedule.count)
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -33,6 +33,7 @@
 mod occurrence;
 mod order;
 mod pace;
+mod passed;
 mod place;
 pub mod planner;
 mod progress;
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -21,6 +21,8 @@
 use crate::job::Place;
 use crate::job::Task;
 use crate::order::Timer;
+use crate::passed::PASSED_LOOK;
+use crate::passed::Placement;
 use crate::planner::Planner;
 use crate::sending::SENDING_LOOK;
 use crate::worker::WorkerId;
@@ -171,11 +173,19 @@
         services
     }
 
-    /// Tells once that a step's tasks wait, and what is free meanwhile.
+    /// Tells that a step's tasks wait and what is free meanwhile, and from time to time that they still do.
     fn note_wait(&mut self, step: StepId, spec: &Step, open: &[(id::Service, Vec<WorkerId>)]) {
+        let now = self.now;
         let state = self.jobs.get_mut(&step.job).and_then(|job| job.step_mut(step));
-        let Some(state) = state.filter(|state| !state.waits) else { return };
-        state.waits = true;
+        let Some(state) = state else { return };
+        if let Some(told) = state.told_waiting {
+            if now >= told + PASSED_LOOK && !spec.fills {
+                state.told_waiting = Some(now);
+                self.note_passed(step, spec);
+            }
+            return;
+        }
+        state.told_waiting = Some(now);
         let waiting = state.waiting;
         let workers = || open.iter().flat_map(|(_, ids)| ids).map(|&id| &self.workers[id]);
         let free: u64 = workers().map(|worker| u64::from(worker.room().cpu_milli)).sum();
@@ -324,7 +334,16 @@
         let run = Run { task, attempt: state.attempt };
         let checkpoint = state.checkpoint.clone();
         let stage = Stage::Intended { version: job.version };
-        let mut hosted = Hosted::new(job.spec(task.step), stage, now);
+        let spec = job.spec(task.step);
+        if !spec.fills {
+            self.placements.push(Placement {
+                at: now,
+                order: job.order,
+                milli: spec.demand.cpu_milli,
+                lasts: spec.long_running,
+            });
+        }
+        let mut hosted = Hosted::new(spec, stage, now);
         hosted.checkpoint = checkpoint;
         job.move_task(task, Place::At(worker));
         self.workers[worker].host(run, hosted);
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -27,6 +27,7 @@
 use crate::load::Rhythm;
 use crate::occurrence::Calendar;
 use crate::order::Timer;
+use crate::passed::Placements;
 use crate::reserve::Reserve;
 use crate::sending::Sending;
 use crate::settings::Settings;
@@ -80,6 +81,8 @@
     pub(crate) sending: Sending,
     /// When tasks that fill are placed again.
     pub(crate) fills_at: Time,
+    /// Who was placed lately.
+    pub(crate) placements: Placements,
     /// How often a worker was rated for a step that waits, in this ownership.
     pub(crate) ratings: u64,
     /// Waves of upkeep.
@@ -120,6 +123,7 @@
             rhythm: Rhythm::default(),
             fill_backlog: 0.0,
             fills_at: Time::ZERO,
+            placements: Placements::default(),
             ratings: 0,
             waves: Waves::default(),
             timers: BTreeSet::new(),
--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/rank.rs
@@ -53,7 +53,7 @@
     }
 
     fn rank(&self, job: &Job) -> Rank {
-        let objective = job.chain.mul_f64(job.terms.slack) + job.terms.allowance;
+        let objective = job.objective();
         let finish = self.now.saturating_sub(job.due_since()) + job.chain_left();
         let weight = if finish <= objective {
             1.0
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -77,6 +77,7 @@
         self.asking = None;
         self.waves = Default::default();
         self.fills_at = id::Time::ZERO;
+        self.placements = Default::default();
         self.ratings = 0;
         self.timers.clear();
         self.writing = Writing::after(&self.writing);
@@ -158,10 +159,10 @@
         match self.jobs.get_mut(&job) {
             Some(state) => state.accepted = accepted,
             None => {
-                let queue = accepted.queue.to_string();
                 self.insert_job(job, accepted);
                 self.room_changed = true;
-                self.note(Number::JobKnown, Some(job), None, None, queue);
+                let size = self.jobs[&job].size().to_string();
+                self.note(Number::JobKnown, Some(job), None, None, size);
             }
         }
         if self.jobs[&job].end.is_none() && self.jobs[&job].accepted.cancelled {
