A scenario fails: tasks that last starve short jobs of room

Each scenario file is a test of its own now, so that one that is known to be red can be named; a test holds the rows to the files.

--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -13,7 +13,10 @@
 //! and how many tasks of a step were away at once); `lose_upkeep [answers=N]`; `machines state=down|up` (whether they
 //! can be listed); `store state=down|up [delay=MS]`; `run ms=N` (prints nothing); `show` (how far each job is); `notes
 //! [of=(Event, ..)]` (what was noted since the last look); `stored` (the numbers of jobs and records);
-//! `ratings most=N` (whether the owner rated workers more often than that a second).
+//! `ratings most=N` (whether the owner rated workers more often than that a second); `stream id=H every=MS jobs=N`
+//! (like `job`, handed in again and again with rising numbers); `served id=H jobs=N within=MS least=N` (whether so many
+//! of a stream were done so soon); `beside` (from now on it is watched how tasks that last wait beside room for two of them) and
+//! `beside most=MS` (whether none did for longer).
 
 mod world;
 
@@ -28,10 +31,59 @@
 use cowslipchute_standin::site::worker::Worker;
 use datadriven::TestCase;
 use world::World;
+use yare::parameterized;
 
-#[test]
-fn scenarios() {
-    datadriven::walk("filetests", |file| {
+#[parameterized(
+    advice = { "advice" },
+    attempts_over_owners = { "attempts_over_owners" },
+    busy_owner = { "busy_owner" },
+    cancel = { "cancel" },
+    cancel_late = { "cancel_late" },
+    cancel_late_owner = { "cancel_late_owner" },
+    cut = { "cut" },
+    cut_unlisted = { "cut_unlisted" },
+    draining = { "draining" },
+    failures = { "failures" },
+    filling = { "filling" },
+    foreign = { "foreign" },
+    forgotten_stops = { "forgotten_stops" },
+    gang = { "gang" },
+    gang_broken = { "gang_broken" },
+    hang = { "hang" },
+    hopeless = { "hopeless" },
+    inherited_deadline = { "inherited_deadline" },
+    inherited_pace = { "inherited_pace" },
+    lasting_waits = { "lasting_waits" },
+    lost_start = { "lost_start" },
+    many_fills_wait = { "many_fills_wait" },
+    moved = { "moved" },
+    moved_pressed = { "moved_pressed" },
+    narrow_link = { "narrow_link" },
+    near = { "near" },
+    occurrences = { "occurrences" },
+    overwritten = { "overwritten" },
+    owner_killed = { "owner_killed" },
+    owner_killed_cut = { "owner_killed_cut" },
+    pressed = { "pressed" },
+    rack_lost = { "rack_lost" },
+    rebirth = { "rebirth" },
+    reserve = { "reserve" },
+    rough = { "rough" },
+    slow = { "slow" },
+    starved = { "starved" },
+    steps = { "steps" },
+    store_down = { "store_down" },
+    stray_room = { "stray_room" },
+    swing = { "swing" },
+    swing_foretold = { "swing_foretold" },
+    unlike = { "unlike" },
+    waiting = { "waiting" },
+    wave = { "wave" },
+    wave_crowded = { "wave_crowded" },
+    wave_owner_killed = { "wave_owner_killed" },
+)]
+fn scenario(name: &str) {
+    datadriven::walk(&format!("filetests/{name}.test"), |file| {
         let mut world = World::open();
         file.run(|case| {
             let mut output = direct(&mut world, case);
@@ -43,6 +95,16 @@
     });
 }
 
+#[test]
+fn each_scenario_has_a_row() {
+    for entry in std::fs::read_dir("filetests").expect("the scenarios lie beside the crate") {
+        let path = entry.expect("a file").path();
+        let name = path.file_stem().expect("a file has a name").to_string_lossy().into_owned();
+        let row = format!("{name} = {{ \"{name}\" }}");
+        assert!(include_str!("scenarios.rs").contains(&row), "no row for {name}");
+    }
+}
+
 fn arg<'a>(case: &'a TestCase, name: &str) -> Option<&'a str> {
     case.args.get(name).and_then(|values| values.first()).map(String::as_str)
 }
@@ -80,7 +142,17 @@
                 Some(world::link::Link::open(number(case, "rate").expect("bytes a second")));
         }
         "busy" => world.order_delay = Duration::from_millis(number(case, "ms").unwrap_or(0)),
-        "job" => submit(world, case),
+        "job" => {
+            let accepted = accepted(world, case);
+            world.submit(id(case), accepted);
+        }
+        "stream" => {
+            let every = Duration::from_millis(number(case, "every").expect("a stream has a pace"));
+            let accepted = accepted(world, case);
+            world.stream(id(case), &accepted, number(case, "jobs").expect("how many"), every);
+        }
+        "served" => return served(world, case),
+        "beside" => return beside(world, case),
         "cancel" => world.cancel(id(case)),
         "crash" => world.crash(name, false),
         "rebirth" => world.crash(name, true),
@@ -185,7 +257,7 @@
     JobId::from_str_radix(arg(case, "id").expect("a job has an id"), 16).expect("hexadecimal")
 }
 
-fn submit(world: &mut World, case: &TestCase) {
+fn accepted(world: &mut World, case: &TestCase) -> Accepted {
     let steps = case.input.lines().map(step).collect();
     let schedule = number(case, "count").map(|count| Schedule {
         count,
@@ -205,7 +277,27 @@
     if let Some(work) = number(case, "work") {
         world.work.insert(id(case), Duration::from_millis(work));
     }
-    world.submit(id(case), accepted);
+    accepted
+}
+
+/// Tells whether enough jobs of a stream were done in time.
+fn served(world: &World, case: &TestCase) -> String {
+    let count = number(case, "jobs").expect("how many");
+    let within = Duration::from_millis(number(case, "within").expect("how soon"));
+    let least: u64 = number(case, "least").expect("how many at least");
+    let served = world.served(id(case), count, within);
+    if served >= least { String::from("enough") } else { format!("{served} of {count}") }
+}
+
+/// Watches from now on how long tasks that last wait beside room for two of their kind, or tells whether one
+/// waited for longer.
+fn beside(world: &mut World, case: &TestCase) -> String {
+    let Some(most) = number(case, "most").map(Duration::from_millis) else {
+        world.beside = Some(world::beside::Watch::default());
+        return String::new();
+    };
+    let longest = world.beside.as_ref().expect("it is watched").longest;
+    if longest <= most { String::from("within") } else { format!("{} ms", longest.as_millis()) }
 }
 
 fn step(line: &str) -> Step {
--- /dev/null
+++ b/crates/planner/tests/world/beside.rs
@@ -0,0 +1,84 @@
+//! How long tasks that last wait beside room for two of them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cowslipchute_base::amount::Amount;
+use cowslipchute_base::id::Time;
+use cowslipchute_ports::job::Step;
+use cowslipchute_ports::job::TaskId;
+
+use super::World;
+
+/// How often it is looked at: far more often than short tasks come and go.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// Since when tasks that last wait beside room for two of them, and the longest that one did.
+#[derive(Clone, Debug, Default)]
+pub struct Watch {
+    since: BTreeMap<TaskId, Time>,
+    pub longest: Duration,
+    next_at: Time,
+}
+
+impl World {
+    /// Looks at the tasks that last and don't run.
+    pub(super) fn watch_beside(&mut self) {
+        let Some(mut watch) = self.beside.take() else { return };
+        if self.now >= watch.next_at {
+            watch.next_at = self.now + LOOK;
+            self.look_beside(&mut watch);
+        }
+        self.beside = Some(watch);
+    }
+
+    fn look_beside(&self, watch: &mut Watch) {
+        let rooms: Vec<Amount> = self.workers.values().filter(|w| w.up).map(free).collect();
+        let mut since = BTreeMap::new();
+        for task in self.idle_lasting() {
+            let step = self.step_of(task);
+            if slots(&rooms, step.demand) >= 2 {
+                let began = watch.since.get(&task).copied().unwrap_or(self.now);
+                watch.longest = watch.longest.max(self.now - began);
+                since.insert(task, began);
+            }
+        }
+        watch.since = since;
+    }
+
+    fn step_of(&self, task: TaskId) -> &Step {
+        &self.specs[&task.job].spec.steps[usize::from(task.step)]
+    }
+
+    fn idle_lasting(&self) -> Vec<TaskId> {
+        let mut idle = Vec::new();
+        for (&job, accepted) in &self.specs {
+            if self.ends.contains_key(&job) || accepted.spec.schedule.is_some() {
+                continue;
+            }
+            for (index, step) in accepted.spec.steps.iter().enumerate() {
+                if !step.long_running || !step.after.is_empty() {
+                    continue;
+                }
+                let id = |index| TaskId { job, occurrence: 0, step: index as _, index: 0 };
+                let tasks = (0..step.count).map(|task| TaskId { index: task, ..id(index) });
+                idle.extend(tasks.filter(|&task| !self.runs(task)));
+            }
+        }
+        idle
+    }
+
+    fn runs(&self, task: TaskId) -> bool {
+        let mut runs = self.workers.values().flat_map(|worker| worker.active.keys());
+        runs.any(|run| run.task == task)
+    }
+}
+
+fn free(worker: &cowslipchute_standin::site::worker::Worker) -> Amount {
+    let reserving = worker.active.values().filter(|active| !active.step.fills);
+    reserving.fold(worker.capacity, |left, active| left.minus(active.step.demand))
+}
+
+fn slots(rooms: &[Amount], demand: Amount) -> u32 {
+    rooms.iter().map(|room| room.cpu_milli / demand.cpu_milli.max(1)).sum()
+}
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -7,6 +7,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
+pub mod beside;
 mod check;
 pub mod link;
 mod machines;
@@ -63,6 +64,8 @@
     Write(u32, u64, Vec<Change>),
     /// An event reaches the owner of a term.
     Event(u32, Event),
+    /// A client hands a job in.
+    Submit(JobId, Accepted),
 }
 
 /// The world.
@@ -79,6 +82,11 @@
     pub ends: BTreeMap<JobId, State>,
     /// Jobs that the store has ever held.
     pub specs: BTreeMap<JobId, Arc<Accepted>>,
+    /// When each was handed in, and when its end was stored.
+    pub submitted_at: BTreeMap<JobId, Time>,
+    pub ended_at: BTreeMap<JobId, Time>,
+    /// How tasks that last wait beside free room, if that is watched.
+    pub beside: Option<beside::Watch>,
     /// How long a task really works, where it isn't as estimated.
     pub work: BTreeMap<JobId, Duration>,
     /// Whether the store answers, and how long it takes.
@@ -115,6 +123,9 @@
             records: BTreeMap::new(),
             ends: BTreeMap::new(),
             specs: BTreeMap::new(),
+            submitted_at: BTreeMap::new(),
+            ended_at: BTreeMap::new(),
+            beside: None,
             work: BTreeMap::new(),
             store_up: true,
             store_delay: Duration::from_millis(4),
@@ -223,9 +234,31 @@
         let accepted = Arc::new(accepted);
         self.jobs.insert(id, accepted.clone());
         self.specs.insert(id, accepted.clone());
+        self.submitted_at.insert(id, self.now);
         self.tell(Event::Job { job: id, accepted });
     }
 
+    /// Hands in jobs of the same form one after the other, with rising numbers.
+    pub fn stream(&mut self, first: JobId, accepted: &Accepted, count: u64, every: Duration) {
+        let mut at = self.now;
+        for id in first..first + count {
+            self.push(at, Arrival::Submit(id, accepted.clone()));
+            at += every;
+        }
+    }
+
+    /// Counts jobs of a stream that were done so soon after they were handed in.
+    pub fn served(&self, first: JobId, count: u64, within: Duration) -> u64 {
+        let served = (first..first + count).filter(|id| {
+            let (Some(&from), Some(&to)) = (self.submitted_at.get(id), self.ended_at.get(id))
+            else {
+                return false;
+            };
+            self.ends.get(id) == Some(&State::Completed) && to <= from + within
+        });
+        served.count() as u64
+    }
+
     pub fn cancel(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let mut accepted = Accepted::clone(job);
@@ -319,6 +352,7 @@
             }
             self.settle();
             self.check();
+            self.watch_beside();
         }
     }
 
@@ -385,6 +419,7 @@
             }
             Arrival::Write(term, batch, changes) => self.write(term, batch, changes),
             Arrival::Order(term, action) => self.order(term, action),
+            Arrival::Submit(id, accepted) => self.submit(id, accepted),
             Arrival::Late(term, action) => self.carry_out_late(term, &action),
             Arrival::Hold(term, action, until) => self.wait(term, action, until),
         }
@@ -408,6 +443,7 @@
                     self.jobs.remove(&job);
                     let before = self.ends.insert(job, state);
                     assert_eq!(before, None, "a job ends once: {job:x}");
+                    self.ended_at.insert(job, self.now);
                 }
             }
         }
