Tasks that last take of the kept room only what has stayed free

Cause: a task that lasts waited for two seconds beside free room and then took any gap for good, also one that short tasks left between two of them. Now the room that is kept is given up task by task, only as far as it has been free in each span of the last two seconds: what is free all the while nobody misses, and what is taken by turns stays. Such a task that has run before is given its room back first. That holds whatever the cell, since it compares what is used with what is free and knows no size.

--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod action;
 mod advice;
+mod beside;
 mod census;
 mod choice;
 mod colocate;
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -6,7 +6,6 @@
 use cowslipchute_base::amount::Amount;
 use cowslipchute_base::event::Event as Number;
 use cowslipchute_base::id;
-use cowslipchute_base::id::Time;
 use cowslipchute_ports::deployment::Queue;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::JobId;
@@ -27,10 +26,7 @@
 use crate::sending::SENDING_LOOK;
 use crate::worker::WorkerId;
 
-/// How long a task that lasts may wait beside free room, which is kept for short ones: after three
-/// seconds it counts as lost.
-const RESERVE_WAIT: Duration = Duration::from_millis(2000);
-/// How often such a task is looked at again.
+/// How often a task that lasts and waits beside room which is kept for short ones is looked at again.
 const RESERVE_LOOK: Duration = Duration::from_millis(500);
 
 /// How long a job of tasks that fill has nothing at work, though most of the cell is free, until one
@@ -55,6 +51,31 @@
     demand: Amount,
 }
 
+/// What tasks of a step that lasts may take.
+#[derive(Clone, Copy, Debug, Default)]
+struct Spare {
+    /// Thousandths of a processor beside what is kept for short tasks.
+    milli: f64,
+    /// Tasks for which there has been room all the while, so that nobody misses what they take.
+    slots: u64,
+}
+
+impl Spare {
+    fn allows(&self, spec: &Step) -> bool {
+        self.milli >= f64::from(spec.demand.cpu_milli) || self.slots > 0
+    }
+
+    /// Takes room for one task; tells whether it was kept for short ones.
+    fn take(&mut self, spec: &Step) -> bool {
+        self.milli -= f64::from(spec.demand.cpu_milli);
+        if self.milli >= 0.0 {
+            return false;
+        }
+        self.slots = self.slots.saturating_sub(1);
+        true
+    }
+}
+
 /// What one placing pass knows.
 struct Pass {
     refused: Vec<Refused>,
@@ -64,6 +85,8 @@
     mostly_free: bool,
     /// Whether tasks that fill are placed in this pass.
     fills: bool,
+    /// What was free on each worker of a service, once a step that lasts has asked.
+    rooms: Vec<(id::Service, Vec<Amount>)>,
 }
 
 impl Refused {
@@ -86,7 +109,7 @@
         if fills {
             self.begin_fills(&open);
         }
-        let mut pass = Pass { refused: Vec::new(), open, mostly_free, fills };
+        let mut pass = Pass { refused: Vec::new(), open, mostly_free, fills, rooms: Vec::new() };
         let mut backlog = 0.0;
         for job in self.ranked() {
             self.place_job(job, &mut pass);
@@ -135,6 +158,9 @@
             || advice.is_some();
         if !narrow && !starves && pass.refused.iter().any(|seen| seen.covers(spec)) {
             self.note_wait(step, spec, &pass.open);
+            if spec.long_running {
+                self.look_beside(step, 0);
+            }
             return;
         }
         let service = self.service(step.job);
@@ -148,7 +174,8 @@
             self.place_gang(step, spec, &open);
             return;
         }
-        if !self.place_tasks(step, spec, &open) {
+        let mut spare = self.spare(step, spec, &open, pass);
+        if !self.place_tasks(step, spec, &open, &mut spare) {
             self.note_wait(step, spec, &pass.open);
             if !narrow {
                 pass.refused.push(Refused::new(spec));
@@ -242,31 +269,37 @@
     }
 
     /// Places a step's tasks one by one; tells whether each found room.
-    fn place_tasks(&mut self, step: StepId, spec: &Step, open: &[WorkerId]) -> bool {
+    fn place_tasks(
+        &mut self,
+        step: StepId,
+        spec: &Step,
+        open: &[WorkerId],
+        spare: &mut Spare,
+    ) -> bool {
         let Some(state) = self.jobs[&step.job].step(step) else { return true };
-        let tasks: Vec<(u32, Time)> = state
+        // A task that lasts and has run before is given back what it gave up, so those come first.
+        let mut tasks: Vec<(u32, bool)> = state
             .tasks
             .iter()
             .enumerate()
             .filter(|(_, task)| task.place == Place::Waiting && task.not_before <= self.now)
-            .map(|(index, task)| (index as u32, task.waiting_since))
+            .map(|(index, task)| (index as u32, task.attempt > 0))
             .collect();
-        let mut spare = match spec.long_running {
-            true => self.spare_for_lasting(open),
-            false => f64::INFINITY,
-        };
+        tasks.sort_by_key(|&(_, ran)| !ran);
+        if spec.long_running && !tasks.iter().any(|&(_, ran)| ran || spare.allows(spec)) {
+            return self.wait_for_spare();
+        }
         let mut request = Request::new(&self.model, step.task(0), spec);
         self.ratings += open.len() as u64;
         let mut rated = self.rated(&request, open);
-        for (index, waiting_since) in tasks {
+        for (index, ran) in tasks {
             if !self.sending.allows(self.now) && !self.starves(step) {
                 self.timers.insert((self.now + SENDING_LOOK, Timer::Place));
                 return true;
             }
-            spare -= f64::from(spec.demand.cpu_milli);
-            if spare < 0.0 && self.now < waiting_since + RESERVE_WAIT {
-                self.timers.insert((self.now + RESERVE_LOOK, Timer::Place));
-                return true;
+            let bound = spec.long_running && !ran;
+            if bound && !spare.allows(spec) {
+                return self.wait_for_spare();
             }
             let task = step.task(index);
             request.for_task(task);
@@ -275,6 +308,9 @@
                 return false;
             };
             self.intend(task, worker);
+            if spec.long_running && spare.take(spec) {
+                self.given_up += 1;
+            }
             if spec.fills {
                 self.refresh_beside(worker);
             }
@@ -282,6 +318,28 @@
         true
     }
 
+    /// Looks again soon whether tasks that last find room which short ones leave; until then it isn't said that
+    /// there is none.
+    fn wait_for_spare(&mut self) -> bool {
+        self.timers.insert((self.now + RESERVE_LOOK, Timer::Place));
+        true
+    }
+
+    /// Returns what a step that lasts may take.
+    fn spare(&mut self, step: StepId, spec: &Step, open: &[WorkerId], pass: &mut Pass) -> Spare {
+        if !spec.long_running {
+            return Spare::default();
+        }
+        let service = self.service(step.job);
+        let known = pass.rooms.iter().position(|(name, _)| *name == service);
+        let index = known.unwrap_or_else(|| {
+            pass.rooms.push((service, self.rooms(open)));
+            pass.rooms.len() - 1
+        });
+        let slots = self.slots_beside(step, spec, &pass.rooms[index].1);
+        Spare { milli: self.spare_for_lasting(open), slots }
+    }
+
     /// Returns the thousandths of a processor that tasks which last may still take.
     fn spare_for_lasting(&self, open: &[WorkerId]) -> f64 {
         let mut capacity = 0.0;
@@ -289,8 +347,7 @@
         for &worker in open {
             let worker = &self.workers[worker];
             capacity += f64::from(worker.capacity.cpu_milli);
-            let lasting = worker.runs.values().filter(|hosted| hosted.lasts && !hosted.fills);
-            taken += lasting.map(|hosted| f64::from(hosted.demand.cpu_milli)).sum::<f64>();
+            taken += f64::from(worker.lasting.cpu_milli);
         }
         capacity - taken - self.reserve.milli(self.now, capacity)
     }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -70,6 +70,8 @@
     pub(crate) calendar: Calendar,
     /// Room kept for short tasks.
     pub(crate) reserve: Reserve,
+    /// Tasks that last which took room kept for short ones.
+    pub(crate) given_up: u64,
     /// Which images slow which.
     pub(crate) model: Model,
     /// How fast loads turn.
@@ -119,6 +121,7 @@
             asking: None,
             calendar: Calendar::default(),
             reserve: Reserve::default(),
+            given_up: 0,
             model: Model::default(),
             rhythm: Rhythm::default(),
             fill_backlog: 0.0,
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -124,6 +124,8 @@
     pub(crate) runs: BTreeMap<Run, Hosted>,
     /// The sum of what its runs reserve.
     pub(crate) reserved: Amount,
+    /// What of that is reserved by tasks that last.
+    pub(crate) lasting: Amount,
     pub(crate) health: Health,
     /// None when something has changed since it was worked out.
     pub(crate) beside: Option<Beside>,
@@ -159,6 +161,7 @@
             hold: Hold::Due(now),
             runs: BTreeMap::new(),
             reserved: Amount::ZERO,
+            lasting: Amount::ZERO,
             health: Health::default(),
             beside: None,
             shares: Shares::new(),
@@ -238,6 +241,9 @@
 
     pub(crate) fn host(&mut self, run: Run, hosted: Hosted) {
         self.reserved = self.reserved.plus(hosted.reserved());
+        if hosted.lasts {
+            self.lasting = self.lasting.plus(hosted.reserved());
+        }
         self.beside = None;
         let before = self.runs.insert(run, hosted);
         debug_assert!(before.is_none(), "a run is hosted once");
@@ -246,6 +252,9 @@
     pub(crate) fn release(&mut self, run: Run) -> Option<Hosted> {
         let hosted = self.runs.remove(&run)?;
         self.reserved = self.reserved.minus(hosted.reserved());
+        if hosted.lasts {
+            self.lasting = self.lasting.minus(hosted.reserved());
+        }
         self.beside = None;
         Some(hosted)
     }
