A scenario fails: a large task is passed over by small ones that come later

In a cell that is three quarters full and holds nothing that lasts, none of ten jobs of one large task is served.

--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -64,6 +64,7 @@
     overwritten = { "overwritten" },
     owner_killed = { "owner_killed" },
     owner_killed_cut = { "owner_killed_cut" },
+    passed_over = { "passed_over" },
     pressed = { "pressed" },
     rack_lost = { "rack_lost" },
     rebirth = { "rebirth" },
