--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -49,6 +49,7 @@
     forgotten_stops = { "forgotten_stops" },
     gang = { "gang" },
     gang_broken = { "gang_broken" },
+    gang_passed_over = { "gang_passed_over" },
     hang = { "hang" },
     hopeless = { "hopeless" },
     inherited_deadline = { "inherited_deadline" },
