Workers are kept for a gang that waits

Callers would see: a job whose step is a gang waits beside smaller ones for as long as the cell is busy. Cause: as for single large tasks, pieces of room go to whatever fits, and a gang needs several whole ones at once. Workers are kept for all its members or for none, if they are no more than half of what tasks that last leave, so that a wide gang can't close a cell. 10 of 10 gangs served for 0 of 10 (gang_passed_over.test), and 600 of 800 small jobs or more beside them as before.

--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -189,7 +189,9 @@
         }
         let open = self.near(step, spec, open);
         if spec.gang {
-            self.place_gang(step, spec, &open);
+            if !self.place_gang(step, spec, &open) {
+                pass.unplaced.extend(Unplaced::of(self, step, spec));
+            }
             return;
         }
         let mut spare = self.spare(step, spec, &open, pass);
--- a/crates/planner/src/reservation.rs
+++ b/crates/planner/src/reservation.rs
@@ -29,6 +29,9 @@
 /// full cell the largest tenth of a kind is served 0.75 to 1.0 times as often as the kind, without it 0.57 to 0.99
 /// (cowslipchutectl sizes, six days of load on 350 workers), for 0.01 of all worth. Half as much leaves 0.67.
 const RESERVED_PART: f64 = 0.08;
+/// Part of them that a step may keep where even one step is more than the part above, as a large task is in a small
+/// cell, or a gang, which needs all its workers at once. Half goes on for all others.
+const MOST_RESERVED_PART: f64 = 0.5;
 /// Workers kept for one step at a time, so that a wide step leaves some for others.
 const MOST_A_STEP: usize = 2;
 /// How long a worker is kept: a few times as long as short tasks take. What runs there longer isn't ending as it
@@ -52,10 +55,10 @@
 }
 
 impl Unplaced {
-    /// Returns a step that found no room, if a worker may be kept for it. Gangs need many at once, and tasks near their data
-    /// know better how long to wait ([`crate::locality`]).
+    /// Returns a step that found no room, if a worker may be kept for it. Tasks near their data know better how long
+    /// to wait ([`crate::locality`]).
     pub(crate) fn of(planner: &Planner, step: StepId, spec: &Step) -> Option<Unplaced> {
-        if spec.fills || spec.gang || spec.data_rack.is_some() || spec.same_rack {
+        if spec.fills || spec.data_rack.is_some() || spec.same_rack {
             return None;
         }
         let waiting = planner.reserving(step, spec);
@@ -99,6 +102,10 @@
         let accepted = job.accepted.clone();
         let spec = &accepted.spec.steps[usize::from(step.step)];
         let Some(state) = job.step(step) else { return true };
+        if spec.gang {
+            // It takes its workers all at once, when each has the room.
+            return false;
+        }
         let now = self.now;
         let ready = |task: &Task| may_reserve(spec, task) && task.not_before <= now;
         let Some(index) = state.tasks.iter().position(ready) else { return false };
@@ -136,25 +143,28 @@
         });
         unplaced
             .sort_by_key(|unplaced| (self.is_late(&self.jobs[&unplaced.step.job]), unplaced.since));
-        let mut left = self.reservable(open);
-        // What found no worker that could be kept; more finds none either.
+        let shared = self.shared(open);
+        let mut left = shared * RESERVED_PART - self.reserved_milli();
+        // A demand for which no worker could be kept; a larger one finds none either.
         let mut refused = u32::MAX;
         for Unplaced { step, .. } in unplaced {
             let accepted = self.jobs[&step.job].accepted.clone();
             let spec = &accepted.spec.steps[usize::from(step.step)];
             let cpu = spec.demand.cpu_milli;
             let own = self.reservations.iter().filter(|kept| kept.step == step).count();
-            let most = MOST_A_STEP.min(self.reserving(step, spec).count());
-            for _ in own..most {
+            for _ in own..self.most_kept(step, spec, shared) {
+                // One step is served even where a part of the cell is less than it needs.
+                let only = self.reservations.iter().all(|kept| kept.step == step);
+                if left < f64::from(cpu) && !only {
+                    return;
+                }
                 if cpu >= refused {
                     break;
                 }
-                // One is kept even where a part of the cell is less than the task.
-                if left < f64::from(cpu) && !self.reservations.is_empty() {
-                    return;
-                }
                 let Some(worker) = self.soonest(spec, step, open) else {
-                    refused = cpu;
+                    if spec.required_label.is_none() && spec.max_per_worker == 0 {
+                        refused = cpu;
+                    }
                     break;
                 };
                 let until = self.now + LONGEST;
@@ -165,17 +175,34 @@
         }
     }
 
-    /// Returns the thousandths of a processor that may still be kept.
-    fn reservable(&self, open: &[WorkerId]) -> f64 {
+    /// Returns how many workers may be kept for a step at a time: for a gang as many as it has members, or none.
+    fn most_kept(&self, step: StepId, spec: &Step, shared: f64) -> usize {
+        let waiting = self.reserving(step, spec).count();
+        let bearable = shared * MOST_RESERVED_PART / f64::from(spec.demand.cpu_milli.max(1));
+        let bearable = bearable as usize;
+        match spec.gang {
+            true if waiting <= bearable => waiting,
+            true => 0,
+            false => waiting.min(MOST_A_STEP).min(bearable),
+        }
+    }
+
+    /// Returns the thousandths of a processor that tasks which last leave.
+    fn shared(&self, open: &[WorkerId]) -> f64 {
         let shared = open.iter().map(|&id| {
             let worker = &self.workers[id];
             f64::from(worker.capacity.minus(worker.lasting).cpu_milli)
         });
-        let kept = self.reservations.iter().map(|kept| {
+        shared.sum()
+    }
+
+    /// Returns the thousandths of a processor that are kept.
+    fn reserved_milli(&self) -> f64 {
+        let reserved = self.reservations.iter().map(|kept| {
             let job = self.jobs.get(&kept.step.job);
             job.map_or(0.0, |job| f64::from(job.spec(kept.step.step).demand.cpu_milli))
         });
-        shared.sum::<f64>() * RESERVED_PART - kept.sum::<f64>()
+        reserved.sum()
     }
 
     /// Returns the worker that is expected to have room for a step's task first.
