--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -70,6 +70,7 @@
     rack_lost = { "rack_lost" },
     rebirth = { "rebirth" },
     reserve = { "reserve" },
+    room_lost = { "room_lost" },
     rough = { "rough" },
     slow = { "slow" },
     starved = { "starved" },
