A step that waits again begins its count of free room anew

Callers would see: tasks that last take room from short ones at once when they come back. Cause: the count of free room outlived the wait it was for, and a step that waited again after seconds was given what had been free in its first wait. room_lost.test still fails, for a second cause; without this one it fails with the mend of the other too.

--- a/crates/planner/src/beside.rs
+++ b/crates/planner/src/beside.rs
@@ -24,6 +24,9 @@
 /// Spans that have to be free: two seconds. After three a task that waits beside room counts as lost.
 const SPANS: usize = 13;
 
+/// A step that waits is looked at twice a second at least; one that isn't for so long has not waited meanwhile.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
+
 /// How many more tasks of a step there was room for lately.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Beside {
@@ -43,14 +46,11 @@
     /// for how many there has been all the while.
     pub(crate) fn look(&mut self, now: Time, slots: u32, taken: u64) -> u64 {
         let total = u64::from(slots) + taken;
-        let mut began = *self.began.get_or_insert(now);
-        if now >= began + SPAN * (SPANS as u32 + 1) {
-            // Nothing has changed since the last look, or this one would have come sooner.
-            self.spans.clear();
-            self.spans.extend(std::iter::repeat_n(self.last, SPANS));
-            began = now;
-            self.most = self.last;
+        if self.began.is_some_and(|began| now >= began + LONGEST_PAUSE) {
+            // Its tasks haven't waited all the while.
+            *self = Beside::default();
         }
+        let mut began = *self.began.get_or_insert(now);
         while now >= began + SPAN {
             if self.spans.len() == SPANS {
                 self.spans.remove(0);
