Tasks that last are given their room back by the part of the cell they held

Cause: tasks that last and have run before were given room first, which is right for one that failed alone, and takes what short jobs use when workers are gone. They get it back as far as tasks that last held that part of the processors in the last ten seconds; beyond that, what stays free. It holds for any loss, since a part of the cell that is gone takes the same part of both.

--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -45,6 +45,7 @@
 mod risk;
 mod sending;
 pub mod settings;
+mod share;
 mod spare;
 mod takeover;
 mod wave;
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -112,6 +112,7 @@
         if fills {
             self.begin_fills(&open);
         }
+        self.look_at_share(open.iter().flat_map(|(_, workers)| workers).copied());
         self.drop_reservations();
         self.use_reservations();
         let mut pass = Pass {
@@ -300,7 +301,7 @@
         spare: &mut Spare,
     ) -> bool {
         let Some(state) = self.jobs[&step.job].step(step) else { return true };
-        // A task that lasts and has run before is given back what it gave up, so those come first.
+        // A task that lasts and has run before is given its room back, so those come first.
         let mut tasks: Vec<(u32, bool)> = state
             .tasks
             .iter()
@@ -309,7 +310,8 @@
             .map(|(index, task)| (index as u32, task.attempt > 0))
             .collect();
         tasks.sort_by_key(|&(_, ran)| !ran);
-        if spec.long_running && !tasks.iter().any(|&(_, ran)| ran || spare.allows(spec)) {
+        let returning = self.share.allows(spec) && tasks.iter().any(|&(_, ran)| ran);
+        if spec.long_running && !returning && !spare.allows(spec) {
             return self.wait_for_spare();
         }
         let mut request = Request::new(&self.model, step.task(0), spec);
@@ -320,7 +322,7 @@
                 self.timers.insert((self.now + SENDING_LOOK, Timer::Place));
                 return true;
             }
-            let bound = spec.long_running && !ran;
+            let bound = spec.long_running && !(ran && self.share.allows(spec));
             if bound && !spare.allows(spec) {
                 return self.wait_for_spare();
             }
@@ -331,7 +333,7 @@
                 return false;
             };
             self.intend(task, worker);
-            if spec.long_running && spare.take(spec) {
+            if bound && spare.take(spec) {
                 self.given_up += 1;
             }
             if spec.fills {
@@ -409,6 +411,9 @@
         self.touch(task.job);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         self.sending.spend(job.accepted.spec.payload.len());
+        if job.spec(task.step).long_running {
+            self.share.take(job.spec(task.step));
+        }
         let state = job.task_mut(task);
         state.attempt += 1;
         let run = Run { task, attempt: state.attempt };
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -32,6 +32,7 @@
 use crate::reserve::Reserve;
 use crate::sending::Sending;
 use crate::settings::Settings;
+use crate::share::Share;
 use crate::wave::Waves;
 use crate::worker::Worker;
 use crate::worker::WorkerId;
@@ -71,6 +72,8 @@
     pub(crate) calendar: Calendar,
     /// Room kept for short tasks.
     pub(crate) reserve: Reserve,
+    /// What tasks that last hold of the cell.
+    pub(crate) share: Share,
     /// Tasks that last which took room kept for short ones.
     pub(crate) given_up: u64,
     /// Workers that are kept for a task which waits.
@@ -124,6 +127,7 @@
             asking: None,
             calendar: Calendar::default(),
             reserve: Reserve::default(),
+            share: Share::default(),
             given_up: 0,
             reservations: Vec::new(),
             model: Model::default(),
--- a/crates/planner/src/reservation.rs
+++ b/crates/planner/src/reservation.rs
@@ -107,7 +107,7 @@
             return false;
         }
         let now = self.now;
-        let ready = |task: &Task| may_reserve(spec, task) && task.not_before <= now;
+        let ready = |task: &Task| self.may_reserve(spec, task) && task.not_before <= now;
         let Some(index) = state.tasks.iter().position(ready) else { return false };
         let task = step.task(index as u32);
         let request = Request::new(&self.model, task, spec);
@@ -118,11 +118,18 @@
         true
     }
 
+    /// Tells whether a worker may be kept for a task. For one that lasts only to give its room back ([`crate::share`]): a new
+    /// one takes only what short tasks leave.
+    fn may_reserve(&self, spec: &Step, task: &Task) -> bool {
+        let returns = task.attempt > 0 && self.share.allows(spec);
+        task.place == Place::Waiting && (!spec.long_running || returns)
+    }
+
     /// Returns the tasks of a step for which a worker may be kept.
     fn reserving<'a>(&'a self, step: StepId, spec: &'a Step) -> impl Iterator<Item = &'a Task> {
         let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
         let tasks = state.into_iter().flat_map(|state| &state.tasks);
-        tasks.filter(|task| may_reserve(spec, task))
+        tasks.filter(|task| self.may_reserve(spec, task))
     }
 
     /// Tells whether a step waits and can still be served.
@@ -249,9 +256,3 @@
         if demand.fits(room) { wait } else { Duration::MAX }
     }
 }
-
-/// Tells whether a worker may be kept for a task. For one that lasts only if it has run before: what it gave up
-/// is given back, while a new one takes only what short tasks leave ([`crate::beside`]).
-fn may_reserve(spec: &Step, task: &Task) -> bool {
-    task.place == Place::Waiting && (!spec.long_running || task.attempt > 0)
-}
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -79,6 +79,7 @@
         self.fills_at = id::Time::ZERO;
         self.placements = Default::default();
         self.reservations.clear();
+        self.share = Default::default();
         self.ratings = 0;
         self.timers.clear();
         self.writing = Writing::after(&self.writing);
