A scenario fails: large jobs come last where there are more short jobs than room

3 of 20 jobs of eight tasks are served beside jobs of one task, in a cell with seven tenths of the room that all of them need; 11 is three quarters of their share.

--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -54,6 +54,7 @@
     hopeless = { "hopeless" },
     inherited_deadline = { "inherited_deadline" },
     inherited_pace = { "inherited_pace" },
+    large_job_waits = { "large_job_waits" },
     lasting_waits = { "lasting_waits" },
     lost_start = { "lost_start" },
     many_fills_wait = { "many_fills_wait" },
