Short jobs come in the order of time, not of size

Now those that can be in time come before those that can't, late ones that have begun before others, and among equals whoever came first. It holds since size isn't part of the order. Jobs of fills keep their order, which costs their large ones nothing.

--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/rank.rs
@@ -1,10 +1,11 @@
 //! Who comes first.
 //!
-//! Pattern answered: more work than room. Then it matters which jobs are finished in time, not who
-//! came first: a job is worth most while it can still meet its objective, little until three times
-//! that, and almost nothing afterwards. Within a priority, jobs are ordered by what is still gained
-//! for each core-second that is left. A floor keeps a large job's value near its work, so that
-//! small jobs don't starve large ones of their own queue.
+//! Pattern answered: more work than room. Then it matters which jobs are finished in time: a job is worth most while
+//! it can still meet its objective, little until three times that, and almost nothing afterwards. Within a
+//! priority, jobs that last come first and are held to the room that is theirs ([`crate::beside`]); then short jobs,
+//! those that can be in time before those that can't, and among equals whoever came first. Their size doesn't
+//! count: small ones first would finish a few more, and starve the large ones of a full queue. Jobs of tasks that
+//! fill are ordered by what is still gained for each core-second that is left.
 
 use std::time::Duration;
 
@@ -18,6 +19,10 @@
 /// What a job is still worth between one and three times its objective (the users' sheets: 0.15 of
 /// the worth in time).
 const LATE_WORTH: f64 = 0.15;
+/// What a late short job counts whose work has begun: it comes before others that are late, since what is done
+/// of it would be lost, and after those that can be in time. Served among the latter it costs 0.02 of all
+/// worth on full days, with no more large jobs served in time.
+const BEGUN_LATE_WORTH: f64 = 0.5;
 /// What a job that is later still is worth here: not nothing, so that it is done in idle time.
 const LOST_WORTH: f64 = 0.02;
 /// Up to this many times the objective a job counts as late and not as lost.
@@ -70,17 +75,38 @@
     }
 
     fn rank(&self, job: &Job) -> Rank {
-        let weight = if self.is_lost(job) {
+        let steps = &job.accepted.spec.steps;
+        let gain = if steps.iter().all(|step| step.long_running) {
+            f64::INFINITY
+        } else if steps.iter().any(|step| step.fills) {
+            self.weight(job) * self.value_by_work(job)
+        } else {
+            self.weight_of_short(job)
+        };
+        Rank { priority: job.terms.priority, gain, order: job.order }
+    }
+
+    /// Returns the part of its worth that a job still earns if all goes well.
+    fn weight(&self, job: &Job) -> f64 {
+        if self.is_lost(job) {
             LOST_WORTH
         } else if self.is_late(job) {
             LATE_WORTH
         } else {
             1.0
-        };
+        }
+    }
+
+    fn weight_of_short(&self, job: &Job) -> f64 {
+        let begun_late = job.started && self.is_late(job) && !self.is_lost(job);
+        if begun_late { BEGUN_LATE_WORTH } else { self.weight(job) }
+    }
+
+    /// Returns a job's worth against its queue's mean, for each core-second that is left of it.
+    fn value_by_work(&self, job: &Job) -> f64 {
         let work = job.work.max(LEAST_WORK);
         let mean = self.mean_work(&job.accepted.queue).unwrap_or(work);
         let value = FIXED_PART + (1.0 - FIXED_PART) * work / mean;
-        let gain = weight * value / job.work_left().max(LEAST_WORK);
-        Rank { priority: job.terms.priority, gain, order: job.order }
+        value / job.work_left().max(LEAST_WORK)
     }
 }
