--- a/crates/planner/src/beside.rs
+++ b/crates/planner/src/idle.rs
@@ -1,4 +1,4 @@
-//! Room that has stayed free beside tasks that last.
+//! Room that stays idle beside tasks that last.
 //!
 //! Pattern answered: tasks that last would fill the cell, and what they take is gone for the day. Beside room that
 //! stays free they must not wait for long. But room that short tasks use by turns doesn't stay free: taking
@@ -10,14 +10,18 @@
 use std::time::Duration;
 
 use cowslipchute_base::amount::Amount;
+use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::StepId;
 use smallvec::SmallVec;
 
+use crate::order::Timer;
 use crate::planner::Planner;
 use crate::worker::WorkerId;
 
+/// How often a task that lasts and waits beside room which is kept for short ones is looked at again.
+const RESERVE_LOOK: Duration = Duration::from_millis(500);
 /// A gap that is over sooner than two of these counts as free: between two short tasks lie the store and
 /// the worker's answer, some tens of milliseconds.
 const SPAN: Duration = Duration::from_millis(150);
@@ -27,9 +31,37 @@
 /// A step that waits is looked at twice a second at least; one that isn't for so long has not waited meanwhile.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
 
-/// How many more tasks of a step there was room for lately.
+/// What tasks of a step that lasts may take.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Spare {
+    /// Thousandths of a processor beside what is kept for short tasks.
+    milli: f64,
+    /// Tasks for which there has been room all the while, so that nobody misses what they take.
+    slots: u64,
+}
+
+impl Spare {
+    pub(crate) fn allows(&self, spec: &Step) -> bool {
+        self.milli >= f64::from(spec.demand.cpu_milli) || self.slots > 0
+    }
+
+    /// Takes room for one task; tells whether it was kept for short ones.
+    pub(crate) fn take(&mut self, spec: &Step) -> bool {
+        self.milli -= f64::from(spec.demand.cpu_milli);
+        if self.milli >= 0.0 {
+            return false;
+        }
+        self.slots = self.slots.saturating_sub(1);
+        true
+    }
+}
+
+/// What is free on each worker of a service in one placing pass, the most processors first.
+pub(crate) type Rooms = Vec<(id::Service, Vec<Amount>)>;
+
+/// For how many more tasks of a step there was room lately.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Beside {
+pub(crate) struct Idle {
     /// The most in each span that is over, the last one at the end. What tasks that last have taken is counted
     /// as free.
     spans: SmallVec<[u64; SPANS]>,
@@ -41,14 +73,14 @@
     began: Option<Time>,
 }
 
-impl Beside {
+impl Idle {
     /// Takes in for how many tasks there is room now; `taken` were placed before by giving up room. Returns
     /// for how many there has been all the while.
     pub(crate) fn look(&mut self, now: Time, slots: u32, taken: u64) -> u64 {
         let total = u64::from(slots) + taken;
         if self.began.is_some_and(|began| now >= began + LONGEST_PAUSE) {
             // Its tasks haven't waited all the while.
-            *self = Beside::default();
+            *self = Idle::default();
         }
         let mut began = *self.began.get_or_insert(now);
         while now >= began + SPAN {
@@ -71,27 +103,67 @@
 }
 
 impl Planner {
+    /// Looks again soon whether tasks that last find room which short ones leave; until then it isn't said that
+    /// there is none.
+    pub(crate) fn wait_for_spare(&mut self) -> bool {
+        self.timers.insert((self.now + RESERVE_LOOK, Timer::Place));
+        true
+    }
+
+    /// Returns what a step that lasts may take.
+    pub(crate) fn spare(
+        &mut self,
+        step: StepId,
+        spec: &Step,
+        open: &[WorkerId],
+        rooms: &mut Rooms,
+    ) -> Spare {
+        if !spec.long_running {
+            return Spare::default();
+        }
+        let service = self.service(step.job);
+        let known = rooms.iter().position(|(name, _)| *name == service);
+        let index = known.unwrap_or_else(|| {
+            rooms.push((service, self.rooms(open)));
+            rooms.len() - 1
+        });
+        let slots = self.idle_slots(step, spec, &rooms[index].1);
+        Spare { milli: self.spare_for_lasting(open), slots }
+    }
+
+    /// Returns the thousandths of a processor that tasks which last may still take.
+    fn spare_for_lasting(&self, open: &[WorkerId]) -> f64 {
+        let mut capacity = 0.0;
+        let mut taken = 0.0;
+        for &worker in open {
+            let worker = &self.workers[worker];
+            capacity += f64::from(worker.capacity.cpu_milli);
+            taken += f64::from(worker.lasting.cpu_milli);
+        }
+        capacity - taken - self.reserve.milli(self.now, capacity)
+    }
+
     /// Returns what is free on each open worker, the most processors first.
-    pub(crate) fn rooms(&self, open: &[WorkerId]) -> Vec<Amount> {
+    fn rooms(&self, open: &[WorkerId]) -> Vec<Amount> {
         let mut rooms: Vec<Amount> = open.iter().map(|&id| self.workers[id].room()).collect();
         rooms.sort_unstable_by_key(|room| Reverse(room.cpu_milli));
         rooms
     }
 
     /// Returns for how many tasks of a step that lasts there has been room all the while.
-    pub(crate) fn slots_beside(&mut self, step: StepId, spec: &Step, rooms: &[Amount]) -> u64 {
+    fn idle_slots(&mut self, step: StepId, spec: &Step, rooms: &[Amount]) -> u64 {
         let demand = spec.demand;
         let wide = rooms.iter().take_while(|room| room.cpu_milli >= demand.cpu_milli);
         let fitting = wide.filter(|&&room| demand.fits(room));
         let slots = fitting.map(|room| room.cpu_milli.checked_div(demand.cpu_milli).unwrap_or(1));
         let slots = slots.sum();
-        self.look_beside(step, slots)
+        self.look_idle(step, slots)
     }
 
     /// Takes in for how many tasks of a step that lasts there is room.
-    pub(crate) fn look_beside(&mut self, step: StepId, slots: u32) -> u64 {
+    pub(crate) fn look_idle(&mut self, step: StepId, slots: u32) -> u64 {
         let (now, taken) = (self.now, self.given_up);
         let state = self.jobs.get_mut(&step.job).and_then(|job| job.step_mut(step));
-        state.map_or(0, |state| state.beside.look(now, slots, taken))
+        state.map_or(0, |state| state.idle.look(now, slots, taken))
     }
 }
--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -14,7 +14,7 @@
 use smallvec::SmallVec;
 
 use crate::advice::Leave;
-use crate::beside::Beside;
+use crate::idle::Idle;
 use crate::load::Load;
 use crate::record;
 use crate::record::Attempts;
@@ -83,8 +83,8 @@
     pub(crate) open: bool,
     /// Where the advisory service lets it run, as far as it was asked.
     pub(crate) leave: Option<Leave>,
-    /// How its tasks have waited beside free room, if they last.
-    pub(crate) beside: Beside,
+    /// The room that has stayed idle while its tasks wait, if they last.
+    pub(crate) idle: Idle,
     /// When it was last told that its tasks found no worker.
     pub(crate) told_waiting: Option<Time>,
     /// The load of a step that serves, once it was read.
@@ -143,7 +143,7 @@
             open: false,
             leave: None,
             told_waiting: None,
-            beside: Beside::default(),
+            idle: Idle::default(),
             load: None,
         });
         let mut occurrence = Occurrence { number, since, steps: steps.collect() };
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -13,7 +13,6 @@
 
 pub mod action;
 mod advice;
-mod beside;
 mod census;
 mod choice;
 mod colocate;
@@ -25,6 +24,7 @@
 mod health;
 mod hold;
 mod host;
+mod idle;
 mod interfere;
 mod job;
 pub mod learnt;
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -17,6 +17,8 @@
 use crate::fit::Request;
 use crate::host::Hosted;
 use crate::host::Stage;
+use crate::idle::Rooms;
+use crate::idle::Spare;
 use crate::job::Place;
 use crate::job::Task;
 use crate::order::Timer;
@@ -27,9 +29,6 @@
 use crate::sending::SENDING_LOOK;
 use crate::worker::WorkerId;
 
-/// How often a task that lasts and waits beside room which is kept for short ones is looked at again.
-const RESERVE_LOOK: Duration = Duration::from_millis(500);
-
 /// How long a job of tasks that fill has nothing at work, though most of the cell is free, until one
 /// of its tasks goes where it costs the least: after three seconds the job counts as lost.
 const STARVE_TIME: Duration = Duration::from_millis(1200);
@@ -52,31 +51,6 @@
     demand: Amount,
 }
 
-/// What tasks of a step that lasts may take.
-#[derive(Clone, Copy, Debug, Default)]
-struct Spare {
-    /// Thousandths of a processor beside what is kept for short tasks.
-    milli: f64,
-    /// Tasks for which there has been room all the while, so that nobody misses what they take.
-    slots: u64,
-}
-
-impl Spare {
-    fn allows(&self, spec: &Step) -> bool {
-        self.milli >= f64::from(spec.demand.cpu_milli) || self.slots > 0
-    }
-
-    /// Takes room for one task; tells whether it was kept for short ones.
-    fn take(&mut self, spec: &Step) -> bool {
-        self.milli -= f64::from(spec.demand.cpu_milli);
-        if self.milli >= 0.0 {
-            return false;
-        }
-        self.slots = self.slots.saturating_sub(1);
-        true
-    }
-}
-
 /// What one placing pass knows.
 struct Pass {
     refused: Vec<Refused>,
@@ -87,7 +61,7 @@
     /// Whether tasks that fill are placed in this pass.
     fills: bool,
     /// What was free on each worker of a service, once a step that lasts has asked.
-    rooms: Vec<(id::Service, Vec<Amount>)>,
+    rooms: Rooms,
     /// Steps for which a worker may be kept.
     unplaced: Vec<Unplaced>,
 }
@@ -178,7 +152,7 @@
             self.note_wait(step, spec, &pass.open);
             pass.unplaced.extend(Unplaced::of(self, step, spec));
             if spec.long_running {
-                self.look_beside(step, 0);
+                self.look_idle(step, 0);
             }
             return;
         }
@@ -195,7 +169,7 @@
             }
             return;
         }
-        let mut spare = self.spare(step, spec, &open, pass);
+        let mut spare = self.spare(step, spec, &open, &mut pass.rooms);
         if !self.place_tasks(step, spec, &open, &mut spare) {
             self.note_wait(step, spec, &pass.open);
             if !narrow {
@@ -343,47 +317,13 @@
         true
     }
 
-    /// Looks again soon whether tasks that last find room which short ones leave; until then it isn't said that
-    /// there is none.
-    fn wait_for_spare(&mut self) -> bool {
-        self.timers.insert((self.now + RESERVE_LOOK, Timer::Place));
-        true
-    }
-
-    /// Returns what a step that lasts may take.
-    fn spare(&mut self, step: StepId, spec: &Step, open: &[WorkerId], pass: &mut Pass) -> Spare {
-        if !spec.long_running {
-            return Spare::default();
-        }
-        let service = self.service(step.job);
-        let known = pass.rooms.iter().position(|(name, _)| *name == service);
-        let index = known.unwrap_or_else(|| {
-            pass.rooms.push((service, self.rooms(open)));
-            pass.rooms.len() - 1
-        });
-        let slots = self.slots_beside(step, spec, &pass.rooms[index].1);
-        Spare { milli: self.spare_for_lasting(open), slots }
-    }
-
-    /// Returns the thousandths of a processor that tasks which last may still take.
-    fn spare_for_lasting(&self, open: &[WorkerId]) -> f64 {
-        let mut capacity = 0.0;
-        let mut taken = 0.0;
-        for &worker in open {
-            let worker = &self.workers[worker];
-            capacity += f64::from(worker.capacity.cpu_milli);
-            taken += f64::from(worker.lasting.cpu_milli);
-        }
-        capacity - taken - self.reserve.milli(self.now, capacity)
-    }
-
     fn queue(&self, job: JobId) -> Option<&Queue> {
         let config = self.config.as_ref()?;
         config.queue(&self.jobs[&job].accepted.queue)
     }
 
     /// Returns the service whose workers run a job: what the operator says now, or said last.
-    fn service(&self, job: JobId) -> id::Service {
+    pub(crate) fn service(&self, job: JobId) -> id::Service {
         let queue = self.queue(job).map(|queue| queue.service.clone());
         queue.unwrap_or_else(|| self.jobs[&job].accepted.service.clone())
     }
--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/rank.rs
@@ -2,7 +2,7 @@
 //!
 //! Pattern answered: more work than room. Then it matters which jobs are finished in time: a job is worth most while
 //! it can still meet its objective, little until three times that, and almost nothing afterwards. Within a
-//! priority, jobs that last come first and are held to the room that is theirs ([`crate::beside`]); then short jobs,
+//! priority, jobs that last come first and are held to the room that is theirs ([`crate::idle`]); then short jobs,
 //! those that can be in time before those that can't, and among equals whoever came first. Their size doesn't
 //! count: small ones first would finish a few more, and starve the large ones of a full queue. Jobs of tasks that
 //! fill are ordered by what is still gained for each core-second that is left.
--- a/crates/planner/src/reservation.rs
+++ b/crates/planner/src/reservation.rs
@@ -26,7 +26,7 @@
 /// that nothing is kept where room would have come anyway.
 const RESERVE_AFTER: Duration = Duration::from_millis(150);
 /// Part of the processors that tasks which last leave which is kept at a time. It buys large tasks their share: in a
-/// full cell the largest tenth of a kind is served 0.75 to 1.0 times as often as the kind, without it 0.57 to 0.99
+/// full cell the largest tenth of a kind is served 0.76 to 1.0 times as often as the kind, without it 0.57 to 0.99
 /// (cowslipchutectl sizes, six days of load on 350 workers), for 0.01 of all worth. Half as much leaves 0.67.
 const RESERVED_PART: f64 = 0.08;
 /// Part of them that a step may keep where even one step is more than the part above, as a large task is in a small
--- a/crates/planner/src/share.rs
+++ b/crates/planner/src/share.rs
@@ -4,7 +4,7 @@
 //! alone left a gap that is its own. But when a part of the workers is gone, so is that part of the room, and
 //! giving back all that ran there would take it from short tasks alone. So what tasks that last gave up is given
 //! back as far as they held that part of the cell a moment ago; beyond that they take what stays free, like new ones
-//! ([`crate::beside`]).
+//! ([`crate::idle`]).
 
 use std::time::Duration;
 
