A scenario fails: overload of a narrow link doesn't end

Starts at four fifths of what the link may carry for them, twice as many for six seconds: five seconds later 0 of 80 jobs are done within 0.9 s, and jobs wait for two to three seconds for as long as they come.

--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -63,6 +63,7 @@
     narrow_link = { "narrow_link" },
     near = { "near" },
     occurrences = { "occurrences" },
+    overload_ends = { "overload_ends" },
     overwritten = { "overwritten" },
     owner_killed = { "owner_killed" },
     owner_killed_cut = { "owner_killed_cut" },
