Jobs with nothing at work start from a part of the link of their own

Callers saw: after a burst on an owner with a narrow link, new jobs wait as long as the backlog is old, for as long as jobs come. Cause: a job with nothing at work for 1.2 s was started whatever the link had left, so the oldest of a backlog took all that is there for starts, and new ones waited until they were as old. Such starts have a tenth of the link of their own now, beside the half for all; the backlog shrinks by that and by what new jobs leave. It holds at any rate, since the parts are shares of it. narrow_link.test shows the same as before.

--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -292,7 +292,8 @@
         self.ratings += open.len() as u64;
         let mut rated = self.rated(&request, open);
         for (index, ran) in tasks {
-            if !self.sending.allows(self.now) && !self.starves(step) {
+            let waits = !self.sending.allows(self.now);
+            if waits && !(self.starves(step) && self.sending.allows_starved(self.now)) {
                 self.timers.insert((self.now + SENDING_LOOK, Timer::Place));
                 return true;
             }
@@ -307,6 +308,9 @@
                 return false;
             };
             self.intend(task, worker);
+            if waits {
+                self.sending.charge_starved(self.jobs[&task.job].accepted.spec.payload.len());
+            }
             if bound && spare.take(spec) {
                 self.given_up += 1;
             }
