--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -16,7 +16,7 @@
 //! `ratings most=N` (whether the owner rated workers more often than that a second); `stream id=H every=MS jobs=N`
 //! (like `job`, handed in again and again with rising numbers); `served id=H jobs=N within=MS least=N` (whether so many
 //! of a stream were done so soon); `beside` (from now on it is watched how tasks that last wait beside room for two of them) and
-//! `beside most=MS` (whether none did for longer).
+//! `beside most=MS` (whether none did for longer); `at_work id=H least=N` (whether so many of a job's tasks run).
 
 mod world;
 
@@ -55,6 +55,7 @@
     inherited_deadline = { "inherited_deadline" },
     inherited_pace = { "inherited_pace" },
     large_job_waits = { "large_job_waits" },
+    lasting_back = { "lasting_back" },
     lasting_waits = { "lasting_waits" },
     lost_start = { "lost_start" },
     many_fills_wait = { "many_fills_wait" },
@@ -154,9 +155,14 @@
         "stream" => {
             let every = Duration::from_millis(number(case, "every").expect("a stream has a pace"));
             let accepted = accepted(world, case);
-            world.stream(id(case), &accepted, number(case, "jobs").expect("how many"), every);
+            let jobs = number(case, "jobs").expect("how many");
+            if let Some(work) = number(case, "work").map(Duration::from_millis) {
+                world.work.extend((id(case)..id(case) + jobs).map(|job| (job, work)));
+            }
+            world.stream(id(case), &accepted, jobs, every);
         }
         "served" => return served(world, case),
+        "at_work" => return at_work(world, case),
         "beside" => return beside(world, case),
         "cancel" => world.cancel(id(case)),
         "crash" => world.crash(name, false),
@@ -294,6 +300,15 @@
     if served >= least { String::from("enough") } else { format!("{served} of {count}") }
 }
 
+/// Tells whether enough tasks of a job run.
+fn at_work(world: &World, case: &TestCase) -> String {
+    let least: usize = number(case, "least").expect("how many at least");
+    let id = id(case);
+    let runs = world.workers.values().filter(|worker| worker.up).flat_map(|w| w.active.keys());
+    let running = runs.filter(|run| run.task.job == id).count();
+    if running >= least { String::from("enough") } else { format!("{running}") }
+}
+
 /// Watches from now on how long tasks that last wait beside room for two of their kind, or tells whether one
 /// waited for longer.
 fn beside(world: &mut World, case: &TestCase) -> String {
