What has been free for half of the time is given back to tasks that last

Cause: beyond the part of the cell that such tasks held, one got only room that had been free in every span of two seconds. Room for two that is there most of the time looks as if it always were to whoever looks each second. Now one that has run before takes a place, one at a time, where there has been room for two in half of the last 1.5 seconds. It lowers the odds and doesn't end them: at less than half of the time it waits on. New tasks wait as before; none of them was ever told as lost.

--- a/crates/planner/src/idle.rs
+++ b/crates/planner/src/idle.rs
@@ -28,6 +28,13 @@
 /// Spans that have to be free: two seconds. After three a task that waits beside room counts as lost.
 const SPANS: usize = 13;
 
+/// Part of the time with room for two from which a task that has run before doesn't wait any longer: it counts as lost
+/// beside room for two after three seconds, and whoever looks only now and then sees room that is there half of the
+/// time as if it always were.
+const OFTEN: f64 = 0.5;
+/// Over how long that part is taken.
+const OFTEN_TIME: Duration = Duration::from_millis(1500);
+
 /// A step that waits is looked at twice a second at least; one that isn't for so long has not waited meanwhile.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
 
@@ -38,6 +45,8 @@
     milli: f64,
     /// Tasks for which there has been room all the while, so that nobody misses what they take.
     slots: u64,
+    /// Whether there has been room for two often, so that one that has run before may come back.
+    often: bool,
 }
 
 impl Spare {
@@ -45,6 +54,11 @@
         self.milli >= f64::from(spec.demand.cpu_milli) || self.slots > 0
     }
 
+    /// Tells whether a task may be placed that has run before.
+    pub(crate) fn allows_back(&self, spec: &Step) -> bool {
+        self.often || self.allows(spec)
+    }
+
     /// Takes room for one task; tells whether it was kept for short ones.
     pub(crate) fn take(&mut self, spec: &Step) -> bool {
         self.milli -= f64::from(spec.demand.cpu_milli);
@@ -52,6 +66,7 @@
             return false;
         }
         self.slots = self.slots.saturating_sub(1);
+        self.often = false;
         true
     }
 }
@@ -71,6 +86,11 @@
     last: u64,
     /// When this span began.
     began: Option<Time>,
+    /// The part of the time in which there was room for two.
+    often: f64,
+    /// Whether there was at the last look, and when that was.
+    two: bool,
+    looked: Time,
 }
 
 impl Idle {
@@ -92,6 +112,7 @@
             began += SPAN;
         }
         self.began = Some(began);
+        self.average(now, slots);
         self.most = self.most.max(total);
         self.last = total;
         if self.spans.len() < SPANS {
@@ -100,9 +121,32 @@
         let least = self.spans.iter().copied().min().unwrap_or(0);
         least.min(total).saturating_sub(taken)
     }
+
+    fn average(&mut self, now: Time, slots: u32) {
+        if self.looked > Time::ZERO {
+            let passed = now.saturating_sub(self.looked).as_secs_f64();
+            let kept = (-passed / OFTEN_TIME.as_secs_f64()).exp();
+            self.often = self.often * kept + if self.two { 1.0 - kept } else { 0.0 };
+        }
+        self.two = slots >= 2;
+        self.looked = now;
+    }
+
+    /// Tells whether there is room for two now and has been often; one place is given for that at a time.
+    fn is_often(&self) -> bool {
+        self.two && self.spans.len() == SPANS && self.often >= OFTEN
+    }
 }
 
 impl Planner {
+    /// Tells whether a task of a step that lasts may be placed now; `back` if it has run before.
+    pub(crate) fn may_last(&self, spec: &Step, spare: &Spare, back: bool) -> bool {
+        match back {
+            true => self.share.allows(spec) || spare.allows_back(spec),
+            false => spare.allows(spec),
+        }
+    }
+
     /// Looks again soon whether tasks that last find room which short ones leave; until then it isn't said that
     /// there is none.
     pub(crate) fn wait_for_spare(&mut self) -> bool {
@@ -128,7 +172,18 @@
             rooms.len() - 1
         });
         let slots = self.idle_slots(step, spec, &rooms[index].1);
-        Spare { milli: self.spare_for_lasting(open), slots }
+        let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
+        let often = state.is_some_and(|state| state.idle.is_often());
+        Spare { milli: self.spare_for_lasting(open), slots, often }
+    }
+
+    /// A task was given room that was kept: what there was often begins anew for its step.
+    pub(crate) fn give_up_room(&mut self, step: StepId) {
+        self.given_up += 1;
+        let state = self.jobs.get_mut(&step.job).and_then(|job| job.step_mut(step));
+        if let Some(state) = state {
+            state.idle.often = 0.0;
+        }
     }
 
     /// Returns the thousandths of a processor that tasks which last may still take.
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -284,8 +284,8 @@
             .map(|(index, task)| (index as u32, task.attempt > 0))
             .collect();
         tasks.sort_by_key(|&(_, ran)| !ran);
-        let returning = self.share.allows(spec) && tasks.iter().any(|&(_, ran)| ran);
-        if spec.long_running && !returning && !spare.allows(spec) {
+        let back = tasks.first().is_some_and(|&(_, ran)| ran);
+        if spec.long_running && !self.may_last(spec, spare, back) {
             return self.wait_for_spare();
         }
         let mut request = Request::new(&self.model, step.task(0), spec);
@@ -297,10 +297,10 @@
                 self.timers.insert((self.now + SENDING_LOOK, Timer::Place));
                 return true;
             }
-            let bound = spec.long_running && !(ran && self.share.allows(spec));
-            if bound && !spare.allows(spec) {
+            if spec.long_running && !self.may_last(spec, spare, ran) {
                 return self.wait_for_spare();
             }
+            let bound = spec.long_running && !(ran && self.share.allows(spec));
             let task = step.task(index);
             request.for_task(task);
             let shunned = self.jobs[&task.job].task(task).and_then(|task| task.shunned);
@@ -312,7 +312,7 @@
                 self.sending.charge_starved(self.jobs[&task.job].accepted.spec.payload.len());
             }
             if bound && spare.take(spec) {
-                self.given_up += 1;
+                self.give_up_room(step);
             }
             if spec.fills {
                 self.refresh_beside(worker);
