--- a/bin/ctl/src/sizes.rs
+++ b/bin/ctl/src/sizes.rs
@@ -24,8 +24,10 @@
 /// Fewer jobs of a queue than this say nothing by tenths.
 const LEAST_JOBS: usize = TENTHS;
 
-/// What jobs are ordered by.
-const MEASURES: [(&str, fn(&Size) -> f64); 4] = [
+/// What jobs are ordered by: the heading of its rows, and how it is read off.
+type Measure = (&'static str, fn(&Size) -> f64);
+
+const MEASURES: [Measure; 4] = [
     ("work", |size| size.work),
     ("widest", |size| f64::from(size.widest_milli)),
     ("tasks", |size| f64::from(size.tasks)),
@@ -139,6 +141,7 @@
         for line in lines {
             let (Some(id), Some(detail)) = (line.job, line.detail) else { continue };
             if line.event == Event::JobKnown.number() {
+                // An earlier version told the queue alone.
                 let Ok(size) = detail.parse() else { continue };
                 jobs.entry(id).or_insert(Job { size, known: line.ts, ended: None });
             } else if line.event == Event::JobEnded.number()
