--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -12,6 +12,7 @@
 pub mod link;
 mod machines;
 mod orders;
+mod stream;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -238,27 +239,6 @@
         self.tell(Event::Job { job: id, accepted });
     }
 
-    /// Hands in jobs of the same form one after the other, with rising numbers.
-    pub fn stream(&mut self, first: JobId, accepted: &Accepted, count: u64, every: Duration) {
-        let mut at = self.now;
-        for id in first..first + count {
-            self.push(at, Arrival::Submit(id, accepted.clone()));
-            at += every;
-        }
-    }
-
-    /// Counts jobs of a stream that were done so soon after they were handed in.
-    pub fn served(&self, first: JobId, count: u64, within: Duration) -> u64 {
-        let served = (first..first + count).filter(|id| {
-            let (Some(&from), Some(&to)) = (self.submitted_at.get(id), self.ended_at.get(id))
-            else {
-                return false;
-            };
-            self.ends.get(id) == Some(&State::Completed) && to <= from + within
-        });
-        served.count() as u64
-    }
-
     pub fn cancel(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let mut accepted = Accepted::clone(job);
--- /dev/null
+++ b/crates/planner/tests/world/stream.rs
@@ -0,0 +1,33 @@
+//! Jobs that come one after the other, and how many of them are done in time.
+
+use std::time::Duration;
+
+use cowslipchute_ports::job::Accepted;
+use cowslipchute_ports::job::JobId;
+use cowslipchute_ports::job::State;
+
+use super::Arrival;
+use super::World;
+
+impl World {
+    /// Hands in jobs of the same form one after the other, with rising numbers.
+    pub fn stream(&mut self, first: JobId, accepted: &Accepted, count: u64, every: Duration) {
+        let mut at = self.now;
+        for id in first..first + count {
+            self.push(at, Arrival::Submit(id, accepted.clone()));
+            at += every;
+        }
+    }
+
+    /// Counts jobs of a stream that were done so soon after they were handed in.
+    pub fn served(&self, first: JobId, count: u64, within: Duration) -> u64 {
+        let served = (first..first + count).filter(|id| {
+            let (Some(&from), Some(&to)) = (self.submitted_at.get(id), self.ended_at.get(id))
+            else {
+                return false;
+            };
+            self.ends.get(id) == Some(&State::Completed) && to <= from + within
+        });
+        served.count() as u64
+    }
+}
