A job's prospect is worked out once for its place in the order; one copy of the late limit

Found in reading the change again: ranking a waiting job worked out the rest of its chain up to four times a pass, and the limit up to which a late job counts stood in the planner and in the command line.

--- a/bin/ctl/src/lib.rs
+++ b/bin/ctl/src/lib.rs
@@ -15,5 +15,4 @@
 pub mod sizes;
 pub mod spread;
 pub mod stream;
-
 pub mod trace;
--- a/bin/ctl/src/sizes.rs
+++ b/bin/ctl/src/sizes.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 
 use cowslipchute_base::event::Event;
+use cowslipchute_base::size::LATE_LIMIT;
 use cowslipchute_base::size::Size;
 use serde_json::Value;
 use serde_json::json;
@@ -18,12 +19,12 @@
 
 /// Groups of jobs by size.
 const TENTHS: usize = 10;
-/// Up to this many times its objective a job counts as served late; afterwards it is lost
-/// (docs/design/platform.md).
-const LATE_LIMIT: u32 = 3;
 /// Fewer jobs of a queue than this say nothing by tenths.
 const LEAST_JOBS: usize = TENTHS;
 
+/// Time stamps are read as times of day, and a job may end on the next one.
+const SECONDS_A_DAY: f64 = 86_400.0;
+
 /// What jobs are ordered by: the heading of its rows, and how it is read off.
 type Measure = (&'static str, fn(&Size) -> f64);
 
@@ -63,7 +64,7 @@
         let objective = self.size.objective.as_secs_f64();
         if took <= objective {
             Service::InTime
-        } else if took <= objective * f64::from(LATE_LIMIT) {
+        } else if took <= objective * LATE_LIMIT {
             Service::Late
         } else {
             Service::Not
@@ -76,8 +77,6 @@
     }
 }
 
-const SECONDS_A_DAY: f64 = 86_400.0;
-
 /// Reads the time of day out of a time stamp, in seconds.
 fn seconds(stamp: &str) -> Option<f64> {
     let time = stamp.split_once('T')?.1.trim_end_matches('Z');
--- a/crates/base/src/size.rs
+++ b/crates/base/src/size.rs
@@ -7,6 +7,10 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+/// Up to this many times its objective a job that is done counts as late; afterwards it is lost (the users' page on
+/// payoff).
+pub const LATE_LIMIT: f64 = 3.0;
+
 /// The size of a job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Size {
--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/rank.rs
@@ -7,8 +7,7 @@
 //! count: small ones first would finish a few more, and starve the large ones of a full queue. Jobs of tasks that
 //! fill are ordered by what is still gained for each core-second that is left.
 
-use std::time::Duration;
-
+use cowslipchute_base::size::LATE_LIMIT;
 use cowslipchute_ports::job::JobId;
 
 use crate::job::Job;
@@ -20,16 +19,36 @@
 /// the worth in time).
 const LATE_WORTH: f64 = 0.15;
 /// What a late short job counts whose work has begun: it comes before others that are late, since what is done
-/// of it would be lost, and after those that can be in time. Served among the latter it costs 0.02 of all
-/// worth on full days, with no more large jobs served in time.
+/// of it would be lost, and after those that can be in time. Served among the latter it costs 0.01 of all
+/// worth on eight full days, with fewer large jobs in time.
 const BEGUN_LATE_WORTH: f64 = 0.5;
 /// What a job that is later still is worth here: not nothing, so that it is done in idle time.
 const LOST_WORTH: f64 = 0.02;
-/// Up to this many times the objective a job counts as late and not as lost.
-const LATE_LIMIT: f64 = 3.0;
 /// Core-seconds below which a job counts no smaller.
 const LEAST_WORK: f64 = 0.5;
 
+/// How soon a job is done if all goes well from now on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Prospect {
+    /// In time.
+    InTime,
+    /// After its objective, and before it counts as lost.
+    Late,
+    /// Later than that.
+    Lost,
+}
+
+impl Prospect {
+    /// Returns the part of its worth that the job still earns.
+    fn weight(self) -> f64 {
+        match self {
+            Prospect::InTime => 1.0,
+            Prospect::Late => LATE_WORTH,
+            Prospect::Lost => LOST_WORTH,
+        }
+    }
+}
+
 /// Place of a job in the order; lower comes first.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Rank {
@@ -59,19 +78,26 @@
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// Returns how long after it was due a job is done if all goes well from now on.
-    fn finish_time(&self, job: &Job) -> Duration {
-        self.now.saturating_sub(job.due_since()) + job.chain_left()
+    fn prospect(&self, job: &Job) -> Prospect {
+        let finish = self.now.saturating_sub(job.due_since()) + job.chain_left();
+        let objective = job.objective();
+        if finish <= objective {
+            Prospect::InTime
+        } else if finish <= objective.mul_f64(LATE_LIMIT) {
+            Prospect::Late
+        } else {
+            Prospect::Lost
+        }
     }
 
     /// Tells whether a job can't be done in time any more.
     pub(crate) fn is_late(&self, job: &Job) -> bool {
-        self.finish_time(job) > job.objective()
+        self.prospect(job) != Prospect::InTime
     }
 
     /// Tells whether a job can't be done any more before it counts as lost.
     pub(crate) fn is_lost(&self, job: &Job) -> bool {
-        self.finish_time(job) > job.objective().mul_f64(LATE_LIMIT)
+        self.prospect(job) == Prospect::Lost
     }
 
     fn rank(&self, job: &Job) -> Rank {
@@ -79,29 +105,16 @@
         let gain = if steps.iter().all(|step| step.long_running) {
             f64::INFINITY
         } else if steps.iter().any(|step| step.fills) {
-            self.weight(job) * self.value_by_work(job)
+            self.prospect(job).weight() * self.value_by_work(job)
         } else {
-            self.weight_of_short(job)
+            match self.prospect(job) {
+                Prospect::Late if job.started => BEGUN_LATE_WORTH,
+                prospect => prospect.weight(),
+            }
         };
         Rank { priority: job.terms.priority, gain, order: job.order }
     }
 
-    /// Returns the part of its worth that a job still earns if all goes well.
-    fn weight(&self, job: &Job) -> f64 {
-        if self.is_lost(job) {
-            LOST_WORTH
-        } else if self.is_late(job) {
-            LATE_WORTH
-        } else {
-            1.0
-        }
-    }
-
-    fn weight_of_short(&self, job: &Job) -> f64 {
-        let begun_late = job.started && self.is_late(job) && !self.is_lost(job);
-        if begun_late { BEGUN_LATE_WORTH } else { self.weight(job) }
-    }
-
     /// Returns a job's worth against its queue's mean, for each core-second that is left of it.
     fn value_by_work(&self, job: &Job) -> f64 {
         let work = job.work.max(LEAST_WORK);
--- a/crates/planner/tests/world/beside.rs
+++ b/crates/planner/tests/world/beside.rs
@@ -60,9 +60,8 @@
                 if !step.long_running || !step.after.is_empty() {
                     continue;
                 }
-                let id = |index| TaskId { job, occurrence: 0, step: index as _, index: 0 };
-                let tasks = (0..step.count).map(|task| TaskId { index: task, ..id(index) });
-                idle.extend(tasks.filter(|&task| !self.runs(task)));
+                let id = |task| TaskId { job, occurrence: 0, step: index as _, index: task };
+                idle.extend((0..step.count).map(id).filter(|&task| !self.runs(task)));
             }
         }
         idle
