Event 282: what had been started last on a worker that crashed

The log told that a worker's life was over, not what had begun there: a task that crashes its workers couldn't be told from a chance victim.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -145,6 +145,7 @@
     279 StepWaits Info "Tasks of a step found no worker and wait; what is free is given.";
     280 WorkerEntryInvalid Warning "An entry of the workers' directory can't be read; it names no worker until it can.";
     281 StepPassed Info "Tasks of a step still wait; what was placed meanwhile is given.";
+    282 WorkerCrashed Warning "A worker's life is over without notice; the run that was started last there and its age are given.";
     300 ConfigApplied Info "A revision of the configuration is in force here.";
     301 ConfigIgnored Debug "An older revision of the configuration came and was ignored.";
     302 ConfigFromPeer Info "The configuration was learnt from a peer.";
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -86,6 +86,8 @@
     pub(crate) target: Option<Duration>,
     pub(crate) estimate: Duration,
     pub(crate) checkpoint: Option<id::Checkpoint>,
+    /// When its start was first sent by this owner.
+    pub(crate) ordered: Option<Time>,
     pub(crate) percent: u8,
     /// `percent` when it was first listed.
     pub(crate) first_percent: u8,
@@ -123,6 +125,7 @@
             target: step.target,
             estimate: step.estimate,
             checkpoint: None,
+            ordered: None,
             percent: 0,
             first_percent: 0,
             moved: now,
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -16,6 +16,7 @@
 mod census;
 mod choice;
 mod colocate;
+mod crash;
 mod end;
 pub mod event;
 mod figures;
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -147,6 +147,9 @@
                 .and_then(|leave| leave.ticket(worker)),
         };
         self.actions.push(Action::Start { target, start });
+        if let Some(hosted) = self.workers[worker].runs.get_mut(&run) {
+            hosted.ordered.get_or_insert(self.now);
+        }
     }
 
     /// Tells whether a start that was decided on is still to be sent. An owner short of processor time
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -294,6 +294,10 @@
     pub(crate) fn life_over(&mut self, worker: WorkerId) {
         let name = self.workers[worker].name.clone();
         self.note(Number::WorkerReplaced, None, None, Some(name.clone()), "");
+        let state = &self.workers[worker];
+        if !state.draining && !state.upkeep && !state.runs.is_empty() {
+            self.note_crash(worker);
+        }
         self.end_all(worker);
         self.workers.remove(worker);
         self.names.remove(&name);
