Scenarios fail: a task that crashes its workers is started without end; starts go by a capacity that has shrunk

It checks that such a task is given up in time, that no other is, and that no start brings a worker over what it has, or had until a moment ago. A worker keeps over its lives whether it refuses what doesn't fit.

--- a/crates/planner/src/write.rs
+++ b/crates/planner/src/write.rs
@@ -150,6 +150,7 @@
             State::Completed => "completed",
             State::Failed => "failed",
             State::Cancelled => "cancelled",
+            State::Crashed => "crashed",
             State::Queued | State::Active => "not ended",
         };
         self.note(Number::JobEnded, Some(job), None, None, detail);
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -15,7 +15,9 @@
 //! [of=(Event, ..)]` (what was noted since the last look); `stored` (the numbers of jobs and records);
 //! `ratings most=N` (whether the owner rated workers more often than that a second); `stream id=H every=MS jobs=N`
 //! (like `job`, handed in again and again with rising numbers); `served id=H jobs=N within=MS least=N` (whether so many
-//! of a stream were done so soon); `beside` (from now on it is watched how tasks that last wait beside room for two of them) and
+//! of a stream were done so soon); `culprit id=H [step=N] [task=N] [after=MS]` (that task crashes each worker so long after
+//! its start); `crashes most=N` (whether no task has crashed more workers); `resize name=w cpu=N [memory=N]` (its entry tells
+//! a beat later); `beside` (from now on it is watched how tasks that last wait beside room for two of them) and
 //! `beside most=MS` (whether none did for longer); `at_work id=H least=N` (whether so many of a job's tasks run).
 
 mod world;
@@ -28,6 +30,7 @@
 use cowslipchute_ports::job::Schedule;
 use cowslipchute_ports::job::Spec;
 use cowslipchute_ports::job::Step;
+use cowslipchute_ports::job::TaskId;
 use cowslipchute_standin::site::worker::Worker;
 use datadriven::TestCase;
 use world::World;
@@ -40,6 +43,14 @@
     cancel = { "cancel" },
     cancel_late = { "cancel_late" },
     cancel_late_owner = { "cancel_late_owner" },
+    crash_bystanders = { "crash_bystanders" },
+    crash_causes = { "crash_causes" },
+    crash_late = { "crash_late" },
+    crashing_fill = { "crashing_fill" },
+    crashing_gang = { "crashing_gang" },
+    crashing_lasting = { "crashing_lasting" },
+    crashing_owners = { "crashing_owners" },
+    crashing_task = { "crashing_task" },
     cut = { "cut" },
     cut_unlisted = { "cut_unlisted" },
     draining = { "draining" },
@@ -75,6 +86,8 @@
     reserve = { "reserve" },
     room_lost = { "room_lost" },
     rough = { "rough" },
+    shrunk_repeat = { "shrunk_repeat" },
+    shrunk_waits = { "shrunk_waits" },
     slow = { "slow" },
     starved = { "starved" },
     steps = { "steps" },
@@ -123,11 +136,7 @@
     let name = arg(case, "name").unwrap_or_default();
     match case.directive.as_str() {
         "worker" => {
-            let capacity = Amount {
-                cpu_milli: number(case, "cpu").unwrap_or(8000),
-                memory_mib: number(case, "memory").unwrap_or(32_000),
-                accelerators: 0,
-            };
+            let capacity = capacity(case);
             let rack = arg(case, "rack").unwrap_or("r1");
             match number::<u32>(case, "count") {
                 None => world.add_worker(name, capacity, rack),
@@ -162,6 +171,9 @@
             world.stream(id(case), &accepted, jobs, every);
         }
         "served" => return served(world, case),
+        "culprit" => culprit(world, case),
+        "crashes" => return crashes(world, case),
+        "resize" => world.resize(name, capacity(case)),
         "at_work" => return at_work(world, case),
         "beside" => return beside(world, case),
         "cancel" => world.cancel(id(case)),
@@ -194,6 +206,32 @@
     String::new()
 }
 
+fn capacity(case: &TestCase) -> Amount {
+    Amount {
+        cpu_milli: number(case, "cpu").unwrap_or(8000),
+        memory_mib: number(case, "memory").unwrap_or(32_000),
+        accelerators: 0,
+    }
+}
+
+fn culprit(world: &mut World, case: &TestCase) {
+    let task = TaskId {
+        job: id(case),
+        occurrence: 0,
+        step: number(case, "step").unwrap_or(0),
+        index: number(case, "task").unwrap_or(0),
+    };
+    let after = Duration::from_millis(number(case, "after").unwrap_or(10));
+    world.crashes.culprits.insert(task, after);
+}
+
+/// Tells whether no task has crashed more workers than this.
+fn crashes(world: &World, case: &TestCase) -> String {
+    let most: u32 = number(case, "most").expect("how many");
+    let crashes = world.most_crashes();
+    if crashes <= most { String::from("within") } else { format!("{crashes}") }
+}
+
 fn fault(world: &mut World, case: &TestCase, directive: &str) {
     let name = arg(case, "name").unwrap_or_default();
     let worker = world.workers.get_mut(name).unwrap_or_else(|| panic!("no worker {name}"));
--- a/crates/planner/tests/world/check.rs
+++ b/crates/planner/tests/world/check.rs
@@ -39,8 +39,9 @@
         assert!(stored.done, "{task} is acknowledged and the store doesn't hold it");
     }
 
-    pub(super) fn check_start(&self, run: Run) {
+    pub(super) fn check_start(&mut self, run: Run) {
         let task = run.task;
+        self.check_budget(task);
         let step = &self.specs[&task.job].spec.steps[usize::from(task.step)];
         assert!(
             step.long_running || !self.acknowledged.contains(&task),
@@ -60,9 +61,10 @@
     }
 
     /// What must hold at every moment.
-    pub(super) fn check(&self) {
+    pub(super) fn check(&mut self) {
+        let now = self.now;
         let mut running: BTreeMap<TaskId, &str> = BTreeMap::new();
-        for worker in self.workers.values().filter(|worker| worker.up) {
+        for (machine, worker) in self.workers.iter().filter(|(_, worker)| worker.up) {
             let mut sum = Amount::ZERO;
             for (run, active) in &worker.active {
                 let other = running.insert(run.task, &worker.name);
@@ -73,7 +75,10 @@
                 }
                 sum = sum.plus(demand);
             }
-            assert!(sum.fits(worker.capacity), "{} holds more than it has", worker.name);
+            let capacity = worker.capacity;
+            let bound = self.bounds.get_mut(machine);
+            let allowed = bound.map_or(capacity, |bound| bound.allowed(now, capacity, sum));
+            assert!(sum.fits(allowed), "{} holds more than it has", worker.name);
         }
     }
 }
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -2,13 +2,16 @@
 //!
 //! What must always hold is checked after every step: a task never runs twice at once, nor again
 //! after an end that was acknowledged; a step never begins before those it comes after; no worker
-//! is given more than it has; a job's end is shown only after the store holds it; what is
-//! acknowledged can be read from the store.
+//! is given more than it has, or had a moment ago; a job's end is shown only after the store holds
+//! it; what is acknowledged can be read from the store; a task that crashes its workers is given up,
+//! and no other for theirs.
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
 pub mod beside;
+mod capacity;
 mod check;
+pub mod crashes;
 pub mod link;
 mod machines;
 mod orders;
@@ -36,6 +39,7 @@
 use cowslipchute_ports::executor::Failure;
 use cowslipchute_ports::executor::How;
 use cowslipchute_ports::executor::Registration;
+use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
@@ -109,6 +113,9 @@
     pub notes: Vec<String>,
     pub starts: u64,
     pub machines: machines::Machines,
+    pub crashes: crashes::Crashes,
+    /// How full workers may be that have shrunk.
+    bounds: BTreeMap<String, capacity::Bound>,
 }
 
 impl World {
@@ -141,6 +148,8 @@
             notes: Vec::new(),
             starts: 0,
             machines: machines::Machines::default(),
+            crashes: crashes::Crashes::default(),
+            bounds: BTreeMap::new(),
         }
     }
 
@@ -295,6 +304,8 @@
         let mut life =
             Worker::open(&format!("{name}+{}", self.lives), worker.capacity, &worker.rack.clone());
         life.updated = self.now;
+        life.guards = worker.guards;
+        self.bounds.remove(name);
         let old = self.workers.insert(name.to_owned(), life);
         let old = old.expect("it was looked up before");
         let registration = registration(&self.workers[name]);
@@ -317,6 +328,7 @@
                 self.finished.extend(finished.into_iter().map(|run| run.task));
             }
             self.join_gangs();
+            self.advance_crashes();
             self.advance_machines();
             if self.renewals && self.store_up {
                 let queue = self.link.as_ref().map_or(Duration::ZERO, |link| link.queue(self.now));
@@ -421,6 +433,7 @@
                 Change::End { job, state } => {
                     self.records.remove(&job);
                     self.jobs.remove(&job);
+                    self.check_given_up(job, state);
                     let before = self.ends.insert(job, state);
                     assert_eq!(before, None, "a job ends once: {job:x}");
                     self.ended_at.insert(job, self.now);
@@ -459,6 +472,20 @@
         }
     }
 
+    /// Runs are gone without an end: what is left of their gangs ends as broken.
+    fn break_gangs(&mut self, gone: &[Run]) {
+        let broken: BTreeSet<(StepId, id::Attempt)> =
+            gone.iter().map(|run| (run.task.step_id(), run.attempt)).collect();
+        let now = self.now;
+        for worker in self.workers.values_mut() {
+            for (run, active) in &mut worker.active {
+                if active.step.gang && broken.contains(&(run.task.step_id(), run.attempt)) {
+                    active.ending.get_or_insert((now, How::Broken));
+                }
+            }
+        }
+    }
+
     /// Renders how far each job is.
     pub fn describe(&self) -> String {
         let mut text = String::new();
--- a/crates/planner/tests/world/orders.rs
+++ b/crates/planner/tests/world/orders.rs
@@ -164,9 +164,17 @@
             Action::Start { start, .. } => Some(self.spec(start.run)),
             _ => None,
         };
-        let Some(worker) = self.by_name(&name).filter(|worker| worker.up) else { return };
+        let machine = self.workers.iter().find(|(_, worker)| worker.name == name && worker.up);
+        let Some(machine) = machine.map(|(machine, _)| machine.clone()) else { return };
+        let demand = spec.as_ref().map(|(step, _)| step.demand);
+        let worker = self.workers.get_mut(&machine).expect("it was found a moment ago");
         // Whatever it answers, nobody hears it.
-        drop(carry_out(worker, epoch, action, spec, now));
+        let event = carry_out(worker, epoch, action, spec, now);
+        let started = matches!(event, Some(Event::Started { outcome: Ok(_), .. }));
+        if let (true, Some(demand), Some(bound)) = (started, demand, self.bounds.get_mut(&machine))
+        {
+            bound.excuse(demand);
+        }
     }
 
     fn spec(&self, run: Run) -> (Step, Duration) {
--- a/crates/ports/src/job.rs
+++ b/crates/ports/src/job.rs
@@ -174,12 +174,14 @@
     Failed,
     /// The client has cancelled it.
     Cancelled,
+    /// A task has crashed more workers than one may. Stored by its place, so it comes last.
+    Crashed,
 }
 
 impl State {
     /// Tells whether the job has ended and its state changes no more.
     pub fn is_final(self) -> bool {
-        matches!(self, State::Completed | State::Failed | State::Cancelled)
+        !matches!(self, State::Queued | State::Active)
     }
 }
 
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -19,6 +19,7 @@
 use cowslipchute_ports::executor::Stamp;
 use cowslipchute_ports::executor::Start;
 use cowslipchute_ports::job::Step;
+use cowslipchute_ports::job::TaskId;
 
 use crate::site::serving::Serving;
 
@@ -95,7 +96,7 @@
     /// Number of the next end.
     pub next_end: u64,
     /// The highest run of each task that has ended or was stopped here.
-    pub highest: BTreeMap<cowslipchute_ports::job::TaskId, id::Attempt>,
+    pub highest: BTreeMap<TaskId, id::Attempt>,
     /// Runs that ended done, for the world's checks.
     pub finished: BTreeSet<Run>,
     /// Up to when time has passed here.
@@ -334,6 +335,16 @@
         }
     }
 
+    /// Returns the task that crashes the worker now, if one of those that do so after a time has run for
+    /// that long.
+    pub fn crashing(&self, culprits: &BTreeMap<TaskId, Duration>, now: Time) -> Option<TaskId> {
+        let due = |run: &Run, active: &Active| {
+            culprits.get(&run.task).is_some_and(|&after| now >= active.since + after)
+        };
+        let found = self.active.iter().find(|(run, active)| self.up && due(run, active))?;
+        Some(found.0.task)
+    }
+
     /// Lists what runs and what has ended.
     pub fn report(&self, now: Time) -> Report {
         let listed = self.active.iter().filter(|(_, active)| active.ending.is_none());
