--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -3,7 +3,7 @@
 //! Pattern answered: a worker dies of what it was given. Nobody lists an end for the run, so its task looks like
 //! a victim, is started elsewhere at once and takes the next worker down, with all that runs there. So a crash is
 //! counted against whatever had begun just before it. Most of that are victims, which are cleared once they have
-//! worked for a while elsewhere. A task that is one crash short of [`CRASHES`] in a row is on *trial*: it is started
+//! worked for a while elsewhere; they aren't started side by side if that can be helped. A task that is one crash short of [`CRASHES`] in a row is on *trial*: it is started
 //! on a worker where nothing else has begun just now, and nothing else begins there until it is cleared. A crash
 //! then speaks against it alone, and its job is given up.
 //!
@@ -23,7 +23,6 @@
 use crate::host::Hosted;
 use crate::host::Order;
 use crate::host::Stage;
-use crate::job::Job;
 use crate::job::Place;
 use crate::job::Task;
 use crate::order::Timer;
@@ -33,7 +32,14 @@
 use crate::worker::WorkerId;
 
 /// Crashes in a row after which a job is given up. Two may be due to neighbours; the last isn't.
-pub(crate) const CRASHES: usize = 3;
+const CRASHES: usize = 3;
+/// The same where the last crash may have had another cause: the worker may have been dead before the start or have
+/// outlived it for a moment, or the start is an earlier owner's.
+const UNSURE_CRASHES: usize = 4;
+/// A worker that is known to have outlived a start for this long may well have crashed by itself.
+const SURE_TIME: Duration = Duration::from_millis(150);
+/// How often a worker that has a task on trial is asked whether it lives.
+pub(crate) const TRIAL_HOLD: Duration = Duration::from_millis(75);
 /// A worker that outlives a start by this long did not die of the start itself.
 const START_TIME: Duration = Duration::from_millis(500);
 /// A task that has worked for this long without a crash is no suspect any more.
@@ -107,6 +113,11 @@
         answer.saturating_sub(begun)
     }
 
+    /// Tells whether any task is on trial there.
+    pub(crate) fn has_trial(&self) -> bool {
+        self.suspects > 0 && self.runs.values().any(|hosted| is_tried(hosted.crashes))
+    }
+
     /// Tells whether a task is on trial there, unless it is another member of a gang.
     pub(crate) fn tries(&self, step: StepId, gang: bool) -> bool {
         let member = |run: &Run| gang && run.task.step_id() == step;
@@ -130,34 +141,23 @@
     }
 
     /// Tells whether its crash speaks against one job alone: nothing else may have caused it, nor was a suspect of
-    /// another job there that isn't cleared; and it was alive when the run was started.
+    /// another job there that isn't cleared; and it was alive when this owner started the run.
     fn points_at_one(&self, candidates: &[Run]) -> bool {
         let Some(first) = candidates.first() else { return false };
-        let was_alive = |run: &Run| {
-            let ordered = self.runs[run].ordered;
-            let answer = self.last_answer();
-            ordered.zip(answer).is_none_or(|(ordered, answer)| ordered <= answer + ALIVE_WITHIN)
+        let died_of_it = |run: &Run| {
+            let start = self.runs[run].ordered.zip(self.last_answer());
+            start.is_some_and(|(ordered, answer)| {
+                ordered <= answer + ALIVE_WITHIN && answer < ordered + SURE_TIME
+            })
         };
         let other = |run: &Run| run.task.job != first.task.job;
         let mut suspects = self.runs.iter().filter(|(_, hosted)| hosted.crashes > 0);
-        candidates.iter().all(was_alive)
+        candidates.iter().all(died_of_it)
             && !candidates.iter().any(other)
             && !suspects.any(|(run, _)| other(run))
     }
 }
 
-impl Job {
-    /// Tells whether one of its tasks has crashed more workers than one may.
-    pub(crate) fn crashes_workers(&self) -> bool {
-        let mut tasks = self
-            .occurrences
-            .iter()
-            .flat_map(|occurrence| &occurrence.steps)
-            .flat_map(|step| &step.tasks);
-        tasks.any(|task| task.crashed.len() >= CRASHES)
-    }
-}
-
 impl Planner {
     /// A worker's life is over. Counts the crash against what may have caused it, if it was one; returns the jobs
     /// that are to be given up for it once their runs there have ended.
@@ -174,33 +174,31 @@
             self.crashed_at.insert(address, now);
         }
         let candidates = state.may_have_crashed();
-        let most = if state.points_at_one(&candidates) { CRASHES } else { CRASHES - 1 };
+        let most = if state.points_at_one(&candidates) { CRASHES } else { UNSURE_CRASHES };
         let mut over = Vec::new();
         for run in candidates {
-            if self.suspect(worker, run, most) && !over.contains(&run.task.job) {
+            if self.suspect(worker, run) >= most && !over.contains(&run.task.job) {
                 over.push(run.task.job);
             }
         }
         over
     }
 
-    /// Counts a crash against a task, up to a number; tells whether its job is to be given up.
-    fn suspect(&mut self, worker: WorkerId, run: Run, most: usize) -> bool {
-        let Some(job) = self.jobs.get_mut(&run.task.job) else { return false };
+    /// Counts a crash against a task; returns how many are.
+    fn suspect(&mut self, worker: WorkerId, run: Run) -> usize {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else { return 0 };
         let current = |task: &Task| task.place == Place::At(worker) && task.attempt == run.attempt;
         if job.end.is_some() || !job.task(run.task).is_some_and(current) {
-            return false;
+            return 0;
         }
         let crashed = &mut job.task_mut(run.task).crashed;
-        if crashed.len() < most {
-            crashed.push(run.attempt);
-        }
+        crashed.push(run.attempt);
         let count = crashed.len();
         let name = self.workers[worker].name.clone();
         self.touch(run.task.job);
         let detail = format!("{count} of {CRASHES}");
         self.note(Number::TaskSuspected, Some(run.task.job), Some(run), Some(name), detail);
-        count >= CRASHES
+        count
     }
 
     /// Gives jobs up whose tasks crash workers.
@@ -231,6 +229,25 @@
         }
     }
 
+    /// Chooses a worker without another suspect for one that isn't on trial, if there is any.
+    pub(crate) fn choose_unshared(
+        &self,
+        request: &Request<'_>,
+        open: &[WorkerId],
+    ) -> Option<WorkerId> {
+        let unshared = open.iter().copied().filter(|&id| self.workers[id].suspects == 0);
+        self.best(request, unshared)
+    }
+
+    fn best(
+        &self,
+        request: &Request<'_>,
+        workers: impl Iterator<Item = WorkerId>,
+    ) -> Option<WorkerId> {
+        let rated = workers.filter_map(|id| Some((self.rate(&self.workers[id], request)?, id)));
+        rated.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, id)| id)
+    }
+
     /// Chooses a worker for a task on trial.
     pub(crate) fn choose_for_trial(
         &mut self,
@@ -238,11 +255,7 @@
         since: Time,
         open: &[WorkerId],
     ) -> Option<WorkerId> {
-        let rated = self.quiet(since, open).into_iter().filter_map(|id| {
-            let rate = self.rate(&self.workers[id], request)?;
-            Some((rate, id))
-        });
-        let best = rated.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, id)| id);
+        let best = self.best(request, self.quiet(since, open).into_iter());
         if best.is_none() {
             self.timers.insert((self.now + TRIAL_LOOK, Timer::Place));
         }
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -307,13 +307,17 @@
             request.for_task(task);
             let state = self.jobs[&task.job].task(task);
             let shunned = state.and_then(|task| task.shunned);
+            let suspected = state.is_some_and(|task| !task.crashed.is_empty());
             let tried = state.filter(|task| task.is_tried()).map(|task| task.waiting_since);
             let chosen = match tried {
                 Some(since) => match self.choose_for_trial(&request, since, open) {
                     None => continue,
                     chosen => chosen,
                 },
-                None => self.choose_rated(&request, shunned, &mut rated),
+                None => suspected
+                    .then(|| self.choose_unshared(&request, open))
+                    .flatten()
+                    .or_else(|| self.choose_rated(&request, shunned, &mut rated)),
             };
             let Some(worker) = chosen else { return false };
             self.intend(task, worker);
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -158,8 +158,6 @@
             self.finish(job, State::Completed);
         } else if spent {
             self.finish(job, State::Failed);
-        } else if state.crashes_workers() {
-            self.finish(job, State::Crashed);
         }
     }
 
