A start is checked once more against what its worker has now

Callers of a service whose workers take whatever they are told would see them overloaded: a worker's capacity shrank while a start waited for the store, the link, the owner's time or an answer, and the start was sent all the same, seconds after the directory had told. Cause: room was looked at when a place was chosen, never again. Now a start that is due, and one that is about to be sent, is taken back if its worker holds more than it has; one that may have been carried out is stopped and keeps its room until that is known. Workers that refuse what doesn't fit are left to do so.

--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -188,7 +188,7 @@
     }
 
     /// Tells whether the workers of a service refuse what doesn't fit; not while nobody has said so.
-    fn refuses_excess(&self, service: &id::Service) -> bool {
+    pub(crate) fn refuses_excess(&self, service: &id::Service) -> bool {
         let Some(config) = &self.config else { return false };
         config.services.iter().all(|known| known.name != *service || known.guarded)
     }
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -47,6 +47,7 @@
 mod sending;
 pub mod settings;
 mod share;
+mod shrunk;
 mod spare;
 mod takeover;
 mod wave;
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -89,7 +89,10 @@
         let Some(state) = self.workers.get(worker) else { return };
         let Some(target) = state.target() else { return };
         let answers = state.answers();
-        let Some(hosted) = state.runs.get(&run) else { return };
+        if self.take_back_start(worker, run) {
+            return;
+        }
+        let Some(hosted) = self.workers[worker].runs.get(&run) else { return };
         if hosted.is_repeat() && answers && !self.may_repeat(run) {
             self.schedule(worker, run, SENDING_LOOK);
             return;
@@ -155,10 +158,12 @@
     }
 
     /// Tells whether a start that was decided on is still to be sent. An owner short of processor time
-    /// sends its orders seconds later, and a task that had ended meanwhile would begin once more.
+    /// sends its orders seconds later; a task that had ended meanwhile would begin once more, and a worker
+    /// that had shrunk would be overloaded.
     pub fn wants_start(&self, worker: &id::Instance, run: Run) -> bool {
         let worker = self.names.get(worker).and_then(|&worker| self.workers.get(worker));
-        let hosted = worker.and_then(|worker| worker.runs.get(&run));
+        let Some(worker) = worker.filter(|worker| !self.is_overfull(worker)) else { return false };
+        let hosted = worker.runs.get(&run);
         hosted.is_some_and(|hosted| matches!(hosted.stage, Stage::Starting { .. }))
     }
 
--- a/crates/planner/tests/interleavings.rs
+++ b/crates/planner/tests/interleavings.rs
@@ -19,6 +19,8 @@
 
 /// Workers of the world.
 const WORKERS: u8 = 4;
+/// Processors of each.
+const PROCESSORS: u32 = 4;
 /// Cases, unless the environment says otherwise.
 const CASES: u32 = 200;
 /// Steps of a case.
@@ -71,6 +73,8 @@
     Owners(u8, u64),
     /// Somebody else's entry at a worker's address, of a known service or of another.
     Foreign(u8, bool),
+    /// A worker has so many processors from now on.
+    Resize(u8, u32),
     /// The list of machines can't be had, or can again.
     Unlisted(bool),
 }
@@ -108,9 +112,14 @@
         1 => (2u8..6, 100u64..1500).prop_map(|(owners, gap)| Step::Owners(owners, gap)),
         1 => (worker(), proptest::bool::ANY).prop_map(|(at, known)| Step::Foreign(at, known)),
         1 => proptest::bool::ANY.prop_map(Step::Unlisted),
+        2 => (worker(), 1u32..=4).prop_map(|(at, processors)| Step::Resize(at, processors)),
     ]
 }
 
+fn capacity(processors: u32) -> Amount {
+    Amount { cpu_milli: 1000 * processors, memory_mib: 8000, accelerators: 0 }
+}
+
 fn name(worker: u8) -> String {
     format!("w{worker}")
 }
@@ -173,6 +182,7 @@
             let service = if *known { "desk" } else { "other" };
             world.list_foreign(&format!("x{at}"), &name(*at), service);
         }
+        Step::Resize(at, processors) => world.resize(&name(*at), capacity(*processors)),
         Step::Unlisted(unlisted) => world.machines.unlisted = *unlisted,
         Step::NoRenewal => world.renewals = false,
         Step::Renewal => world.renewals = true,
@@ -210,6 +220,7 @@
         worker.lose = 0;
         worker.late.0 = 0;
         world.list(&name(at));
+        world.resize(&name(at), capacity(PROCESSORS));
     }
     world.take_over(&World::config(0, ATTEMPTS, false));
 }
@@ -223,8 +234,7 @@
     let mut jobs = 0;
     let mut waves = 0;
     for at in 0..WORKERS {
-        let capacity = Amount { cpu_milli: 4000, memory_mib: 8000, accelerators: 0 };
-        world.add_worker(&name(at), capacity, if at < 2 { "r1" } else { "r2" });
+        world.add_worker(&name(at), capacity(PROCESSORS), if at < 2 { "r1" } else { "r2" });
     }
     // Half of them take whatever they are given.
     for at in 0..WORKERS / 2 {
