Soak: tasks that crash their workers, workers that shrink

In the soak three jobs in a hundred hold such a task, and workers shrink beside other faults; both are drawn from a generator of their own, so that earlier seeds stay what they were.

--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -31,6 +31,8 @@
 
 /// Host under which clients address the queues.
 const HOST: &str = "desk.example";
+/// What each worker has.
+pub const CAPACITY: Amount = Amount { cpu_milli: 8000, memory_mib: 32_000, accelerators: 0 };
 /// How long a client waits for an answer.
 const CLIENT_TIME: Duration = Duration::from_millis(2500);
 
@@ -93,8 +95,7 @@
             directory,
         };
         for index in 0..workers {
-            let capacity = Amount { cpu_milli: 8000, memory_mib: 32_000, accelerators: 0 };
-            deployment.add_worker(&format!("w{index}"), capacity).await?;
+            deployment.add_worker(&format!("w{index}"), CAPACITY).await?;
         }
         deployment.site.configure(1, 100);
         for index in 0..members {
--- a/crates/e2e/src/soak.rs
+++ b/crates/e2e/src/soak.rs
@@ -17,9 +17,11 @@
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom as _;
 use reqwest::StatusCode;
 
 use crate::proxy::Mood;
+use crate::site;
 use crate::site::Deployment;
 use crate::site::chain;
 
@@ -31,6 +33,14 @@
 const FAULT_TIME: Duration = Duration::from_millis(5000);
 /// By then every job that was taken in has come to its end in a mended deployment.
 const END: Duration = Duration::from_secs(60);
+/// Part of the jobs of which one task crashes the workers that start it.
+const CULPRITS: f64 = 0.03;
+/// By then such a task has crashed its worker, in milliseconds; each task works for longer.
+const CRASH_MILLIS: u64 = 40;
+/// How often a worker shrinks beside another fault.
+const SHRINKING: f64 = 0.1;
+/// Thousandths of a processor that are left of a worker that has shrunk.
+const SHRUNK_MILLI: u32 = 2000;
 /// Pause between two looks at a job's state.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -70,6 +80,8 @@
     /// Whether some try had no clear answer.
     unclear: bool,
     cancelled: bool,
+    /// Whether one of its tasks crashes the workers that start it.
+    crashes: bool,
     shown: String,
 }
 
@@ -85,11 +97,14 @@
     Worker(String, Mood),
     Hangs(String),
     Fails(String),
+    Shrunk(String),
 }
 
 struct Soak {
     plan: Plan,
     random: SmallRng,
+    /// Draws culprits and shrinking workers, so that all else stays as it was for earlier seeds.
+    drawn: SmallRng,
     deployment: Deployment,
     jobs: BTreeMap<JobId, Known>,
     faults: Vec<(Instant, Fault)>,
@@ -107,6 +122,7 @@
     let mut soak = Soak {
         plan,
         random: SmallRng::seed_from_u64(plan.seed),
+        drawn: SmallRng::seed_from_u64(!plan.seed),
         deployment,
         jobs: BTreeMap::new(),
         faults: Vec::new(),
@@ -129,6 +145,7 @@
             while next_fault <= now {
                 next_fault += self.pause(FAULT_PAUSE);
                 self.strike();
+                self.shrink();
             }
             self.mend(now)?;
             if now >= next_job {
@@ -188,10 +205,27 @@
             11 => Fault::Fails(self.worker()),
             _ => return self.strike_once(),
         };
-        if !self.begin(&fault) {
-            return;
+        if self.begin(&fault) {
+            let part = self.random.random_range(0.05..1.0);
+            self.mend_after(fault, part);
         }
-        let until = Instant::now() + FAULT_TIME.mul_f64(self.random.random_range(0.05..1.0));
+    }
+
+    /// Lets a worker shrink now and then.
+    fn shrink(&mut self) {
+        if self.drawn.random_bool(SHRINKING) {
+            let workers = self.deployment.workers.keys();
+            let name = workers.choose(&mut self.drawn).expect("there are workers").clone();
+            let fault = Fault::Shrunk(name);
+            let part = self.drawn.random_range(0.05..1.0);
+            self.begin(&fault);
+            self.mend_after(fault, part);
+        }
+    }
+
+    /// Lets a fault that has begun end after a part of the longest time.
+    fn mend_after(&mut self, fault: Fault, part: f64) {
+        let until = Instant::now() + FAULT_TIME.mul_f64(part);
         self.report.faults.push(format!("{fault:?}"));
         self.faults.push((until, fault));
     }
@@ -242,6 +276,9 @@
             }
             Fault::Hangs(name) => self.change_worker(name, |worker| worker.hangs = true),
             Fault::Fails(name) => self.change_worker(name, |worker| worker.fails = true),
+            Fault::Shrunk(name) => {
+                self.change_worker(name, |worker| worker.capacity.cpu_milli = SHRUNK_MILLI)
+            }
         }
     }
 
@@ -295,6 +332,9 @@
             Fault::Fails(name) => {
                 self.change_worker(name, |worker| worker.fails = false);
             }
+            Fault::Shrunk(name) => {
+                self.change_worker(name, |worker| worker.capacity = site::CAPACITY);
+            }
         }
         Ok(())
     }
@@ -330,8 +370,15 @@
             accepted: false,
             unclear: false,
             cancelled: false,
+            crashes: self.drawn.random_bool(CULPRITS),
             shown: String::new(),
         };
+        if known.crashes {
+            let index = self.drawn.random_range(0..count);
+            let task = TaskId { job: id, occurrence: 0, step: 0, index };
+            let after = Duration::from_millis(self.drawn.random_range(0..CRASH_MILLIS));
+            self.deployment.site.lock().crashes.culprits.insert(task, after);
+        }
         // A client asks again under the same number, at any member, while nothing is clear.
         for _ in 0..3 {
             let member = self.member();
@@ -382,7 +429,8 @@
             let text = format!("{id:016x} was {} and is {state}", known.shown);
             self.report.broken.push(text);
         }
-        let wrong_end = state == "failed" || (state == "cancelled" && !known.cancelled);
+        let wrong_end =
+            (state == "failed" && !known.crashes) || (state == "cancelled" && !known.cancelled);
         if wrong_end {
             self.report.broken.push(format!("{id:016x} is {state} without cause"));
         }
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -228,7 +228,7 @@
 /// Tells whether no task has crashed more workers than this.
 fn crashes(world: &World, case: &TestCase) -> String {
     let most: u32 = number(case, "most").expect("how many");
-    let crashes = world.most_crashes();
+    let crashes = world.crashes.most();
     if crashes <= most { String::from("within") } else { format!("{crashes}") }
 }
 
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -11,7 +11,7 @@
 pub mod beside;
 mod capacity;
 mod check;
-pub mod crashes;
+mod crashes;
 pub mod link;
 mod machines;
 mod orders;
@@ -45,6 +45,7 @@
 use cowslipchute_ports::job::State;
 use cowslipchute_ports::job::StepId;
 use cowslipchute_ports::job::TaskId;
+use cowslipchute_standin::site::crashes::Crashes;
 use cowslipchute_standin::site::worker::Worker;
 
 /// One way between the owner and anyone else.
@@ -113,7 +114,7 @@
     pub notes: Vec<String>,
     pub starts: u64,
     pub machines: machines::Machines,
-    pub crashes: crashes::Crashes,
+    pub crashes: Crashes,
     /// How full workers may be that have shrunk.
     bounds: BTreeMap<String, capacity::Bound>,
 }
@@ -148,7 +149,7 @@
             notes: Vec::new(),
             starts: 0,
             machines: machines::Machines::default(),
-            crashes: crashes::Crashes::default(),
+            crashes: Crashes::default(),
             bounds: BTreeMap::new(),
         }
     }
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -4,6 +4,7 @@
 //! It plays the platform's part in tests, in the demo and in the soak, and checks what only it can
 //! see: that no task runs twice at once, and that nothing runs that nobody asked for.
 
+pub mod crashes;
 pub mod serving;
 pub mod store;
 pub mod worker;
@@ -30,6 +31,7 @@
 use poem::listener::TcpAcceptor;
 use serde_json::json;
 
+use crashes::Crashes;
 use store::Store;
 use worker::Worker;
 
@@ -57,6 +59,8 @@
     pub finished: BTreeSet<TaskId>,
     /// What other writers leave among the workers' entries, by key.
     pub strays: BTreeMap<String, String>,
+    /// Tasks that crash their workers.
+    pub crashes: Crashes,
     /// Promises that were broken.
     pub broken: Vec<String>,
 }
@@ -84,6 +88,33 @@
                 }
             }
         }
+        self.pass_crashes(now);
+    }
+
+    /// Crashes the workers that run a culprit for long enough, and begins the next lives of those whose time is over.
+    fn pass_crashes(&mut self, now: Time) {
+        for (machine, worker) in &mut self.workers {
+            if let Some(task) = worker.crashing(&self.crashes.culprits, now) {
+                worker.up = false;
+                worker.active.clear();
+                self.crashes.crash(machine, task, now);
+            }
+        }
+        for machine in self.crashes.take_back(now) {
+            self.begin_life(&machine);
+        }
+    }
+
+    /// Another life begins on a machine.
+    fn begin_life(&mut self, machine: &str) {
+        self.lives += 1;
+        let name = format!("{machine}-{}", self.lives);
+        let now = self.now();
+        let Some(old) = self.workers.get(machine) else { return };
+        let mut life = Worker::open(&name, old.capacity, &old.rack.clone());
+        life.updated = now;
+        self.workers.insert(machine.to_owned(), life);
+        self.beat();
     }
 
     /// Writes each live worker's entry, and after them what other writers leave there.
@@ -152,6 +183,7 @@
         started: BTreeSet::new(),
         finished: BTreeSet::new(),
         strays: BTreeMap::new(),
+        crashes: Crashes::default(),
         broken: Vec::new(),
     };
     let state = Arc::new(Mutex::new(state));
@@ -224,15 +256,7 @@
 
     /// Ends a worker's life; another one begins on its machine.
     pub fn rebirth(&self, machine: &str) {
-        let mut state = self.lock();
-        state.lives += 1;
-        let name = format!("{machine}-{}", state.lives);
-        let now = state.now();
-        let Some(old) = state.workers.get(machine) else { return };
-        let mut life = Worker::open(&name, old.capacity, &old.rack.clone());
-        life.updated = now;
-        state.workers.insert(machine.to_owned(), life);
-        state.beat();
+        self.lock().begin_life(machine);
     }
 
     /// Writes the operator's configuration with one queue below `/q/` and one below `/low/`.
--- a/crates/standin/src/site/workers.rs
+++ b/crates/standin/src/site/workers.rs
@@ -131,8 +131,11 @@
 ) -> Result<&'a mut Worker, Failure> {
     let other = Failure::Refused(Refusal::OtherLife, None);
     let worker = state.workers.get_mut(&machine.0).ok_or(other)?;
+    if !worker.up {
+        return Err(Failure::Unknown);
+    }
     let named = request.header("Expected-Instance");
-    if named.is_some_and(|name| *name != *worker.name) || !worker.up {
+    if named.is_some_and(|name| *name != *worker.name) {
         return Err(other);
     }
     Ok(worker)
@@ -167,6 +170,8 @@
         .and_then(|worker| worker.start(order.fencing_token, &start, &step, work, now));
     if outcome.is_ok() {
         state.started.insert(run.task.job);
+        let broken = state.crashes.start(run.task);
+        state.broken.extend(broken);
     }
     settle(outcome)
 }
