An answer to a call from before an outage of the store doesn't end it

Cause: a watch that had been waiting since before the cut was answered seconds into it, and any answer ended the outage; the next client's write was sent and lost. Now an answer counts only if its call was sent after the one that failed.

--- a/bin/scheduler/src/desk.rs
+++ b/bin/scheduler/src/desk.rs
@@ -133,10 +133,11 @@
             Verdict::Refuse => return false,
             Verdict::Probe => {}
         }
+        let sent = clock::now();
         let read = tokio::time::timeout(PROBE_TIME, self.store.read(keys::SEAT));
         let answered = matches!(read.await, Ok(Ok(_)));
         if !answered {
-            self.health.failed(clock::now());
+            self.health.failed(sent, clock::now());
         }
         answered
     }
--- a/bin/scheduler/src/health.rs
+++ b/bin/scheduler/src/health.rs
@@ -35,6 +35,8 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Outage {
+    /// When the last call that was not answered had been sent.
+    sent: Time,
     /// The last call that was not answered.
     failed: Time,
     /// The last read that was to find out.
@@ -59,18 +61,23 @@
 }
 
 impl Health {
-    /// The store answered a call.
-    pub fn answered(&self, now: Time) {
+    /// The store answered a call that was sent then. An answer to a call from before an outage, as a waiting watch
+    /// gets, doesn't tell that calls reach the store again.
+    pub fn answered(&self, sent: Time, now: Time) {
         let mut state = self.lock();
+        if state.outage.is_some_and(|outage| sent < outage.sent) {
+            return;
+        }
         state.answered = Some(now);
         state.outage = None;
     }
 
-    /// The store did not answer a call, or turned it away.
-    pub fn failed(&self, now: Time) {
+    /// The store did not answer a call that was sent then, or turned it away.
+    pub fn failed(&self, sent: Time, now: Time) {
         let mut state = self.lock();
         let probed = state.outage.and_then(|outage| outage.probed);
-        state.outage = Some(Outage { failed: now, probed });
+        let sent = state.outage.map_or(sent, |outage| outage.sent.max(sent));
+        state.outage = Some(Outage { sent, failed: now, probed });
     }
 
     /// Tells what to do with a client that comes now.
--- a/bin/scheduler/src/measured.rs
+++ b/bin/scheduler/src/measured.rs
@@ -40,8 +40,10 @@
         let now = clock::now();
         self.metrics.store_call(name, answer(&outcome), now.saturating_sub(since));
         match &outcome {
-            Err(kv::Error::Unavailable(_) | kv::Error::Unknown(_)) => self.health.failed(now),
-            _ => self.health.answered(now),
+            Err(kv::Error::Unavailable(_) | kv::Error::Unknown(_)) => {
+                self.health.failed(since, now)
+            }
+            _ => self.health.answered(since, now),
         }
         outcome
     }
--- a/bin/scheduler/src/watcher.rs
+++ b/bin/scheduler/src/watcher.rs
@@ -4,6 +4,7 @@
 
 use cowslipchute_base::event::Event;
 use cowslipchute_base::id::Revision;
+use cowslipchute_base::id::Time;
 use cowslipchute_ports::kv;
 use cowslipchute_ports::kv::Store;
 use cowslipchute_ports::kv::Update;
@@ -57,7 +58,8 @@
     log: Log,
 ) -> mpsc::Receiver<Change> {
     let (sender, receiver) = mpsc::channel(64);
-    let watcher = Watcher { store, prefix, after, sender, health, log, failing: false };
+    let watcher =
+        Watcher { store, prefix, after, sender, health, log, failing: false, asked: clock::now() };
     tokio::spawn(watcher.run());
     receiver
 }
@@ -71,6 +73,8 @@
     health: Option<Health>,
     log: Log,
     failing: bool,
+    /// The next answer is to a call that was sent then, or later.
+    asked: Time,
 }
 
 impl<S: Store> Watcher<S> {
@@ -100,7 +104,7 @@
         if !self.failing {
             self.failing = true;
             if let Some(health) = &self.health {
-                health.failed(clock::now());
+                health.failed(self.asked, clock::now());
             }
             let reason = error.to_string();
             event!(self.log, Event::StoreLost, "prefix" => self.prefix, "reason" => reason);
@@ -108,9 +112,11 @@
     }
 
     fn answered(&mut self) {
+        let now = clock::now();
         if let Some(health) = &self.health {
-            health.answered(clock::now());
+            health.answered(self.asked, now);
         }
+        self.asked = now;
         if self.failing {
             self.failing = false;
             event!(self.log, Event::StoreBack, "prefix" => self.prefix);
@@ -119,6 +125,7 @@
 
     /// Follows until the watch ends; without an error only when the receiver is gone.
     async fn follow(&mut self) -> Result<(), kv::Error> {
+        self.asked = clock::now();
         let after = match self.after {
             Some(after) => after,
             None => {
