--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -67,6 +67,7 @@
     inherited_pace = { "inherited_pace" },
     large_job_waits = { "large_job_waits" },
     lasting_back = { "lasting_back" },
+    lasting_before_lost = { "lasting_before_lost" },
     lasting_waits = { "lasting_waits" },
     lost_start = { "lost_start" },
     many_fills_wait = { "many_fills_wait" },
