Short jobs that are lost make way for tasks that last and come back

Cause: what such a task takes back beyond its share has to stay free for a while, and short jobs that nobody waits for any more took each turn of it.

--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -64,6 +64,8 @@
     rooms: Rooms,
     /// Steps for which a worker may be kept.
     unplaced: Vec<Unplaced>,
+    /// Services on which a task that lasts waits to come back.
+    returning: Vec<id::Service>,
 }
 
 impl Refused {
@@ -96,6 +98,7 @@
             fills,
             rooms: Vec::new(),
             unplaced: Vec::new(),
+            returning: Vec::new(),
         };
         let mut backlog = 0.0;
         for job in self.ranked() {
@@ -157,6 +160,9 @@
             return;
         }
         let service = self.service(step.job);
+        if pass.returning.contains(&service) && self.makes_way(step.job, spec) {
+            return;
+        }
         let known = pass.open.iter().find(|(name, _)| *name == service);
         let mut open = known.map(|(_, open)| open.clone()).unwrap_or_default();
         if let Some(advice) = advice {
@@ -182,6 +188,9 @@
         if starves {
             self.place_starved(step, spec, &open);
         }
+        if self.is_returning(step, spec) {
+            pass.returning.push(service);
+        }
     }
 
     fn open_workers(&self) -> Vec<(id::Service, Vec<WorkerId>)> {
