Crashes: a machine that waits for its upkeep may crash too; a trial is watched by a repeated start

And a worker that ended by itself a quarter of a second after the start of a task on trial was taken for its victim, as its answer to a hold was still waiting: the start is repeated after 100 ms, which is harmless and answered at once, and only a crash before that is sure.

--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -37,8 +37,8 @@
 /// outlived it for a moment, or the start is an earlier owner's.
 const UNSURE_CRASHES: usize = 4;
 /// A worker that is known to have outlived a start for this long may well have crashed by itself.
-const SURE_TIME: Duration = Duration::from_millis(150);
-/// How often a worker that has a task on trial is asked whether it lives.
+pub(crate) const SURE_TIME: Duration = Duration::from_millis(100);
+/// How long a worker that has a task on trial may let a hold wait.
 pub(crate) const TRIAL_HOLD: Duration = Duration::from_millis(75);
 /// A worker that outlives a start by this long did not die of the start itself.
 const START_TIME: Duration = Duration::from_millis(500);
@@ -73,6 +73,12 @@
         matches!(self.stage, Stage::Intended { .. } | Stage::Starting { .. })
     }
 
+    /// Tells whether its start is to be repeated, which is harmless, to see that its worker has outlived it: the answer
+    /// to a hold may wait for longer.
+    pub(crate) fn wants_proof(&self) -> bool {
+        is_tried(self.crashes) && !self.proven && matches!(self.stage, Stage::Running { .. })
+    }
+
     /// Tells whether it has run for so long.
     fn has_run_for(&self, span: Duration, now: Time) -> bool {
         matches!(self.stage, Stage::Running { since } if now >= since + span)
@@ -163,7 +169,7 @@
     /// that are to be given up for it once their runs there have ended.
     pub(crate) fn count_crash(&mut self, worker: WorkerId) -> Vec<JobId> {
         let state = &self.workers[worker];
-        if state.draining || state.upkeep || state.runs.is_empty() {
+        if state.draining || state.going_down || state.runs.is_empty() {
             return Vec::new();
         }
         self.note_crash(worker);
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -88,6 +88,8 @@
     pub(crate) checkpoint: Option<id::Checkpoint>,
     /// Crashes that are counted against its task, until this run has cleared it.
     pub(crate) crashes: usize,
+    /// Whether its start was repeated to see whether its worker lives.
+    pub(crate) proven: bool,
     /// When its start was first sent by this owner.
     pub(crate) ordered: Option<Time>,
     pub(crate) percent: u8,
@@ -128,6 +130,7 @@
             estimate: step.estimate,
             checkpoint: None,
             crashes: 0,
+            proven: false,
             ordered: None,
             percent: 0,
             first_percent: 0,
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -17,6 +17,7 @@
 use cowslipchute_ports::job::JobId;
 
 use crate::action::Action;
+use crate::crash::SURE_TIME;
 use crate::host::Order;
 use crate::host::Stage;
 use crate::host::Why;
@@ -99,6 +100,7 @@
         }
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         let wants_pace = hosted.wants_pace();
+        let wants_proof = hosted.wants_proof();
         match &mut hosted.stage {
             // A start gives a deadline too, and a silent worker is given none.
             Stage::Starting { unsettled: false, order: Order::Due(_) } if !answers => {
@@ -115,6 +117,10 @@
                 *order = Order::Sent;
                 self.actions.push(Action::Stop { target, run });
             }
+            Stage::Running { .. } if wants_proof => {
+                hosted.proven = true;
+                self.send_start(worker, run);
+            }
             Stage::Running { .. } if wants_pace => {
                 hosted.pacing = true;
                 let percent = hosted.pace;
@@ -164,7 +170,10 @@
         let worker = self.names.get(worker).and_then(|&worker| self.workers.get(worker));
         let Some(worker) = worker.filter(|worker| !self.is_overfull(worker)) else { return false };
         let hosted = worker.runs.get(&run);
-        hosted.is_some_and(|hosted| matches!(hosted.stage, Stage::Starting { .. }))
+        hosted.is_some_and(|hosted| {
+            let proves = hosted.proven && matches!(hosted.stage, Stage::Running { .. });
+            proves || matches!(hosted.stage, Stage::Starting { .. })
+        })
     }
 
     /// Repeats an order at a time, or sends it for the first time.
@@ -203,6 +212,9 @@
             Ok(_) => {
                 hosted.stage = Stage::Running { since: now };
                 hosted.moved = now;
+                if hosted.wants_proof() {
+                    self.schedule(worker, run, SURE_TIME);
+                }
                 self.begin(run.task.job);
                 self.note(
                     Number::RunStarted,
--- a/crates/planner/src/wave.rs
+++ b/crates/planner/src/wave.rs
@@ -191,6 +191,7 @@
         if machine.up && same {
             // It was begun before this life, by an earlier owner whose word was lost.
             self.workers[before].upkeep = false;
+            self.workers[before].going_down = false;
             self.room_changed = true;
         } else {
             self.life_over(before);
@@ -345,6 +346,9 @@
         let now = self.now;
         let Some(upkeep) = self.waves.open.get_mut(&number) else { return };
         upkeep.phases.insert(name.clone(), Phase::Ordered(now));
+        if let Some(worker) = self.worker_of(name) {
+            self.workers[worker].going_down = true;
+        }
         self.actions.push(Action::Upkeep { wave: number, machine: name.clone() });
     }
 
@@ -362,6 +366,7 @@
     fn take_back(&mut self, name: &Name) {
         if let Some(worker) = self.worker_of(name) {
             self.workers[worker].upkeep = false;
+            self.workers[worker].going_down = false;
             self.room_changed = true;
         }
     }
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -109,6 +109,8 @@
     pub(crate) draining: bool,
     /// Whether its machine is being emptied for its upkeep.
     pub(crate) upkeep: bool,
+    /// Whether its upkeep is ordered, which ends its life.
+    pub(crate) going_down: bool,
     /// When this owner first heard of it; the beginning of time if it heard from a record, which an
     /// earlier owner wrote.
     pub(crate) met: Time,
@@ -158,6 +160,7 @@
             listed: false,
             draining: false,
             upkeep: false,
+            going_down: false,
             met: now,
             contact: Contact::Unfenced { since: now },
             reading: None,
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -115,6 +115,8 @@
     pub starts: u64,
     pub machines: machines::Machines,
     pub crashes: Crashes,
+    /// Jobs with a task whose worker ended by itself right after its start.
+    unlucky: BTreeSet<JobId>,
     /// How full workers may be that have shrunk.
     bounds: BTreeMap<String, capacity::Bound>,
 }
@@ -150,6 +152,7 @@
             starts: 0,
             machines: machines::Machines::default(),
             crashes: Crashes::default(),
+            unlucky: BTreeSet::new(),
             bounds: BTreeMap::new(),
         }
     }
@@ -295,6 +298,9 @@
         if self.machines.is_off(name) {
             return;
         }
+        if self.workers.contains_key(name) {
+            self.note_unlucky(name);
+        }
         let Some(worker) = self.workers.get_mut(name) else { return };
         worker.up = false;
         worker.active.clear();
--- a/crates/standin/src/site/workers.rs
+++ b/crates/standin/src/site/workers.rs
@@ -170,7 +170,7 @@
         .and_then(|worker| worker.start(order.fencing_token, &start, &step, work, now));
     if outcome.is_ok() {
         state.started.insert(run.task.job);
-        let broken = state.crashes.start(run.task);
+        let broken = state.crashes.start(run);
         state.broken.extend(broken);
     }
     settle(outcome)
