--- a/bin/scheduler/src/seat.rs
+++ b/bin/scheduler/src/seat.rs
@@ -29,8 +29,7 @@
 
 /// How long an owner's lease lasts. It bounds how long the cell has no owner after one has died, in
 /// which nothing starts; five renewals a lease outlast a few that are lost, and one that is answered
-/// within a second. Twice as long cost 0.02 of all worth on the users' days with trouble, half as
-/// long the platform doesn't grant (docs/POLICY.md).
+/// within a second.
 const TTL: Duration = Duration::from_millis(1200);
 /// Longest sleep between two looks at what is due.
 const TICK: Duration = Duration::from_millis(500);
--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -3,9 +3,9 @@
 //! Pattern answered: a worker dies of what it was given. Nobody lists an end for the run, so its task looks like
 //! a victim, is started elsewhere at once and takes the next worker down, with all that runs there. So a crash is
 //! counted against whatever had begun just before it. Most of that are victims, which are cleared once they have
-//! worked for a while elsewhere; they aren't started side by side if that can be helped. A task that is one crash short of [`CRASHES`] in a row is on *trial*: it is started
-//! on a worker where nothing else has begun just now, and nothing else begins there until it is cleared. A crash
-//! then speaks against it alone, and its job is given up.
+//! worked for a while elsewhere; they aren't started side by side if that can be helped. A task that is one crash
+//! short of [`CRASHES`] in a row is on *probation*: it is started on a worker where nothing else has begun just now,
+//! and nothing else begins there until it is cleared. A crash then speaks against it alone, and its job is given up.
 //!
 //! Not counted are lives that end with notice (a drain, an upkeep), and workers that can't be reached: those may
 //! be cut off. The counts are part of the job's record, so they outlive the owner.
@@ -38,21 +38,21 @@
 const UNSURE_CRASHES: usize = 4;
 /// A worker that is known to have outlived a start for this long may well have crashed by itself.
 pub(crate) const SURE_TIME: Duration = Duration::from_millis(100);
-/// How long a worker that has a task on trial may let a hold wait.
-pub(crate) const TRIAL_HOLD: Duration = Duration::from_millis(75);
+/// How long a worker that has a task on probation may let a hold wait.
+pub(crate) const PROBATION_HOLD: Duration = Duration::from_millis(75);
 /// A worker that outlives a start by this long did not die of the start itself.
 const START_TIME: Duration = Duration::from_millis(500);
 /// A task that has worked for this long without a crash is no suspect any more.
 const CLEARED_AFTER: Duration = Duration::from_secs(3);
-/// For so long a task on trial waits for a machine that hasn't crashed lately: one that goes down again and again
+/// For so long a task on probation waits for a machine that hasn't crashed lately: one that goes down again and again
 /// brings whatever it is given under suspicion.
 const STEADY_WAIT: Duration = Duration::from_secs(4);
 /// How long a crash speaks against the machine.
 const MACHINE_MEMORY: Duration = Duration::from_secs(20);
 /// A worker that answered this long before a start which it didn't answer was alive when the start was sent.
 const ALIVE_WITHIN: Duration = Duration::from_millis(300);
-/// How soon a task on trial that found no worker looks again.
-const TRIAL_LOOK: Duration = Duration::from_millis(100);
+/// How soon a task on probation that found no worker looks again.
+const PROBATION_LOOK: Duration = Duration::from_millis(100);
 
 impl Hosted {
     /// Tells whether its worker may have begun it.
@@ -76,7 +76,7 @@
     /// Tells whether its start is to be repeated, which is harmless, to see that its worker has outlived it: the answer
     /// to a hold may wait for longer.
     pub(crate) fn wants_proof(&self) -> bool {
-        is_tried(self.crashes) && !self.proven && matches!(self.stage, Stage::Running { .. })
+        is_on_probation(self.crashes) && !self.proven && matches!(self.stage, Stage::Running { .. })
     }
 
     /// Tells whether it has run for so long.
@@ -87,12 +87,12 @@
 
 impl Task {
     /// Tells whether the next crash under it may be the last.
-    pub(crate) fn is_tried(&self) -> bool {
-        is_tried(self.crashed.len())
+    pub(crate) fn is_on_probation(&self) -> bool {
+        is_on_probation(self.crashed.len())
     }
 }
 
-fn is_tried(crashes: usize) -> bool {
+fn is_on_probation(crashes: usize) -> bool {
     crashes + 1 >= CRASHES
 }
 
@@ -119,16 +119,16 @@
         answer.saturating_sub(begun)
     }
 
-    /// Tells whether any task is on trial there.
-    pub(crate) fn has_trial(&self) -> bool {
-        self.suspects > 0 && self.runs.values().any(|hosted| is_tried(hosted.crashes))
+    /// Tells whether any task is on probation there.
+    pub(crate) fn has_probation(&self) -> bool {
+        self.suspects > 0 && self.runs.values().any(|hosted| is_on_probation(hosted.crashes))
     }
 
-    /// Tells whether a task is on trial there, unless it is another member of a gang.
-    pub(crate) fn tries(&self, step: StepId, gang: bool) -> bool {
+    /// Tells whether a task is on probation there, unless it is another member of a gang.
+    pub(crate) fn keeps_apart(&self, step: StepId, gang: bool) -> bool {
         let member = |run: &Run| gang && run.task.step_id() == step;
         self.suspects > 0
-            && self.runs.iter().any(|(run, hosted)| is_tried(hosted.crashes) && !member(run))
+            && self.runs.iter().any(|(run, hosted)| is_on_probation(hosted.crashes) && !member(run))
     }
 
     /// Returns the runs that may have crashed it: suspects that aren't cleared, and beside them what had begun just
@@ -235,7 +235,7 @@
         }
     }
 
-    /// Chooses a worker without another suspect for one that isn't on trial, if there is any.
+    /// Chooses a worker without another suspect for one that isn't on probation, if there is any.
     pub(crate) fn choose_unshared(
         &self,
         request: &Request<'_>,
@@ -254,8 +254,8 @@
         rated.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, id)| id)
     }
 
-    /// Chooses a worker for a task on trial.
-    pub(crate) fn choose_for_trial(
+    /// Chooses a worker for a task on probation.
+    pub(crate) fn choose_for_probation(
         &mut self,
         request: &Request<'_>,
         since: Time,
@@ -263,12 +263,12 @@
     ) -> Option<WorkerId> {
         let best = self.best(request, self.quiet(since, open).into_iter());
         if best.is_none() {
-            self.timers.insert((self.now + TRIAL_LOOK, Timer::Place));
+            self.timers.insert((self.now + PROBATION_LOOK, Timer::Place));
         }
         best
     }
 
-    /// Returns the workers on which a task that waits for its trial since then can be told from others.
+    /// Returns the workers on which a task that waits for its probation since then can be told from others.
     pub(crate) fn quiet(&self, since: Time, open: &[WorkerId]) -> Vec<WorkerId> {
         let now = self.now;
         let crashed_lately = |worker: &Worker| {
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -130,7 +130,7 @@
         let kept = worker.kept_for.is_some_and(|kept| kept != task.step_id()) && !step.fills;
         reserved.fits(worker.room())
             && !kept
-            && !worker.tries(task.step_id(), step.gang)
+            && !worker.keeps_apart(task.step_id(), step.gang)
             && self.suits(worker, request)
     }
 
--- a/crates/planner/src/gang.rs
+++ b/crates/planner/src/gang.rs
@@ -24,8 +24,9 @@
             .tasks
             .iter()
             .all(|task| task.place == Place::Waiting && task.not_before <= self.now);
-        let tried = state.tasks.iter().filter(|task| task.is_tried());
-        let quiet = tried.map(|task| task.waiting_since).min().map(|since| self.quiet(since, open));
+        let suspects = state.tasks.iter().filter(|task| task.is_on_probation());
+        let quiet =
+            suspects.map(|task| task.waiting_since).min().map(|since| self.quiet(since, open));
         let open = quiet.as_deref().unwrap_or(open);
         if !ready || self.slots(step, spec, open) < u64::from(spec.count) {
             return false;
--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -14,7 +14,7 @@
 use cowslipchute_ports::executor::Running;
 
 use crate::action::Action;
-use crate::crash::TRIAL_HOLD;
+use crate::crash::PROBATION_HOLD;
 use crate::host::Hosted;
 use crate::host::Order;
 use crate::host::Stage;
@@ -64,8 +64,8 @@
             self.settings.stop_time
         } else if worker.runs.is_empty() {
             IDLE_WAIT
-        } else if worker.has_trial() {
-            TRIAL_HOLD
+        } else if worker.has_probation() {
+            PROBATION_HOLD
         } else if worker.suspects > 0 || (worker.serves() && worker.fills()) {
             self.settings.watch_wait
         } else {
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -76,8 +76,6 @@
     /// Returns the deadline to give a worker now, and remembers it: as far ahead as workers take. What
     /// runs on a worker that is cut off then works on until the cut heals, and outlasts a store that is
     /// away; a worker that is gone is told from one that is cut off by [`crate::lives`] long before.
-    /// Deadlines half as far ahead, which end work behind a cut of six seconds, cost 0.003 to 0.007 of
-    /// all worth on the users' days with trouble (docs/POLICY.md).
     pub(crate) fn grant(&mut self, worker: WorkerId) -> Option<Stamp> {
         let max_hold = self.settings.max_hold;
         let state = &mut self.workers[worker];
--- a/crates/planner/src/pace.rs
+++ b/crates/planner/src/pace.rs
@@ -37,8 +37,7 @@
 /// A task that was slowed below this, in percent, for a while is moved.
 const MOVE_PACE: u8 = 60;
 /// How long a task may be held back before it is moved, where checkpoints are frequent: about as long
-/// as moving it takes. Four times as long cost 0.01 of all worth on the users' days with trouble, and
-/// never moving any 0.05 (docs/POLICY.md).
+/// as moving it takes.
 const LEAST_MOVE_AFTER: Duration = Duration::from_millis(400);
 /// The same as a part of the time between two checkpoints, since work since the last one is lost: half
 /// of it on average.
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -35,10 +35,8 @@
 /// Part of the processors that may be reserved then. The users speak of half.
 const MOSTLY_FREE: f64 = 0.6;
 
-/// Time for each open worker between two placing passes that look at tasks which fill. Rating a worker for
-/// one image that waits takes some 0.1 us, and a dozen images may wait: with this an owner spends about one
-/// part in a hundred of a core on it, however large the cell. At a thousand workers a fill, which works for
-/// seconds, is placed 0.05 s later on average; cells of 350 workers and fewer look at every write.
+/// Time for each open worker between two placing passes that look at tasks which fill: their cost to the owner
+/// doesn't grow with the cell, and a fill, which works for seconds, waits a little longer for its place.
 const FILL_LOOK: Duration = Duration::from_micros(100);
 
 /// A demand for which no room was found in this pass; a larger one of the same kind needs no second
@@ -263,7 +261,7 @@
         }
         let Some(state) = self.jobs[&step.job].step(step) else { return };
         let ready = |task: &Task| {
-            task.place == Place::Waiting && task.not_before <= self.now && !task.is_tried()
+            task.place == Place::Waiting && task.not_before <= self.now && !task.is_on_probation()
         };
         let Some(index) = state.tasks.iter().position(ready) else { return };
         let task = step.task(index as u32);
@@ -317,9 +315,10 @@
             let state = self.jobs[&task.job].task(task);
             let shunned = state.and_then(|task| task.shunned);
             let suspected = state.is_some_and(|task| !task.crashed.is_empty());
-            let tried = state.filter(|task| task.is_tried()).map(|task| task.waiting_since);
-            let chosen = match tried {
-                Some(since) => match self.choose_for_trial(&request, since, open) {
+            let probation =
+                state.filter(|task| task.is_on_probation()).map(|task| task.waiting_since);
+            let chosen = match probation {
+                Some(since) => match self.choose_for_probation(&request, since, open) {
                     None => continue,
                     chosen => chosen,
                 },
--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/rank.rs
@@ -19,8 +19,7 @@
 /// the worth in time).
 const LATE_WORTH: f64 = 0.15;
 /// What a late short job counts whose work has begun: it comes before others that are late, since what is done
-/// of it would be lost, and after those that can be in time. Served among the latter it costs 0.01 of all
-/// worth on eight full days, with fewer large jobs in time.
+/// of it would be lost, and after those that can be in time.
 const BEGUN_LATE_WORTH: f64 = 0.5;
 /// What a job that is later still is worth here: not nothing, so that it is done in idle time.
 const LOST_WORTH: f64 = 0.02;
--- a/crates/planner/src/reservation.rs
+++ b/crates/planner/src/reservation.rs
@@ -25,9 +25,8 @@
 /// How long a task waits before a worker is kept for it: longer than an end takes to become known and used, so
 /// that nothing is kept where room would have come anyway.
 const RESERVE_AFTER: Duration = Duration::from_millis(150);
-/// Part of the processors that tasks which last leave which is kept at a time. It buys large tasks their share: in a
-/// full cell the largest tenth of a kind is served 0.76 to 1.0 times as often as the kind, without it 0.57 to 0.99
-/// (cowslipchutectl sizes, six days of load on 350 workers), for 0.01 of all worth. Half as much leaves 0.67.
+/// Fraction of the CPU beside tasks that last which reservations may hold at a time: enough for large tasks to have
+/// their share, little enough to stand idle.
 const RESERVED_PART: f64 = 0.08;
 /// Part of them that a step may keep where even one step is more than the part above, as a large task is in a small
 /// cell, or a gang, which needs all its workers at once. Half goes on for all others.
@@ -122,7 +121,7 @@
     /// one takes only what short tasks leave.
     fn may_reserve(&self, spec: &Step, task: &Task) -> bool {
         let returns = task.attempt > 0 && self.share.allows(spec);
-        task.place == Place::Waiting && !task.is_tried() && (!spec.long_running || returns)
+        task.place == Place::Waiting && !task.is_on_probation() && (!spec.long_running || returns)
     }
 
     /// Returns the tasks of a step for which a worker may be kept.
--- a/crates/planner/src/risk.rs
+++ b/crates/planner/src/risk.rs
@@ -8,8 +8,7 @@
 //! nothing.
 
 /// What a second over its target costs, as a part of what the worker's processors do in a second
-/// for tasks that fill. The users' sheets give 0.168 worth a second against 0.0088 for each
-/// processor of 64, and 0.115 against 0.012 of 32: 0.30 in both.
+/// for tasks that fill.
 const OVER_COST: f64 = 0.3;
 /// What is left of the worth of a fill's work while none waits: it is done a little later and still
 /// in time.
