--- a/crates/planner/tests/world/capacity.rs
+++ b/crates/planner/tests/world/capacity.rs
@@ -8,7 +8,7 @@
 
 use super::Arrival;
 use super::World;
-use super::registration;
+use super::lives::registration;
 
 /// How long the directory takes to tell of a new capacity.
 const BEAT: Duration = Duration::from_millis(1500);
--- /dev/null
+++ b/crates/planner/tests/world/lives.rs
@@ -0,0 +1,90 @@
+//! Workers of the planner's world: what the directory says of them, and their lives.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cowslipchute_base::amount::Amount;
+use cowslipchute_planner::event::Event;
+use cowslipchute_ports::executor::Registration;
+use cowslipchute_standin::site::worker::Worker;
+
+use super::World;
+
+impl World {
+    pub fn add_worker(&mut self, name: &str, capacity: Amount, rack: &str) {
+        self.workers.insert(name.to_owned(), Worker::open(name, capacity, rack));
+        self.list(name);
+    }
+
+    pub fn list(&mut self, name: &str) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.listed = true;
+        let registration = registration(worker);
+        self.tell(Event::Listed { registration });
+    }
+
+    /// Somebody else writes an entry into the directory that has the address of a worker.
+    pub fn list_foreign(&mut self, name: &str, at: &str, service: &str) {
+        let Some(worker) = self.workers.get(at) else { return };
+        let registration =
+            Registration { name: name.into(), service: service.into(), ..registration(worker) };
+        self.tell(Event::Listed { registration });
+    }
+
+    pub fn unlist(&mut self, name: &str) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.listed = false;
+        let name = worker.name.clone();
+        self.tell(Event::Unlisted { name });
+    }
+
+    /// The worker's life ends; another one begins at the same place, under another name.
+    pub fn crash(&mut self, name: &str, reborn: bool) {
+        if self.machines.is_off(name) {
+            return;
+        }
+        if self.workers.contains_key(name) {
+            self.note_unlucky(name);
+        }
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.up = false;
+        worker.active.clear();
+        if !reborn {
+            return;
+        }
+        self.lives += 1;
+        let mut life =
+            Worker::open(&format!("{name}+{}", self.lives), worker.capacity, &worker.rack.clone());
+        life.updated = self.now;
+        life.guards = worker.guards;
+        self.bounds.remove(name);
+        let old = self.workers.insert(name.to_owned(), life);
+        let old = old.expect("it was looked up before");
+        let registration = registration(&self.workers[name]);
+        self.tell(Event::Listed { registration });
+        self.tell(Event::Unlisted { name: old.name });
+    }
+
+    pub(super) fn by_name(&mut self, name: &str) -> Option<&mut Worker> {
+        self.workers.values_mut().find(|worker| &*worker.name == name)
+    }
+}
+
+/// The entry of a worker as it writes it.
+pub(super) fn registration(worker: &Worker) -> Registration {
+    // The address stays with the machine, whichever life it has.
+    let machine = worker.name.split('+').next().unwrap_or_default();
+    let host =
+        machine.bytes().fold(7u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    Registration {
+        name: worker.name.clone(),
+        address: std::net::SocketAddr::from((std::net::Ipv4Addr::from(host), 80)),
+        service: "desk".into(),
+        domain: "d1".into(),
+        draining: worker.draining,
+        capacity: worker.capacity,
+        labels: [Arc::from("a"), worker.rack.clone()].into_iter().collect(),
+        rack: Some(worker.rack.clone()),
+        cold: Duration::ZERO,
+    }
+}
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -12,9 +12,12 @@
 mod capacity;
 mod check;
 mod crashes;
+mod gangs;
 pub mod link;
+mod lives;
 mod machines;
 mod orders;
+mod owner;
 mod stream;
 
 use std::collections::BTreeMap;
@@ -23,27 +26,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslipchute_base::amount::Amount;
-use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 use cowslipchute_planner::action::Action;
 use cowslipchute_planner::action::Change;
 use cowslipchute_planner::event::Event;
 use cowslipchute_planner::planner::Planner;
 use cowslipchute_planner::record::Record;
-use cowslipchute_planner::settings::Settings;
-use cowslipchute_ports::deployment::Config;
-use cowslipchute_ports::deployment::Limits;
-use cowslipchute_ports::deployment::Queue;
-use cowslipchute_ports::deployment::Service;
 use cowslipchute_ports::executor::Failure;
-use cowslipchute_ports::executor::How;
-use cowslipchute_ports::executor::Registration;
-use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
-use cowslipchute_ports::job::StepId;
 use cowslipchute_ports::job::TaskId;
 use cowslipchute_standin::site::crashes::Crashes;
 use cowslipchute_standin::site::worker::Worker;
@@ -157,93 +149,11 @@
         }
     }
 
-    pub fn config(priority: u8, attempts: u32, advised: bool) -> Arc<Config> {
-        let advice = cowslipchute_ports::deployment::Advice {
-            decision: Duration::from_millis(30),
-            each: Duration::from_millis(5),
-            validity: Duration::from_secs(3),
-        };
-        let queue = |name: &str, priority| Queue {
-            name: name.into(),
-            host: "host".into(),
-            prefix: "/q/".into(),
-            service: "desk".into(),
-            priority,
-            max_attempts: attempts,
-            slack: 1.5,
-            allowance: Duration::from_millis(250),
-            advice: advised.then_some(advice),
-        };
-        Arc::new(Config {
-            version: 1,
-            queues: vec![queue("q", priority), queue("low", priority + 2)],
-            services: Vec::new(),
-            limits: Limits {
-                head: 1 << 14,
-                body: 1 << 18,
-                head_time: Duration::from_secs(3),
-                idle_time: Duration::from_secs(15),
-            },
-        })
-    }
-
     fn push(&mut self, at: Time, arrival: Arrival) {
         self.sequence += 1;
         self.arrivals.insert((at, self.sequence), arrival);
     }
 
-    /// A configuration whose services refuse what doesn't fit if all their workers do.
-    fn with_services(&self, config: &Arc<Config>) -> Arc<Config> {
-        let mut guarded: BTreeMap<id::Service, bool> = BTreeMap::new();
-        for worker in self.workers.values() {
-            let service = registration(worker).service;
-            *guarded.entry(service).or_insert(true) &= worker.guards;
-        }
-        let services =
-            guarded.into_iter().map(|(name, guarded)| Service { name, guarded, standby: false });
-        Arc::new(Config { services: services.collect(), ..Config::clone(config) })
-    }
-
-    /// A new owner takes the cell over; whatever the former one had on its way goes on.
-    pub fn take_over(&mut self, config: &Arc<Config>) {
-        self.term += 1;
-        self.owned_at = self.now;
-        let link = self.link.as_ref().map(|link| link.rate);
-        let mut planner = Planner::open(Settings { link, ..Settings::default() });
-        let mut actions = Vec::new();
-        let jobs = self.jobs.iter().map(|(id, job)| (*id, job.clone())).collect();
-        let records = self.records.iter().map(|(id, record)| (*id, record.clone())).collect();
-        let config = self.with_services(config);
-        let events = [
-            Event::Wall { wall: self.now },
-            Event::Config { config },
-            Event::Owned { epoch: self.term.into(), jobs, records, learnt: None },
-            Event::Renewed { until: self.now + LEASE },
-        ];
-        for event in events {
-            planner.step(self.now, event, &mut actions);
-        }
-        for event in self.open_waves() {
-            planner.step(self.now, event, &mut actions);
-        }
-        for worker in self.workers.values().filter(|worker| worker.listed) {
-            let registration = registration(worker);
-            planner.step(self.now, Event::Listed { registration }, &mut actions);
-        }
-        self.planner = Some(planner);
-        self.act(actions);
-    }
-
-    /// Returns for how long the cell has had its owner.
-    pub fn owned_for(&self) -> Duration {
-        self.now - self.owned_at
-    }
-
-    /// The owner is gone without a word.
-    pub fn kill_owner(&mut self) {
-        self.planner = None;
-    }
-
     pub fn submit(&mut self, id: JobId, accepted: Accepted) {
         let accepted = Arc::new(accepted);
         self.jobs.insert(id, accepted.clone());
@@ -266,64 +176,6 @@
         self.push(self.now + WAY, Arrival::Event(term, event));
     }
 
-    pub fn add_worker(&mut self, name: &str, capacity: Amount, rack: &str) {
-        self.workers.insert(name.to_owned(), Worker::open(name, capacity, rack));
-        self.list(name);
-    }
-
-    pub fn list(&mut self, name: &str) {
-        let Some(worker) = self.workers.get_mut(name) else { return };
-        worker.listed = true;
-        let registration = registration(worker);
-        self.tell(Event::Listed { registration });
-    }
-
-    /// Somebody else writes an entry into the directory that has the address of a worker.
-    pub fn list_foreign(&mut self, name: &str, at: &str, service: &str) {
-        let Some(worker) = self.workers.get(at) else { return };
-        let registration =
-            Registration { name: name.into(), service: service.into(), ..registration(worker) };
-        self.tell(Event::Listed { registration });
-    }
-
-    pub fn unlist(&mut self, name: &str) {
-        let Some(worker) = self.workers.get_mut(name) else { return };
-        worker.listed = false;
-        let name = worker.name.clone();
-        self.tell(Event::Unlisted { name });
-    }
-
-    /// The worker's life ends; another one begins at the same place, under another name.
-    pub fn crash(&mut self, name: &str, reborn: bool) {
-        if self.machines.is_off(name) {
-            return;
-        }
-        if self.workers.contains_key(name) {
-            self.note_unlucky(name);
-        }
-        let Some(worker) = self.workers.get_mut(name) else { return };
-        worker.up = false;
-        worker.active.clear();
-        if !reborn {
-            return;
-        }
-        self.lives += 1;
-        let mut life =
-            Worker::open(&format!("{name}+{}", self.lives), worker.capacity, &worker.rack.clone());
-        life.updated = self.now;
-        life.guards = worker.guards;
-        self.bounds.remove(name);
-        let old = self.workers.insert(name.to_owned(), life);
-        let old = old.expect("it was looked up before");
-        let registration = registration(&self.workers[name]);
-        self.tell(Event::Listed { registration });
-        self.tell(Event::Unlisted { name: old.name });
-    }
-
-    fn by_name(&mut self, name: &str) -> Option<&mut Worker> {
-        self.workers.values_mut().find(|worker| &*worker.name == name)
-    }
-
     /// Lets time pass.
     pub fn run(&mut self, span: Duration) {
         let until = self.now + span;
@@ -455,44 +307,6 @@
         self.push(self.now + WAY, Arrival::Event(term, event));
     }
 
-    /// A gang works from when all its runs are there; when one ends, the others do.
-    fn join_gangs(&mut self) {
-        let mut present: BTreeMap<(StepId, id::Attempt), u32> = BTreeMap::new();
-        let mut done: BTreeMap<(StepId, id::Attempt), How> = BTreeMap::new();
-        for worker in self.workers.values().filter(|worker| worker.up) {
-            for (run, active) in &worker.active {
-                if active.step.gang {
-                    *present.entry((run.task.step_id(), run.attempt)).or_insert(0) += 1;
-                }
-            }
-            for end in &worker.ended {
-                done.insert((end.run.task.step_id(), end.run.attempt), end.how);
-            }
-        }
-        for worker in self.workers.values_mut() {
-            for (run, active) in &mut worker.active {
-                let gang = (run.task.step_id(), run.attempt);
-                if active.step.gang && present[&gang] == active.step.count {
-                    active.alone = false;
-                }
-            }
-        }
-    }
-
-    /// Runs are gone without an end: what is left of their gangs ends as broken.
-    fn break_gangs(&mut self, gone: &[Run]) {
-        let broken: BTreeSet<(StepId, id::Attempt)> =
-            gone.iter().map(|run| (run.task.step_id(), run.attempt)).collect();
-        let now = self.now;
-        for worker in self.workers.values_mut() {
-            for (run, active) in &mut worker.active {
-                if active.step.gang && broken.contains(&(run.task.step_id(), run.attempt)) {
-                    active.ending.get_or_insert((now, How::Broken));
-                }
-            }
-        }
-    }
-
     /// Renders how far each job is.
     pub fn describe(&self) -> String {
         let mut text = String::new();
@@ -519,21 +333,3 @@
         text
     }
 }
-
-fn registration(worker: &Worker) -> Registration {
-    // The address stays with the machine, whichever life it has.
-    let machine = worker.name.split('+').next().unwrap_or_default();
-    let host =
-        machine.bytes().fold(7u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
-    Registration {
-        name: worker.name.clone(),
-        address: std::net::SocketAddr::from((std::net::Ipv4Addr::from(host), 80)),
-        service: "desk".into(),
-        domain: "d1".into(),
-        draining: worker.draining,
-        capacity: worker.capacity,
-        labels: [Arc::from("a"), worker.rack.clone()].into_iter().collect(),
-        rack: Some(worker.rack.clone()),
-        cold: Duration::ZERO,
-    }
-}
--- a/crates/planner/tests/world/orders.rs
+++ b/crates/planner/tests/world/orders.rs
@@ -17,7 +17,7 @@
 use super::STEP;
 use super::TIMEOUT;
 use super::World;
-use super::registration;
+use super::lives::registration;
 
 impl World {
     pub(super) fn order(&mut self, term: u32, action: Action) {
--- /dev/null
+++ b/crates/planner/tests/world/owner.rs
@@ -0,0 +1,102 @@
+//! Owners of the planner's world, one after the other.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cowslipchute_base::id;
+use cowslipchute_planner::event::Event;
+use cowslipchute_planner::planner::Planner;
+use cowslipchute_planner::settings::Settings;
+use cowslipchute_ports::deployment::Config;
+use cowslipchute_ports::deployment::Limits;
+use cowslipchute_ports::deployment::Queue;
+use cowslipchute_ports::deployment::Service;
+
+use super::LEASE;
+use super::World;
+use super::lives::registration;
+
+impl World {
+    pub fn config(priority: u8, attempts: u32, advised: bool) -> Arc<Config> {
+        let advice = cowslipchute_ports::deployment::Advice {
+            decision: Duration::from_millis(30),
+            each: Duration::from_millis(5),
+            validity: Duration::from_secs(3),
+        };
+        let queue = |name: &str, priority| Queue {
+            name: name.into(),
+            host: "host".into(),
+            prefix: "/q/".into(),
+            service: "desk".into(),
+            priority,
+            max_attempts: attempts,
+            slack: 1.5,
+            allowance: Duration::from_millis(250),
+            advice: advised.then_some(advice),
+        };
+        Arc::new(Config {
+            version: 1,
+            queues: vec![queue("q", priority), queue("low", priority + 2)],
+            services: Vec::new(),
+            limits: Limits {
+                head: 1 << 14,
+                body: 1 << 18,
+                head_time: Duration::from_secs(3),
+                idle_time: Duration::from_secs(15),
+            },
+        })
+    }
+
+    /// A configuration whose services refuse what doesn't fit if all their workers do.
+    pub(super) fn with_services(&self, config: &Arc<Config>) -> Arc<Config> {
+        let mut guarded: BTreeMap<id::Service, bool> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let service = registration(worker).service;
+            *guarded.entry(service).or_insert(true) &= worker.guards;
+        }
+        let services =
+            guarded.into_iter().map(|(name, guarded)| Service { name, guarded, standby: false });
+        Arc::new(Config { services: services.collect(), ..Config::clone(config) })
+    }
+
+    /// A new owner takes the cell over; whatever the former one had on its way goes on.
+    pub fn take_over(&mut self, config: &Arc<Config>) {
+        self.term += 1;
+        self.owned_at = self.now;
+        let link = self.link.as_ref().map(|link| link.rate);
+        let mut planner = Planner::open(Settings { link, ..Settings::default() });
+        let mut actions = Vec::new();
+        let jobs = self.jobs.iter().map(|(id, job)| (*id, job.clone())).collect();
+        let records = self.records.iter().map(|(id, record)| (*id, record.clone())).collect();
+        let config = self.with_services(config);
+        let events = [
+            Event::Wall { wall: self.now },
+            Event::Config { config },
+            Event::Owned { epoch: self.term.into(), jobs, records, learnt: None },
+            Event::Renewed { until: self.now + LEASE },
+        ];
+        for event in events {
+            planner.step(self.now, event, &mut actions);
+        }
+        for event in self.open_waves() {
+            planner.step(self.now, event, &mut actions);
+        }
+        for worker in self.workers.values().filter(|worker| worker.listed) {
+            let registration = registration(worker);
+            planner.step(self.now, Event::Listed { registration }, &mut actions);
+        }
+        self.planner = Some(planner);
+        self.act(actions);
+    }
+
+    /// Returns for how long the cell has had its owner.
+    pub fn owned_for(&self) -> Duration {
+        self.now - self.owned_at
+    }
+
+    /// The owner is gone without a word.
+    pub fn kill_owner(&mut self) {
+        self.planner = None;
+    }
+}
