--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -374,16 +374,6 @@
         self.end.is_none() && steps.any(|step| step.open && step.waiting > 0)
     }
 
-    /// Returns the core-seconds of tasks that reserve processors and could be placed.
-    pub(crate) fn waiting_work(&self) -> f64 {
-        let steps = self
-            .occurrences
-            .iter()
-            .flat_map(|occurrence| occurrence.steps.iter().zip(&self.accepted.spec.steps));
-        let open = steps.filter(|(state, step)| state.open && !step.fills && !step.long_running);
-        open.map(|(state, step)| f64::from(state.waiting) * task_work(step)).sum()
-    }
-
     /// Returns the core-seconds of tasks that fill and could be placed.
     pub(crate) fn waiting_fill_work(&self) -> f64 {
         let steps = self
--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/rank.rs
@@ -3,10 +3,9 @@
 //! Pattern answered: more work than room. Then it matters which jobs are finished in time: a job is worth most while
 //! it can still meet its objective, little until three times that, and almost nothing afterwards. Within a
 //! priority, jobs that last come first and are held to the room that is theirs ([`crate::idle`]); then short jobs,
-//! those that can be in time before those that can't, and among equals whoever came first. A job whose open steps
-//! are wide has to gather its room piece by piece, so it counts as having come earlier by the time that takes;
-//! otherwise it is late before it has all. Small ones first would finish a few more, and starve the large ones of a
-//! full queue. Jobs of tasks that fill are ordered by what is still gained for each core-second that is left.
+//! those that can be in time before those that can't, and among equals whoever came first. Their size doesn't
+//! count: small ones first would finish a few more, and starve the large ones of a full queue. Jobs of tasks that
+//! fill are ordered by what is still gained for each core-second that is left.
 
 use cowslipchute_base::size::LATE_LIMIT;
 use cowslipchute_ports::job::JobId;
@@ -54,8 +53,6 @@
 pub(crate) struct Rank {
     priority: u8,
     gain: f64,
-    /// When it came, earlier by the time that a wide job takes to gather its room.
-    since: f64,
     order: u64,
 }
 
@@ -64,7 +61,6 @@
         self.priority
             .cmp(&other.priority)
             .then(other.gain.total_cmp(&self.gain))
-            .then(self.since.total_cmp(&other.since))
             .then(self.order.cmp(&other.order))
     }
 }
@@ -115,17 +111,7 @@
                 prospect => prospect.weight(),
             }
         };
-        let since = job.due_since().as_secs_f64() - self.gathering(job);
-        Rank { priority: job.terms.priority, gain, since, order: job.order }
-    }
-
-    /// Estimates how long the cell takes to free the room of a job's open steps, in seconds, if it did nothing else.
-    fn gathering(&self, job: &Job) -> f64 {
-        let capacity = self.share.beside() / 1e3;
-        if capacity <= 0.0 {
-            return 0.0;
-        }
-        job.waiting_work() / capacity
+        Rank { priority: job.terms.priority, gain, order: job.order }
     }
 
     /// Returns a job's worth against its queue's mean, for each core-second that is left of it.
--- a/crates/planner/src/share.rs
+++ b/crates/planner/src/share.rs
@@ -44,11 +44,6 @@
         self.part = self.part.max(self.held / self.capacity.max(1.0));
     }
 
-    /// Returns the thousandths of a processor that they leave.
-    pub(crate) fn beside(&self) -> f64 {
-        (self.capacity - self.held).max(0.0)
-    }
-
     /// Tells whether a task of a step that lasts can be given its room back.
     pub(crate) fn allows(&self, step: &Step) -> bool {
         self.held + f64::from(step.demand.cpu_milli) <= self.part * self.capacity
