Lost jobs make way no more; suspects are chosen among rated workers

And a suspect that isn't on probation rated all workers anew in each pass, with hundreds of suspects after a crashed rack; it looks at the step's ratings now. Its own gain is not measured.

--- a/crates/planner/src/choice.rs
+++ b/crates/planner/src/choice.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Rated {
     rate: f64,
-    worker: WorkerId,
+    pub(crate) worker: WorkerId,
 }
 
 impl Ord for Rated {
--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -10,6 +10,7 @@
 //! Not counted are lives that end with notice (a drain, an upkeep), and workers that can't be reached: those may
 //! be cut off. The counts are part of the job's record, so they outlive the owner.
 
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use cowslipchute_base::event::Event as Number;
@@ -19,6 +20,7 @@
 use cowslipchute_ports::job::State;
 use cowslipchute_ports::job::StepId;
 
+use crate::choice::Rated;
 use crate::fit::Request;
 use crate::host::Hosted;
 use crate::host::Order;
@@ -235,23 +237,16 @@
         }
     }
 
-    /// Chooses a worker without another suspect for one that isn't on probation, if there is any.
+    /// Chooses a worker without another suspect for one that isn't on probation, if there is any among the rated ones
+    /// that still has room. A crashed rack leaves hundreds of suspects, so no worker is rated anew but the chosen.
     pub(crate) fn choose_unshared(
         &self,
         request: &Request<'_>,
-        open: &[WorkerId],
+        rated: &BinaryHeap<Rated>,
     ) -> Option<WorkerId> {
-        let unshared = open.iter().copied().filter(|&id| self.workers[id].suspects == 0);
-        self.best(request, unshared)
-    }
-
-    fn best(
-        &self,
-        request: &Request<'_>,
-        workers: impl Iterator<Item = WorkerId>,
-    ) -> Option<WorkerId> {
-        let rated = workers.filter_map(|id| Some((self.rate(&self.workers[id], request)?, id)));
-        rated.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, id)| id)
+        let unshared = rated.iter().filter(|rated| self.workers[rated.worker].suspects == 0);
+        let best = unshared.max()?.worker;
+        self.may_take(&self.workers[best], request).then_some(best)
     }
 
     /// Chooses a worker for a task on probation.
@@ -261,7 +256,11 @@
         since: Time,
         open: &[WorkerId],
     ) -> Option<WorkerId> {
-        let best = self.best(request, self.quiet(since, open).into_iter());
+        let rated = self.quiet(since, open).into_iter().filter_map(|id| {
+            let rate = self.rate(&self.workers[id], request)?;
+            Some((rate, id))
+        });
+        let best = rated.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, id)| id);
         if best.is_none() {
             self.timers.insert((self.now + PROBATION_LOOK, Timer::Place));
         }
--- a/crates/planner/src/idle.rs
+++ b/crates/planner/src/idle.rs
@@ -12,12 +12,10 @@
 use cowslipchute_base::amount::Amount;
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
-use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::StepId;
 use smallvec::SmallVec;
 
-use crate::job::Place;
 use crate::order::Timer;
 use crate::planner::Planner;
 use crate::worker::WorkerId;
@@ -37,10 +35,6 @@
 /// Over how long that part is taken.
 const OFTEN_TIME: Duration = Duration::from_millis(1500);
 
-/// For how long short jobs that are lost already make way for a task that lasts and wants its room back: until what they
-/// run has ended, and what is free has been so for a while.
-const WAY_TIME: Duration = Duration::from_secs(6);
-
 /// A step that waits is looked at twice a second at least; one that isn't for so long has not waited meanwhile.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
 
@@ -153,23 +147,6 @@
         }
     }
 
-    /// Tells whether a task of a step that lasts has waited for a moment only to come back.
-    pub(crate) fn is_returning(&self, step: StepId, spec: &Step) -> bool {
-        let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
-        let mut tasks = state.into_iter().flat_map(|state| &state.tasks);
-        spec.long_running
-            && tasks.any(|task| {
-                task.place == Place::Waiting
-                    && task.attempt > 0
-                    && self.now < task.waiting_since + WAY_TIME
-            })
-    }
-
-    /// Tells whether a job gives room up for tasks that last and come back: nobody waits for it any more.
-    pub(crate) fn makes_way(&self, job: JobId, spec: &Step) -> bool {
-        !spec.long_running && !spec.fills && self.is_lost(&self.jobs[&job])
-    }
-
     /// Looks again soon whether tasks that last find room which short ones leave; until then it isn't said that
     /// there is none.
     pub(crate) fn wait_for_spare(&mut self) -> bool {
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -62,8 +62,6 @@
     rooms: Rooms,
     /// Steps for which a worker may be kept.
     unplaced: Vec<Unplaced>,
-    /// Services on which a task that lasts waits to come back.
-    returning: Vec<id::Service>,
 }
 
 impl Refused {
@@ -96,7 +94,6 @@
             fills,
             rooms: Vec::new(),
             unplaced: Vec::new(),
-            returning: Vec::new(),
         };
         let mut backlog = 0.0;
         for job in self.ranked() {
@@ -158,9 +155,6 @@
             return;
         }
         let service = self.service(step.job);
-        if pass.returning.contains(&service) && self.makes_way(step.job, spec) {
-            return;
-        }
         let known = pass.open.iter().find(|(name, _)| *name == service);
         let mut open = known.map(|(_, open)| open.clone()).unwrap_or_default();
         if let Some(advice) = advice {
@@ -186,9 +180,6 @@
         if starves {
             self.place_starved(step, spec, &open);
         }
-        if self.is_returning(step, spec) {
-            pass.returning.push(service);
-        }
     }
 
     fn open_workers(&self) -> Vec<(id::Service, Vec<WorkerId>)> {
@@ -323,7 +314,7 @@
                     chosen => chosen,
                 },
                 None => suspected
-                    .then(|| self.choose_unshared(&request, open))
+                    .then(|| self.choose_unshared(&request, &rated))
                     .flatten()
                     .or_else(|| self.choose_rated(&request, shunned, &mut rated)),
             };
