Events tell which start of a worker is meant, and which steps wait on probation

Read now, and not acted on: 'born' of a worker's entry and of its account of its runs, which not every platform's workers tell (an entry without it still names its worker; one of another type is somebody else's). Event 284 (WorkerRestarted) gives both starts, what ran there, and up to which number ends were taken in and acknowledged; 279 (StepWaits) how many tasks are on probation, also for gangs.

--- a/bin/measure/src/passes/cell.rs
+++ b/bin/measure/src/passes/cell.rs
@@ -30,6 +30,8 @@
 
 /// Processors of a worker, in thousandths, and its memory.
 const CAPACITY: Amount = Amount { cpu_milli: 32_000, memory_mib: 128_000, accelerators: 0 };
+/// When every worker started, in Unix milliseconds.
+const BORN: Option<id::Incarnation> = Some(1_780_000_000_000);
 /// Images of tasks that serve; two of them run on each worker.
 const SERVING_IMAGES: usize = 16;
 /// Images of fills that wait.
@@ -236,7 +238,8 @@
             percent: if fills { 50 } else { 100 },
             figure: if fills { 3_500 } else { TAIL },
         });
-        let report = Report { clock: self.clock(), running: running.collect(), ended: Vec::new() };
+        let running = running.collect();
+        let report = Report { born: BORN, clock: self.clock(), running, ended: Vec::new() };
         self.step(Event::Held { worker: name, outcome: Ok(report) });
     }
 }
@@ -245,6 +248,7 @@
     let host = Ipv4Addr::from(0x0a00_0000 + index as u32);
     Registration {
         name,
+        born: BORN,
         address: SocketAddr::from((host, 80)),
         service: "desk".into(),
         domain: "domain".into(),
--- a/bin/scheduler/tests/listing.rs
+++ b/bin/scheduler/tests/listing.rs
@@ -6,7 +6,7 @@
 use cowslipchute_scheduler::watcher::Change;
 
 const ENTRY: &str = r#"{"service":"s","address":"10.128.0.9:8080","zone":"a","version":"v1","slots":8,"state":"ready",
-    "cold-remaining-ms":0,"capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},"labels":["a","r1-3"],"sequence":4}"#;
+    "cold-remaining-ms":0,"capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},"labels":["a","r1-3"],"born":1780000000000,"sequence":4}"#;
 
 fn entry(name: &str, value: &str) -> kv::Entry {
     let key = format!("servers/{name}");
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -147,6 +147,7 @@
     281 StepPassed Info "Tasks of a step still wait; what was placed meanwhile is given.";
     282 WorkerCrashed Warning "A worker's life is over without notice; the run that was started last there and its age are given.";
     283 TaskSuspected Warning "A worker crashed right after a task had begun there; how often that has happened to it is given, and how often it may.";
+    284 WorkerRestarted Info "A worker has started again under its name; when it started before and now is given, and what it ran.";
     300 ConfigApplied Info "A revision of the configuration is in force here.";
     301 ConfigIgnored Debug "An older revision of the configuration came and was ignored.";
     302 ConfigFromPeer Info "The configuration was learnt from a peer.";
--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -97,6 +97,7 @@
         let Hold::Sent(sent) = self.workers[worker].hold else { return };
         match outcome {
             Ok(report) => {
+                self.see_born(worker, report.born);
                 self.take_report(worker, sent, report);
                 let Some(state) = self.workers.get(worker) else { return };
                 let waits = !state.unacknowledged.is_empty();
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -163,12 +163,17 @@
         let open = self.near(step, spec, open);
         if spec.gang {
             if !self.place_gang(step, spec, &open) {
+                self.note_wait(step, spec, &pass.open);
                 pass.unplaced.extend(Unplaced::of(self, step, spec));
             }
             return;
         }
         let mut spare = self.spare(step, spec, &open, &mut pass.rooms);
-        if !self.place_tasks(step, spec, &open, &mut spare) {
+        if self.place_tasks(step, spec, &open, &mut spare) {
+            if self.waits_on_probation(step) {
+                self.note_wait(step, spec, &pass.open);
+            }
+        } else {
             self.note_wait(step, spec, &pass.open);
             if !narrow {
                 pass.refused.push(Refused::new(spec));
@@ -182,6 +187,13 @@
         }
     }
 
+    /// Tells whether a task of a step is on probation and has found no worker for it.
+    fn waits_on_probation(&self, step: StepId) -> bool {
+        let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
+        let mut tasks = state.into_iter().flat_map(|state| &state.tasks);
+        tasks.any(|task| task.place == Place::Waiting && task.is_on_probation())
+    }
+
     fn open_workers(&self) -> Vec<(id::Service, Vec<WorkerId>)> {
         let mut services: Vec<(id::Service, Vec<WorkerId>)> = Vec::new();
         for (id, worker) in self.workers.iter() {
@@ -210,12 +222,17 @@
         }
         state.told_waiting = Some(now);
         let waiting = state.waiting;
+        let on_probation = state.tasks.iter().filter(|task| task.is_on_probation());
+        let probation = match on_probation.count() {
+            0 => String::new(),
+            count => format!("; {count} on probation"),
+        };
         let workers = || open.iter().flat_map(|(_, ids)| ids).map(|&id| &self.workers[id]);
         let free: u64 = workers().map(|worker| u64::from(worker.room().cpu_milli)).sum();
         let most = workers().map(|worker| worker.room().cpu_milli).max().unwrap_or(0);
         let kind = if spec.fills { "filling" } else { "reserving" };
         let detail = format!(
-            "step {}: {waiting} tasks, {kind} {} each; free {free} in all, {most} on one of {} workers",
+            "step {}: {waiting} tasks, {kind} {} each; free {free} in all, {most} on one of {} workers{probation}",
             step.step,
             spec.demand.cpu_milli,
             workers().count()
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -206,6 +206,7 @@
         self.strangers.remove(&registration.name);
         let known = known.is_some();
         let worker = self.ensure_worker(&registration.name);
+        self.see_born(worker, registration.born);
         let was_draining = self.workers[worker].draining;
         let was_nowhere = self.workers[worker].address.is_none();
         self.workers[worker].list(registration);
@@ -226,6 +227,23 @@
         }
     }
 
+    /// Notes that a worker has started again.
+    pub(crate) fn see_born(&mut self, worker: WorkerId, born: Option<id::Incarnation>) {
+        let Some(born) = born else { return };
+        let state = &mut self.workers[worker];
+        let Some(before) = state.born.replace(born).filter(|before| *before != born) else {
+            return;
+        };
+        let detail = format!(
+            "started at {before}, now at {born}; {} runs, ends up to {} taken in, {} acknowledged",
+            state.runs.len(),
+            state.seen,
+            state.acknowledged
+        );
+        let name = state.name.clone();
+        self.note(Number::WorkerRestarted, None, None, Some(name), detail);
+    }
+
     /// Sends the orders that could not be sent while the worker's address was not known.
     fn resume_orders(&mut self, worker: WorkerId) {
         let runs: Vec<Run> = self.workers[worker].runs.keys().copied().collect();
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -98,6 +98,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
     pub(crate) name: id::Instance,
+    /// Unix milliseconds of its start, once it has told.
+    pub(crate) born: Option<id::Incarnation>,
     /// None for one that only records name.
     pub(crate) address: Option<SocketAddr>,
     pub(crate) service: id::Service,
@@ -151,6 +153,7 @@
     pub(crate) fn unlisted(name: id::Instance, now: Time) -> Worker {
         Worker {
             name,
+            born: None,
             address: None,
             service: id::Service::from(""),
             domain: id::Domain::from(""),
--- a/crates/planner/tests/listing.rs
+++ b/crates/planner/tests/listing.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cowslipchute_base::amount::Amount;
+use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 use cowslipchute_planner::event::Event;
 use cowslipchute_planner::planner::Planner;
@@ -15,6 +16,8 @@
 use cowslipchute_ports::executor::Registration;
 use cowslipchute_ports::executor::Report;
 
+/// When the worker started.
+const BORN: Option<id::Incarnation> = Some(1_780_000_000_000);
 const NOW: Time = Duration::from_secs(1000);
 
 fn config() -> Arc<Config> {
@@ -31,6 +34,7 @@
 fn registration() -> Registration {
     Registration {
         name: "worker".into(),
+        born: BORN,
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         service: "desk".into(),
         domain: "domain".into(),
@@ -56,7 +60,7 @@
         planner.step(NOW, event, &mut Vec::new());
     }
     planner.settle(NOW, &mut Vec::new());
-    let outcome = Ok(Report { clock: 5000, ..Report::default() });
+    let outcome = Ok(Report { born: BORN, clock: 5000, ..Report::default() });
     planner.step(NOW, Event::Held { worker: "worker".into(), outcome }, &mut Vec::new());
     let later = NOW + Duration::from_secs(1);
     planner.settle(later, &mut Vec::new());
--- a/crates/ports/src/executor.rs
+++ b/crates/ports/src/executor.rs
@@ -27,8 +27,10 @@
 /// What a worker says of itself in the platform's directory.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Registration {
-    /// Names this life of the worker.
+    /// The worker's name, which it keeps when it starts again.
     pub name: id::Instance,
+    /// Which of its starts wrote the entry, by the Unix time in milliseconds, where it tells.
+    pub born: Option<id::Incarnation>,
     /// Where orders go.
     pub address: SocketAddr,
     /// The service whose tasks it runs.
@@ -170,6 +172,8 @@
 /// A worker's account of its runs.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
+    /// Which of the worker's starts answers, by the Unix time in milliseconds, where it tells.
+    pub born: Option<id::Incarnation>,
     /// Its clock as it answered.
     pub clock: Stamp,
     /// All that runs.
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -139,6 +139,7 @@
                         "gpu": worker.capacity.accelerators,
                     },
                     "labels": ["a", &*worker.rack],
+                    "born": worker.born,
                     "clock-ms": worker.clock(now),
                     "sequence": now.as_millis() as u64,
                 });
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -31,6 +31,8 @@
 const MAX_HOLD: Duration = Duration::from_secs(10);
 /// What the worker's clock shows at the world's beginning.
 const CLOCK_START: Stamp = 400_000;
+/// When the workers of a world's beginning were started.
+const BORN: id::Incarnation = 1_780_000_000_000;
 
 /// A run in progress.
 #[derive(Clone, Debug)]
@@ -57,8 +59,12 @@
 /// One life of a worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
-    /// Names this life.
+    /// Its name, which it keeps when it starts again.
     pub name: id::Instance,
+    /// Unix milliseconds of its start.
+    pub born: id::Incarnation,
+    /// When that was, in the world's time.
+    begun: Time,
     /// All that it has.
     pub capacity: Amount,
     /// Its rack.
@@ -108,6 +114,8 @@
     pub fn open(name: &str, capacity: Amount, rack: &str) -> Worker {
         Worker {
             name: name.into(),
+            born: BORN,
+            begun: Time::ZERO,
             capacity,
             rack: rack.into(),
             up: true,
@@ -132,9 +140,25 @@
         }
     }
 
+    /// Begins the next life under the same name: it holds and knows nothing of before, and its clock starts anew.
+    #[must_use]
+    pub fn restarted(&self, now: Time) -> Worker {
+        Worker {
+            born: BORN + now.as_millis() as id::Incarnation,
+            begun: now,
+            guards: self.guards,
+            cut: self.cut,
+            listed: self.listed,
+            updated: now,
+            ..Worker::open(&self.name, self.capacity, &self.rack)
+        }
+    }
+
     /// The worker's clock runs two percent slow.
     pub fn clock(&self, now: Time) -> Stamp {
-        CLOCK_START + now.mul_f64(0.98).as_millis() as Stamp
+        let since = now.saturating_sub(self.begun).mul_f64(0.98).as_millis() as Stamp;
+        // Only a worker of the world's beginning has been up for longer than the world.
+        if self.begun.is_zero() { CLOCK_START + since } else { since }
     }
 
     fn end(&mut self, run: Run, how: How) {
@@ -362,6 +386,12 @@
                 },
             }
         });
-        Report { clock: self.clock(now), running: running.collect(), ended: self.ended.clone() }
+        let born = Some(self.born);
+        Report {
+            born,
+            clock: self.clock(now),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
     }
 }
--- a/crates/standin/src/site/workers.rs
+++ b/crates/standin/src/site/workers.rs
@@ -248,7 +248,7 @@
 fn listing(report: Report) -> Value {
     let running: Vec<Value> = report.running.iter().map(running).collect();
     let ended: Vec<Value> = report.ended.iter().take(LISTED).map(ended).collect();
-    json!({ "clock-ms": report.clock, "running": running, "finished": ended })
+    json!({ "born": report.born, "clock-ms": report.clock, "running": running, "finished": ended })
 }
 
 fn running(row: &Running) -> Value {
