Scenarios fail: a worker that starts again under its name is taken for its start before

The planner's test language restarts workers in place (restart: one, several, a rack; at once or after a while), with the directory's entry of before arriving once more (former) and holds carried out late (late_holds).

The world counted an acknowledgement whose epoch the worker refuses as obeyed; it counts now only where the worker is up and has seen none higher.

--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -16,9 +16,12 @@
 //! `ratings most=N` (whether the owner rated workers more often than that a second); `stream id=H every=MS jobs=N`
 //! (like `job`, handed in again and again with rising numbers); `served id=H jobs=N within=MS least=N` (whether so many
 //! of a stream were done so soon); `culprit id=H [step=N] [task=N] [after=MS]` (that task crashes each worker so long after
-//! its start); `crashes most=N` (whether no task has crashed more workers); `resize name=w cpu=N [memory=N]` (its entry tells
+//! its start); `acquit id=H` (no task of the job does so any more); `crashes most=N` (whether no task has crashed more workers); `resize name=w cpu=N [memory=N]` (its entry tells
 //! a beat later); `beside` (from now on it is watched how tasks that last wait beside room for two of them) and
-//! `beside most=MS` (whether none did for longer); `at_work id=H least=N` (whether so many of a job's tasks run).
+//! `beside most=MS` (whether none did for longer); `restart name=w|(w, ..)|rack=R [down=MS] [gap=MS]` (workers crash and start
+//! again under their names); `former name=w` (the directory's entry of the start before arrives once more); `late_holds
+//! name=w [holds=N] [by=MS]` (holds without an answer, carried out later); `idle` and `idle most=MS` (the same as `beside`
+//! for jobs of which nothing runs); `at_work id=H least=N` (whether so many of a job's tasks run).
 
 mod world;
 
@@ -85,6 +88,15 @@
     rack_lost = { "rack_lost" },
     rebirth = { "rebirth" },
     reserve = { "reserve" },
+    restarted = { "restarted" },
+    restarted_busy = { "restarted_busy" },
+    restarted_cut = { "restarted_cut" },
+    restarted_former = { "restarted_former" },
+    restarted_lapse = { "restarted_lapse" },
+    restarted_late_hold = { "restarted_late_hold" },
+    restarted_late_start = { "restarted_late_start" },
+    restarted_owners = { "restarted_owners" },
+    restarted_rack = { "restarted_rack" },
     room_lost = { "room_lost" },
     rough = { "rough" },
     shrunk_repeat = { "shrunk_repeat" },
@@ -173,6 +185,7 @@
         }
         "served" => return served(world, case),
         "culprit" => culprit(world, case),
+        "acquit" => world.crashes.culprits.retain(|task, _| task.job != id(case)),
         "crashes" => return crashes(world, case),
         "resize" => world.resize(name, capacity(case)),
         "at_work" => return at_work(world, case),
@@ -180,6 +193,9 @@
         "cancel" => world.cancel(id(case)),
         "crash" => world.crash(name, false),
         "rebirth" => world.crash(name, true),
+        "restart" => restart(world, case),
+        "former" => world.list_former(name),
+        "idle" => return idle(world, case),
         "list" => world.list(name),
         "unlist" => world.unlist(name),
         "foreign" => {
@@ -215,6 +231,34 @@
     }
 }
 
+/// Lets workers crash and start again under their names: one, several one after the other, or a rack at once.
+fn restart(world: &mut World, case: &TestCase) {
+    let down = Duration::from_millis(number(case, "down").unwrap_or(0));
+    let gap = Duration::from_millis(number(case, "gap").unwrap_or(0));
+    let names: Vec<String> = match (arg(case, "rack"), case.args.get("name")) {
+        (Some(rack), _) => {
+            let of = world.workers.iter().filter(|(_, worker)| &*worker.rack == rack);
+            of.map(|(machine, _)| machine.clone()).collect()
+        }
+        (None, Some(names)) => names.clone(),
+        (None, None) => panic!("a restart names its workers or a rack"),
+    };
+    for name in names {
+        world.restart(&name, down);
+        world.run(gap);
+    }
+}
+
+/// Watches from now on how long jobs have nothing at work beside free room, or tells whether one had for longer.
+fn idle(world: &mut World, case: &TestCase) -> String {
+    let Some(most) = number(case, "most").map(Duration::from_millis) else {
+        world.idle = Some(world::idle::Watch::default());
+        return String::new();
+    };
+    let longest = world.idle.as_ref().expect("it is watched").longest;
+    if longest <= most { String::from("within") } else { format!("{} ms", longest.as_millis()) }
+}
+
 fn culprit(world: &mut World, case: &TestCase) {
     let task = TaskId {
         job: id(case),
@@ -245,6 +289,10 @@
         "mend" => (worker.fails, worker.hangs, worker.slow) = (false, false, 1),
         "slow" => worker.slow = number(case, "x").unwrap_or(6),
         "load" => load(worker, case),
+        "late_holds" => {
+            let by = Duration::from_millis(number(case, "by").unwrap_or(3000));
+            worker.late_holds = (number(case, "holds").unwrap_or(1), by);
+        }
         "late" => {
             let by = Duration::from_millis(number(case, "by").unwrap_or(3000));
             worker.late = (number(case, "orders").unwrap_or(1), by);
--- a/crates/planner/tests/world/check.rs
+++ b/crates/planner/tests/world/check.rs
@@ -3,16 +3,20 @@
 use std::collections::BTreeMap;
 
 use cowslipchute_base::amount::Amount;
+use cowslipchute_base::id;
 use cowslipchute_ports::executor::How;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::TaskId;
+use cowslipchute_standin::site::worker::Worker;
 
 use super::World;
 
 impl World {
-    /// Remembers what a worker has been told to forget: from then on it stands for good.
-    pub(super) fn acknowledge(&mut self, name: &str, number: u64) {
-        let Some(worker) = self.by_name(name) else { return };
+    /// Remembers what a worker has been told to forget, unless it has seen a higher epoch: from then on it stands for
+    /// good.
+    pub(super) fn acknowledge(&mut self, name: &str, epoch: id::Epoch, number: u64) {
+        let obeys = |worker: &&mut Worker| worker.up && worker.epoch <= epoch;
+        let Some(worker) = self.by_name(name).filter(obeys) else { return };
         let told: Vec<TaskId> = worker
             .ended
             .iter()
--- /dev/null
+++ b/crates/planner/tests/world/idle.rs
@@ -0,0 +1,106 @@
+//! How long jobs have nothing at work beside room that is free for them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cowslipchute_base::amount::Amount;
+use cowslipchute_base::id::Time;
+use cowslipchute_ports::job::JobId;
+use cowslipchute_ports::job::Step;
+use cowslipchute_ports::job::TaskId;
+use cowslipchute_standin::site::worker::Worker;
+
+use super::World;
+
+/// How often it is looked at: far more often than a task that could run may wait.
+const LOOK: Duration = Duration::from_millis(50);
+/// There has to be room for so many of what could run.
+const ROOM_FOR: u64 = 2;
+/// The part of the processors of all workers that may be in use, as its inverse.
+const IN_USE: u64 = 2;
+
+/// Since when jobs have had nothing at work, though a task's turn had come and there was room, and the longest
+/// that one had.
+#[derive(Clone, Debug, Default)]
+pub struct Watch {
+    since: BTreeMap<JobId, Time>,
+    pub longest: Duration,
+    next_at: Time,
+}
+
+impl World {
+    /// Looks at the jobs of which nothing runs.
+    pub(super) fn watch_idle(&mut self) {
+        let Some(mut watch) = self.idle.take() else { return };
+        if self.now >= watch.next_at {
+            watch.next_at = self.now + LOOK;
+            self.look_idle(&mut watch);
+        }
+        self.idle = Some(watch);
+    }
+
+    fn look_idle(&self, watch: &mut Watch) {
+        let idle = if self.is_mostly_free() { self.idle_jobs() } else { Vec::new() };
+        let mut since = BTreeMap::new();
+        for job in idle {
+            let began = watch.since.get(&job).copied().unwrap_or(self.now);
+            watch.longest = watch.longest.max(self.now - began);
+            since.insert(job, began);
+        }
+        watch.since = since;
+    }
+
+    fn usable(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values().filter(|worker| worker.up && !worker.cut && worker.listed)
+    }
+
+    fn is_mostly_free(&self) -> bool {
+        let cpu = |amount: Amount| u64::from(amount.cpu_milli);
+        let all: u64 = self.usable().map(|worker| cpu(worker.capacity)).sum();
+        let free: u64 = self.usable().map(|worker| cpu(free(worker))).sum();
+        (all - free) * IN_USE < all
+    }
+
+    /// Returns the jobs that haven't ended, of which nothing runs, and for whose next step there is room.
+    fn idle_jobs(&self) -> Vec<JobId> {
+        let running = self.workers.values().flat_map(|worker| worker.active.keys());
+        let busy: Vec<JobId> = running.map(|run| run.task.job).collect();
+        let open = self.jobs.iter().filter(|(id, job)| {
+            !busy.contains(id) && !job.cancelled && job.spec.schedule.is_none()
+        });
+        open.filter(|&(&id, job)| self.has_room(id, &job.spec.steps)).map(|(&id, _)| id).collect()
+    }
+
+    fn has_room(&self, job: JobId, steps: &[Step]) -> bool {
+        let is_done = |step: usize, index| {
+            self.finished.contains(&TaskId { job, occurrence: 0, step: step as _, index })
+        };
+        // One end of a gang stands for all of them.
+        let step_done = |step: usize| match steps[step].gang {
+            true => (0..steps[step].count).any(|index| is_done(step, index)),
+            false => (0..steps[step].count).all(|index| is_done(step, index)),
+        };
+        let due = |step: usize| {
+            let before = &steps[step].after;
+            !step_done(step) && before.iter().all(|&before| step_done(usize::from(before)))
+        };
+        (0..steps.len()).filter(|&step| due(step)).any(|step| {
+            let width = if steps[step].gang { u64::from(steps[step].count) } else { 1 };
+            self.slots(&steps[step]) >= ROOM_FOR * width
+        })
+    }
+
+    fn slots(&self, step: &Step) -> u64 {
+        let demand = step.demand;
+        let slots = self.usable().map(|worker| {
+            let room = free(worker);
+            let cpu = room.cpu_milli / demand.cpu_milli.max(1);
+            u64::from(cpu.min(room.memory_mib / demand.memory_mib.max(1)))
+        });
+        slots.sum()
+    }
+}
+
+fn free(worker: &Worker) -> Amount {
+    worker.active.values().fold(worker.capacity, |left, active| left.minus(active.step.demand))
+}
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -13,11 +13,13 @@
 mod check;
 mod crashes;
 mod gangs;
+pub mod idle;
 pub mod link;
 mod lives;
 mod machines;
 mod orders;
 mod owner;
+mod restarts;
 mod stream;
 
 use std::collections::BTreeMap;
@@ -85,6 +87,8 @@
     pub ended_at: BTreeMap<JobId, Time>,
     /// How tasks that last wait beside free room, if that is watched.
     pub beside: Option<beside::Watch>,
+    /// How long jobs have nothing at work beside free room, if that is watched.
+    pub idle: Option<idle::Watch>,
     /// How long a task really works, where it isn't as estimated.
     pub work: BTreeMap<JobId, Duration>,
     /// Whether the store answers, and how long it takes.
@@ -107,6 +111,7 @@
     pub starts: u64,
     pub machines: machines::Machines,
     pub crashes: Crashes,
+    restarts: restarts::Restarts,
     /// Jobs with a task whose worker ended by itself right after its start.
     unlucky: BTreeSet<JobId>,
     /// How full workers may be that have shrunk.
@@ -129,6 +134,7 @@
             submitted_at: BTreeMap::new(),
             ended_at: BTreeMap::new(),
             beside: None,
+            idle: None,
             work: BTreeMap::new(),
             store_up: true,
             store_delay: Duration::from_millis(4),
@@ -144,6 +150,7 @@
             starts: 0,
             machines: machines::Machines::default(),
             crashes: Crashes::default(),
+            restarts: restarts::Restarts::default(),
             unlucky: BTreeSet::new(),
             bounds: BTreeMap::new(),
         }
@@ -188,6 +195,7 @@
             }
             self.join_gangs();
             self.advance_crashes();
+            self.advance_restarts();
             self.advance_machines();
             if self.renewals && self.store_up {
                 let queue = self.link.as_ref().map_or(Duration::ZERO, |link| link.queue(self.now));
@@ -204,6 +212,7 @@
             self.settle();
             self.check();
             self.watch_beside();
+            self.watch_idle();
         }
     }
 
--- a/crates/planner/tests/world/orders.rs
+++ b/crates/planner/tests/world/orders.rs
@@ -81,7 +81,7 @@
             // It holds from its arrival on, whenever it is answered.
             let (name, hold) = (target.name.clone(), *hold);
             let now = self.now;
-            self.acknowledge(&name, acknowledged);
+            self.acknowledge(&name, epoch, acknowledged);
             if let Some(worker) = self.by_name(&name) {
                 drop(worker.hold(epoch, &hold, now));
             }
@@ -104,9 +104,6 @@
             Action::Start { start, .. } => Some(self.spec(start.run)),
             _ => None,
         };
-        if let Action::Hold { hold, .. } = &action {
-            self.acknowledge(&name, hold.acknowledged);
-        }
         let address = target.address;
         let mut lives = self.workers.values();
         let other_life =
@@ -132,6 +129,18 @@
             self.push(now + TIMEOUT, Arrival::Event(term, event));
             return;
         }
+        if worker.late_holds.0 > 0 && matches!(action, Action::Hold { .. }) {
+            worker.late_holds.0 -= 1;
+            let at = now + worker.late_holds.1;
+            self.push(at, Arrival::Late(term, action.clone()));
+            let event = failed(action, Failure::Unknown);
+            self.push(now + TIMEOUT, Arrival::Event(term, event));
+            return;
+        }
+        if let Action::Hold { hold, .. } = &action {
+            self.acknowledge(&name, epoch, hold.acknowledged);
+        }
+        let worker = self.by_name(&name).expect("it was found a moment ago");
         let lost = worker.lose > 0 && !matches!(action, Action::Hold { .. });
         if lost {
             worker.lose -= 1;
@@ -155,7 +164,8 @@
         let now = self.now;
         let (Action::Start { target, .. }
         | Action::Stop { target, .. }
-        | Action::Pace { target, .. }) = action
+        | Action::Pace { target, .. }
+        | Action::Hold { target, .. }) = action
         else {
             return;
         };
@@ -164,6 +174,9 @@
             Action::Start { start, .. } => Some(self.spec(start.run)),
             _ => None,
         };
+        if let Action::Hold { hold, .. } = action {
+            self.acknowledge(&name, epoch, hold.acknowledged);
+        }
         let machine = self.workers.iter().find(|(_, worker)| worker.name == name && worker.up);
         let Some(machine) = machine.map(|(machine, _)| machine.clone()) else { return };
         let demand = spec.as_ref().map(|(step, _)| step.demand);
--- /dev/null
+++ b/crates/planner/tests/world/restarts.rs
@@ -0,0 +1,59 @@
+//! Workers of the planner's world that start again under their names.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cowslipchute_base::id::Time;
+use cowslipchute_planner::event::Event;
+use cowslipchute_ports::executor::Registration;
+use cowslipchute_ports::executor::Run;
+
+use super::World;
+use super::lives::registration;
+
+/// Workers that are down until they start again, and what the directory held of their starts before.
+#[derive(Debug, Default)]
+pub struct Restarts {
+    back: BTreeMap<String, Time>,
+    former: BTreeMap<String, Registration>,
+}
+
+impl World {
+    /// A worker crashes and starts again under its name after a while, knowing nothing of before.
+    pub fn restart(&mut self, machine: &str, down: Duration) {
+        if self.machines.is_off(machine) || !self.workers.get(machine).is_some_and(|w| w.up) {
+            return;
+        }
+        self.note_unlucky(machine);
+        let worker = self.workers.get_mut(machine).expect("it was looked at a moment ago");
+        worker.up = false;
+        let gone: Vec<Run> = std::mem::take(&mut worker.active).into_keys().collect();
+        self.break_gangs(&gone);
+        self.restarts.back.insert(machine.to_owned(), self.now + down);
+        self.advance_restarts();
+    }
+
+    /// Starts the workers again whose time has come.
+    pub(super) fn advance_restarts(&mut self) {
+        let now = self.now;
+        let due = self.restarts.back.iter().filter(|(_, at)| **at <= now);
+        let due: Vec<String> = due.map(|(machine, _)| machine.clone()).collect();
+        for machine in due {
+            self.restarts.back.remove(&machine);
+            let Some(worker) = self.workers.get_mut(&machine).filter(|worker| !worker.up) else {
+                continue;
+            };
+            self.restarts.former.insert(machine.clone(), registration(worker));
+            *worker = worker.restarted(now);
+            self.bounds.remove(&machine);
+            self.list(&machine);
+        }
+    }
+
+    /// The directory's entry of a worker's start before arrives once more.
+    pub fn list_former(&mut self, machine: &str) {
+        if let Some(registration) = self.restarts.former.get(machine).cloned() {
+            self.tell(Event::Listed { registration });
+        }
+    }
+}
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -91,6 +91,8 @@
     pub lose: u32,
     /// The next so many orders are left without an answer and carried out this much later.
     pub late: (u32, Duration),
+    /// The same of holds.
+    pub late_holds: (u32, Duration),
     /// The highest epoch that it has seen.
     pub epoch: id::Epoch,
     /// Everything is killed when its clock passes this.
@@ -129,6 +131,7 @@
             serving: Serving::default(),
             lose: 0,
             late: (0, Duration::ZERO),
+            late_holds: (0, Duration::ZERO),
             epoch: 0,
             deadline: 0,
             active: BTreeMap::new(),
