--- a/bin/measure/src/passes/cell.rs
+++ b/bin/measure/src/passes/cell.rs
@@ -21,6 +21,7 @@
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::executor::Running;
 use cowslipchute_ports::executor::Stamp;
+use cowslipchute_ports::executor::Target;
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::Spec;
@@ -59,6 +60,8 @@
     now: Time,
     names: Vec<id::Instance>,
     runs: HashMap<id::Instance, Vec<(Run, bool)>>,
+    /// Whom the last hold of each worker was meant for.
+    targets: HashMap<id::Instance, Target>,
     actions: Vec<Action>,
     next: usize,
 }
@@ -71,6 +74,7 @@
             now: Duration::from_secs(1000),
             names: (0..workers).map(|index| format!("worker-{index}").as_str().into()).collect(),
             runs: HashMap::new(),
+            targets: HashMap::new(),
             actions: Vec::new(),
             next: 0,
         };
@@ -206,16 +210,18 @@
                         let runs = self.runs.entry(target.name.clone()).or_default();
                         runs.push((start.run, fills));
                         let outcome = Ok(self.clock());
-                        self.step(Event::Started { worker: target.name, run: start.run, outcome });
+                        self.step(Event::Started { target, run: start.run, outcome });
                     }
                     Action::Stop { target, run } => {
                         let outcome = Ok(self.clock());
-                        self.step(Event::Stopped { worker: target.name, run, outcome });
+                        self.step(Event::Stopped { target, run, outcome });
                     }
                     Action::Pace { target, run, percent } => {
                         let outcome = Ok(self.clock());
-                        let worker = target.name;
-                        self.step(Event::Paced { worker, run, percent, outcome });
+                        self.step(Event::Paced { target, run, percent, outcome });
+                    }
+                    Action::Hold { target, .. } => {
+                        self.targets.insert(target.name.clone(), target);
                     }
                     _ => {}
                 }
@@ -240,7 +246,8 @@
         });
         let running = running.collect();
         let report = Report { born: BORN, clock: self.clock(), running, ended: Vec::new() };
-        self.step(Event::Held { worker: name, outcome: Ok(report) });
+        let Some(target) = self.targets.get(&name).cloned() else { return };
+        self.step(Event::Held { target, outcome: Ok(report) });
     }
 }
 
--- a/bin/scheduler/src/journal.rs
+++ b/bin/scheduler/src/journal.rs
@@ -143,7 +143,7 @@
             });
             match change {
                 Change::Progress { record, .. } => {
-                    let value = record::encode(record);
+                    let value = record.encode();
                     txn.changes.push(kv::Change::Put { key, value, lease: 0 });
                 }
                 Change::End { state, .. } => {
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -294,38 +294,36 @@
     fn act(&mut self, action: Action) {
         let fleet = self.parts.fleet.clone();
         let events = self.events.clone();
-        let epoch = self.epoch;
         // An answer that finds the channel closed belongs to an ownership that has ended.
         match action {
             Action::Start { target, start } => {
                 let planner = self.parts.planner.clone();
                 self.tasks.spawn(async move {
                     let run = start.run;
-                    let wanted = lock(&planner).wants_start(&target.name, run);
+                    let wanted = lock(&planner).wants_start(&target, run);
                     let outcome = match wanted {
-                        true => fleet.start(&target, epoch, start).await,
+                        true => fleet.start(&target, start).await,
                         false => Err(Failure::Unsent),
                     };
-                    let _ = events.send(Event::Started { worker: target.name, run, outcome });
+                    let _ = events.send(Event::Started { target, run, outcome });
                 });
             }
             Action::Stop { target, run } => {
                 self.tasks.spawn(async move {
-                    let outcome = fleet.stop(&target, epoch, run).await;
-                    let _ = events.send(Event::Stopped { worker: target.name, run, outcome });
+                    let outcome = fleet.stop(&target, run).await;
+                    let _ = events.send(Event::Stopped { target, run, outcome });
                 });
             }
             Action::Pace { target, run, percent } => {
                 self.tasks.spawn(async move {
-                    let outcome = fleet.pace(&target, epoch, run, percent).await;
-                    let worker = target.name;
-                    let _ = events.send(Event::Paced { worker, run, percent, outcome });
+                    let outcome = fleet.pace(&target, run, percent).await;
+                    let _ = events.send(Event::Paced { target, run, percent, outcome });
                 });
             }
             Action::Hold { target, hold } => {
                 self.tasks.spawn(async move {
-                    let outcome = fleet.hold(&target, epoch, hold).await;
-                    let _ = events.send(Event::Held { worker: target.name, outcome });
+                    let outcome = fleet.hold(&target, hold).await;
+                    let _ = events.send(Event::Held { target, outcome });
                 });
             }
             Action::Advise { step, workers, within } => {
@@ -337,6 +335,7 @@
             }
             Action::Upkeep { wave, machine } => {
                 let machines = self.parts.machines.clone();
+                let epoch = self.epoch;
                 self.tasks.spawn(async move {
                     let outcome = machines.upkeep(&machine, wave, epoch).await;
                     let _ = events.send(Event::Upkept { wave, machine, outcome });
--- a/bin/scheduler/tests/journal.rs
+++ b/bin/scheduler/tests/journal.rs
@@ -5,7 +5,6 @@
 use std::collections::HashMap;
 
 use cowslipchute_planner::action::Change;
-use cowslipchute_planner::record;
 use cowslipchute_planner::record::Record;
 use cowslipchute_ports::job::State;
 use cowslipchute_scheduler::journal::Journal;
@@ -26,7 +25,7 @@
 fn stored(fake: &Fake, job: u64) -> Option<u32> {
     let inner = fake.0.lock().unwrap();
     let (value, _) = inner.keys.get(&keys::of(keys::RECORDS, job))?;
-    Some(record::decode::<Record>(value).unwrap().opened)
+    Some(Record::decode(value).unwrap().opened)
 }
 
 fn open(fake: &Fake) -> Journal<Fake> {
--- a/crates/planner/src/advice.rs
+++ b/crates/planner/src/advice.rs
@@ -40,6 +40,16 @@
     until: Time,
 }
 
+/// What the advisory service is being asked.
+#[derive(Clone, Debug)]
+pub(crate) struct Question {
+    step: StepId,
+    /// How long its tickets last.
+    validity: Duration,
+    /// Whom it is asked about. A ticket is of no use to the next incarnation of a worker.
+    workers: Vec<WorkerId>,
+}
+
 impl Leave {
     pub(crate) fn ticket(&self, worker: WorkerId) -> Option<Ticket> {
         self.tickets.get(&worker).cloned()
@@ -82,7 +92,8 @@
         let workers: Vec<id::Instance> =
             rated.iter().map(|&(_, id)| self.workers[id].name.clone()).collect();
         let within = advice.decision + advice.each * workers.len() as u32 + ANSWER_SLACK;
-        self.asking = Some((step, advice.validity));
+        let asked = rated.iter().map(|&(_, id)| id).collect();
+        self.asking = Some(Question { step, validity: advice.validity, workers: asked });
         self.actions.push(Action::Advise { step, workers, within });
     }
 
@@ -92,17 +103,19 @@
         step: StepId,
         outcome: Result<Vec<(id::Instance, Ticket)>, Failure>,
     ) {
-        let Some((asked, validity)) = self.asking.take() else { return };
+        let Some(question) = self.asking.take() else { return };
         self.room_changed = true;
-        if asked != step {
+        if question.step != step {
             return;
         }
         let rows = outcome.unwrap_or_default();
         let tickets: HashMap<WorkerId, Ticket> = rows
             .into_iter()
             .filter_map(|(name, ticket)| Some((*self.names.get(&name)?, ticket)))
+            .filter(|(worker, _)| question.workers.contains(worker))
             .collect();
-        let last = if tickets.is_empty() { AGAIN } else { validity.saturating_sub(TICKET_SLACK) };
+        let last =
+            if tickets.is_empty() { AGAIN } else { question.validity.saturating_sub(TICKET_SLACK) };
         let until = self.now + last;
         self.timers.insert((until, Timer::Place));
         let job = self.jobs.get_mut(&step.job);
--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -105,7 +105,7 @@
             Contact::Answering { at } | Contact::Silent { at } => Some(at),
             Contact::Unfenced { .. } => None,
         };
-        held.max(self.reading.map(|reading| reading.at))
+        held.max(self.heard)
     }
 
     /// Returns for how long it is known to have outlived the start of a run; none at all for one that an earlier
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -11,6 +11,7 @@
 use cowslipchute_ports::executor::Report;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::executor::Stamp;
+use cowslipchute_ports::executor::Target;
 use cowslipchute_ports::executor::Ticket;
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
@@ -75,15 +76,15 @@
     },
     /// A worker answered a hold, or did not.
     Held {
-        /// The worker.
-        worker: id::Instance,
+        /// Whom the order was meant for.
+        target: Target,
         /// What came back.
         outcome: Result<Report, Failure>,
     },
     /// A worker answered a start, or did not.
     Started {
-        /// The worker.
-        worker: id::Instance,
+        /// Whom the order was meant for.
+        target: Target,
         /// The run.
         run: Run,
         /// What came back.
@@ -91,8 +92,8 @@
     },
     /// A worker answered a stop, or did not.
     Stopped {
-        /// The worker.
-        worker: id::Instance,
+        /// Whom the order was meant for.
+        target: Target,
         /// The run.
         run: Run,
         /// What came back.
@@ -100,8 +101,8 @@
     },
     /// A worker answered a change of pace, or did not.
     Paced {
-        /// The worker.
-        worker: id::Instance,
+        /// Whom the order was meant for.
+        target: Target,
         /// The run.
         run: Run,
         /// The pace that was ordered, in percent.
--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -12,6 +12,7 @@
 use cowslipchute_ports::executor::Report;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::executor::Running;
+use cowslipchute_ports::executor::Target;
 
 use crate::action::Action;
 use crate::crash::PROBATION_HOLD;
@@ -41,18 +42,20 @@
     pub(crate) fn send_hold(&mut self, worker: WorkerId) {
         let Some(state) = self.workers.get(worker) else { return };
         let Hold::Due(at) = state.hold else { return };
-        let Some(target) = state.target() else { return };
         if at > self.now {
             return;
         }
+        let Some(target) = self.target(worker) else { return };
         // A deadline that may arrive later would have to be waited for: a silent worker is given
-        // none until it answers.
-        let deadline = if state.answers() { self.grant(worker) } else { None };
+        // none until it answers. Nor is it told which ends it may forget: it may have started again, and
+        // its next ends have the same numbers.
+        let answers = self.workers[worker].answers();
+        let deadline = if answers { self.grant(worker) } else { None };
         self.advance_acknowledged(worker);
         let wait = self.hold_wait(&self.workers[worker]);
         let state = &mut self.workers[worker];
         state.hold = Hold::Sent(self.now);
-        let acknowledged = state.acknowledged;
+        let acknowledged = if answers { state.acknowledged } else { 0 };
         let hold = cowslipchute_ports::executor::Hold { deadline, acknowledged, wait };
         self.actions.push(Action::Hold { target, hold });
     }
@@ -92,19 +95,21 @@
     }
 
     /// A worker answered a hold, or did not.
-    pub(crate) fn held(&mut self, name: &id::Instance, outcome: Result<Report, Failure>) {
-        let Some(&worker) = self.names.get(name) else { return };
+    pub(crate) fn held(&mut self, target: &Target, outcome: Result<Report, Failure>) {
+        let Some(worker) = self.find(target) else { return };
         let Hold::Sent(sent) = self.workers[worker].hold else { return };
         match outcome {
+            Ok(report) if self.workers[worker].is_succeeded(&report) => {
+                self.succeed_by(worker, &report);
+            }
             Ok(report) => {
-                self.see_born(worker, report.born);
                 self.take_report(worker, sent, report);
                 let Some(state) = self.workers.get(worker) else { return };
                 let waits = !state.unacknowledged.is_empty();
                 let pause = if waits { ACKNOWLEDGE_PAUSE } else { Duration::ZERO };
                 self.hold_at(worker, self.now + pause);
             }
-            Err(Failure::Refused(Refusal::OtherLife, _)) => self.life_over(worker),
+            Err(Failure::Refused(Refusal::OtherLife, _)) => self.end_incarnation(worker),
             Err(_) => {
                 self.fall_silent(worker);
                 self.hold_at(worker, self.now + SILENT_PAUSE);
@@ -142,9 +147,13 @@
         let max_hold = self.settings.max_hold;
         let state = &mut self.workers[worker];
         let before = state.contact;
+        state.born = state.born.or(report.born);
         state.reading = Some(Reading { stamp: report.clock, at: now });
+        state.heard = Some(now);
         if let Contact::Unfenced { .. } = before {
-            state.inherit_deadline(owned_for, max_hold);
+            // Orders of this owner to an earlier incarnation were refused only from this answer on.
+            let since = if state.rank > 0 { Duration::ZERO } else { owned_for };
+            state.inherit_deadline(since, max_hold);
         }
         state.contact = Contact::Answering { at: now };
         let name = state.name.clone();
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -92,6 +92,8 @@
     pub(crate) proven: bool,
     /// When its start was first sent by this owner.
     pub(crate) ordered: Option<Time>,
+    /// Starts of it that no answer has settled: the worker's next incarnation may carry them out.
+    pub(crate) starts_out: u32,
     pub(crate) percent: u8,
     /// `percent` when it was first listed.
     pub(crate) first_percent: u8,
@@ -132,6 +134,7 @@
             crashes: 0,
             proven: false,
             ordered: None,
+            starts_out: 0,
             percent: 0,
             first_percent: 0,
             moved: now,
--- /dev/null
+++ b/crates/planner/src/incarnations.rs
@@ -0,0 +1,258 @@
+//! Incarnations of workers: when one is over, and what its successor may hold.
+//!
+//! Pattern answered: a machine dies, or a rack of them, and its tasks wait until the deadline that its
+//! worker may have been given has surely passed, ten seconds and more; an owner after the other begins
+//! that wait anew, and tasks that last were seen to wait for twenty. Three words tell sooner that an
+//! incarnation is over:
+//!
+//! - an account of another start of the worker, or one whose clock has gone back;
+//! - a later start's entry in the directory;
+//! - the list of machines, which names the worker on each: a silent one that it doesn't name is over.
+//!   One that is only cut off is named there and waited for. While the list can't be had the deadlines
+//!   are waited for as ever.
+//!
+//! Nothing that was read of one incarnation holds for the next: not its numbers of ends, its clock, its
+//! deadline, its tickets, nor what runs there. A call carries the worker's name alone, so one that was
+//! meant for the incarnation before is carried out by the next, at once or seconds later. Orders to the
+//! next therefore rank above all orders to the one before ([`Worker::order_epoch`]), and from its first
+//! answer to one of them it refuses the others. Until then a run whose start may still be on its way
+//! keeps its place.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use cowslipchute_base::event::Event as Number;
+use cowslipchute_base::id;
+use cowslipchute_base::id::Time;
+use cowslipchute_ports::executor::Registration;
+use cowslipchute_ports::executor::Report;
+use cowslipchute_ports::executor::Run;
+use cowslipchute_ports::machine::Machine;
+use smallvec::SmallVec;
+
+use crate::host::Hosted;
+use crate::host::Order;
+use crate::host::Stage;
+use crate::job::Place;
+use crate::order::Timer;
+use crate::planner::Planner;
+use crate::takeover::LAPSE_CHECK;
+use crate::worker::Contact;
+use crate::worker::Worker;
+use crate::worker::WorkerId;
+
+/// How much later than the directory the list may name a new worker: it tells nothing of one that
+/// became known less than this before it was asked for. Workers write to the directory each second or two.
+const LIST_LAG: Duration = Duration::from_secs(2);
+
+impl Worker {
+    /// Tells whether a list that was asked for then would name this worker, were it not over.
+    fn is_awaited(&self, asked: Time) -> bool {
+        let silent = match self.contact {
+            Contact::Unfenced { since } | Contact::Silent { at: since } => since < asked,
+            Contact::Answering { .. } => false,
+        };
+        silent && self.met + LIST_LAG <= asked
+    }
+
+    /// Tells whether an account is of a later incarnation. Each account was asked for after the one before had come,
+    /// so a clock that has gone back is another one.
+    pub(crate) fn is_succeeded(&self, report: &Report) -> bool {
+        match (self.born, report.born) {
+            (Some(known), Some(born)) => known != born,
+            _ => self.reading.is_some_and(|reading| report.clock < reading.stamp),
+        }
+    }
+
+    /// Tells whether a start of a run may yet reach the next incarnation: one that went without an answer, or one of an
+    /// earlier owner, which this incarnation hasn't been told to refuse.
+    fn may_start_late(&self, hosted: &Hosted) -> bool {
+        let unfenced = matches!(self.contact, Contact::Unfenced { .. });
+        hosted.starts_out > 0 || (unfenced && matches!(hosted.stage, Stage::Inherited))
+    }
+
+    /// The next incarnation at the same place; the directory has yet to tell what it has.
+    fn successor(&self, rank: u32, now: Time) -> Worker {
+        Worker {
+            address: self.address,
+            service: self.service.clone(),
+            domain: self.domain.clone(),
+            labels: self.labels.clone(),
+            rack: self.rack.clone(),
+            capacity: self.capacity,
+            met: now,
+            ..Worker::unlisted(self.name.clone(), rank, now)
+        }
+    }
+}
+
+impl Planner {
+    /// Tells whether the machines have to be listed, now and then: for a wave, or since tasks wait
+    /// for a silent worker.
+    pub fn wants_machines(&self) -> bool {
+        let waited_for = |worker: &Worker| !worker.answers() && !worker.runs.is_empty();
+        self.has_waves() || self.workers.iter().any(|(_, worker)| waited_for(worker))
+    }
+
+    /// Ends the incarnations of silent workers that no machine runs any more.
+    pub(crate) fn end_unlisted(&mut self, machines: &[Machine], asked: Time) {
+        let names: HashSet<&id::Instance> =
+            machines.iter().filter_map(|machine| machine.worker.as_ref()).collect();
+        // A list that doesn't hold the workers which answer tells nothing about the others.
+        let listed = |worker: &Worker| names.contains(&worker.name);
+        if self.workers.iter().any(|(_, worker)| worker.answers() && !listed(worker)) {
+            return;
+        }
+        let over: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.is_awaited(asked) && !listed(worker))
+            .map(|(id, _)| id)
+            .collect();
+        for worker in over {
+            self.end_absent(worker);
+        }
+    }
+
+    /// A machine runs a worker no more. It may start again under its name, and carry out what is on its way there.
+    fn end_absent(&mut self, worker: WorkerId) {
+        let state = &self.workers[worker];
+        let answered = !matches!(state.contact, Contact::Unfenced { .. });
+        if answered && state.runs.values().any(|hosted| state.may_start_late(hosted)) {
+            self.begin_next(worker, None, |state, _, hosted| state.may_start_late(hosted));
+        } else {
+            self.end_incarnation(worker);
+        }
+    }
+
+    /// Tells whether an entry of the directory is of an incarnation before the one that is known.
+    pub(crate) fn is_of_earlier(&self, registration: &Registration) -> bool {
+        let known = self.names.get(&registration.name).and_then(|&id| self.workers.get(id));
+        let born = known.and_then(|worker| worker.born);
+        born.zip(registration.born).is_some_and(|(known, listed)| listed < known)
+    }
+
+    /// Takes in which incarnation wrote an entry; returns that one.
+    pub(crate) fn admit_entry(
+        &mut self,
+        worker: WorkerId,
+        registration: &Registration,
+    ) -> WorkerId {
+        let Some(born) = registration.born else { return worker };
+        match self.workers[worker].born.replace(born) {
+            Some(before) if before < born => {
+                self.workers[worker].born = Some(before);
+                self.begin_next(worker, Some(born), |state, _, hosted| state.may_start_late(hosted))
+            }
+            _ => worker,
+        }
+    }
+
+    /// A later incarnation answers: whatever it doesn't account for is over, but for starts that may still reach it.
+    pub(crate) fn succeed_by(&mut self, worker: WorkerId, report: &Report) {
+        let running = report.running.iter().map(|running| running.run);
+        let held: HashSet<Run> = running.chain(report.ended.iter().map(|end| end.run)).collect();
+        // Where this was its first answer to this owner, it has been told to refuse the orders of all earlier ones.
+        let fenced = matches!(self.workers[worker].contact, Contact::Unfenced { .. });
+        self.begin_next(worker, report.born, |state, run, hosted| {
+            held.contains(&run) || (!fenced && state.may_start_late(hosted))
+        });
+    }
+
+    /// A worker has started again under its name, or may have. The runs that the next incarnation may hold keep their
+    /// places until it has accounted for them; all else is over.
+    fn begin_next(
+        &mut self,
+        worker: WorkerId,
+        born: Option<id::Incarnation>,
+        may_hold: impl Fn(&Worker, Run, &Hosted) -> bool,
+    ) -> WorkerId {
+        self.note_restart(worker, born);
+        let over = self.count_crash(worker);
+        let state = &self.workers[worker];
+        let runs = state.runs.iter().filter(|(run, hosted)| may_hold(state, **run, hosted));
+        let kept: Vec<Run> = runs.map(|(run, _)| *run).collect();
+        self.incarnations_ended += 1;
+        let mut successor = self.workers[worker].successor(self.incarnations_ended, self.now);
+        successor.born = born;
+        let next = self.workers.insert(successor);
+        self.names.insert(self.workers[next].name.clone(), next);
+        for run in kept {
+            self.carry_over(worker, next, run);
+        }
+        self.end_all(worker);
+        self.give_up_crashed(over);
+        self.workers.remove(worker);
+        self.timers.insert((self.now + LAPSE_CHECK, Timer::Lapse(next)));
+        self.hold_at(next, self.now);
+        next
+    }
+
+    /// Moves a run to the next incarnation, whose account tells whether it is there.
+    fn carry_over(&mut self, worker: WorkerId, next: WorkerId, run: Run) {
+        let Some(hosted) = self.workers[worker].release(run) else { return };
+        let stage = match hosted.stage {
+            Stage::Stopping { why, .. } => Stage::Stopping { why, order: Order::Due(self.now) },
+            _ => Stage::Inherited,
+        };
+        let stopping = matches!(stage, Stage::Stopping { .. });
+        let hosted = Hosted { stage, starts_out: 0, paced: None, pacing: false, ..hosted };
+        self.workers[next].host(run, hosted);
+        if stopping {
+            self.schedule(next, run, Duration::ZERO);
+        }
+        let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
+        let at_worker = |task: &crate::job::Task| task.place == Place::At(worker);
+        if job.task(run.task).is_some_and(|task| at_worker(task) && task.attempt == run.attempt) {
+            job.move_task(run.task, Place::At(next));
+            self.touch(run.task.job);
+        }
+    }
+
+    fn note_restart(&mut self, worker: WorkerId, born: Option<id::Incarnation>) {
+        let state = &self.workers[worker];
+        let told = |born: Option<id::Incarnation>| {
+            born.map_or(String::from("an untold time"), |born| born.to_string())
+        };
+        let detail = format!(
+            "started at {}, then at {}; {} runs, ends up to {} taken in, {} acknowledged",
+            told(state.born),
+            told(born),
+            state.runs.len(),
+            state.seen,
+            state.acknowledged
+        );
+        let name = state.name.clone();
+        self.note(Number::WorkerRestarted, None, None, Some(name), detail);
+    }
+
+    /// A worker has answered at an address, which has one at a time: whichever other was there is
+    /// over. An entry alone, which anybody may write, ends none.
+    pub(crate) fn end_predecessors(&mut self, worker: WorkerId) {
+        let address = self.workers[worker].address;
+        let others = self.workers.iter().filter(|(id, other)| {
+            *id != worker && other.address.is_some() && other.address == address
+        });
+        let others: SmallVec<[WorkerId; 1]> = others.map(|(id, _)| id).collect();
+        for other in others {
+            self.end_incarnation(other);
+        }
+    }
+
+    /// A worker is over and a worker of another name has its place, or none: whatever ran there is over.
+    pub(crate) fn end_incarnation(&mut self, worker: WorkerId) {
+        let name = self.workers[worker].name.clone();
+        self.note(Number::WorkerReplaced, None, None, Some(name), "");
+        let over = self.count_crash(worker);
+        self.end_all(worker);
+        self.give_up_crashed(over);
+        self.forget_incarnation(worker);
+    }
+
+    /// Forgets a worker of which nothing is waited for.
+    pub(crate) fn forget_incarnation(&mut self, worker: WorkerId) {
+        let Some(state) = self.workers.remove(worker) else { return };
+        self.incarnations_ended += 1;
+        self.names.remove(&state.name);
+    }
+}
--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -7,6 +7,7 @@
 use cowslipchute_base::id::Time;
 use cowslipchute_base::size::Size;
 use cowslipchute_ports::deployment::Config;
+use cowslipchute_ports::executor::Incarnation;
 use cowslipchute_ports::job;
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
@@ -166,7 +167,7 @@
         self.steps.iter().all(Step::is_done)
     }
 
-    fn record(&self, name: &impl Fn(WorkerId) -> Option<id::Instance>) -> record::Occurrence {
+    fn record(&self, name: &impl Fn(WorkerId) -> Option<Incarnation>) -> record::Occurrence {
         let steps = self.steps.iter().map(|step| {
             if step.tasks.iter().all(|task| task.attempt == 0) {
                 return Vec::new();
@@ -432,7 +433,7 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    pub(crate) fn record(&self, name: impl Fn(WorkerId) -> Option<id::Instance>) -> Record {
+    pub(crate) fn record(&self, name: impl Fn(WorkerId) -> Option<Incarnation>) -> Record {
         let open = || self.occurrences.iter().filter(|occurrence| !occurrence.is_done());
         Record {
             started: self.started,
@@ -451,7 +452,7 @@
     step.estimate.as_secs_f64() * f64::from(step.demand.cpu_milli) / 1e3
 }
 
-fn stored(task: &Task, name: &impl Fn(WorkerId) -> Option<id::Instance>) -> record::Task {
+fn stored(task: &Task, name: &impl Fn(WorkerId) -> Option<Incarnation>) -> record::Task {
     record::Task {
         attempt: task.attempt,
         done: task.place == Place::Done,
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -26,10 +26,11 @@
 mod hold;
 mod host;
 mod idle;
+mod incarnations;
 mod interfere;
 mod job;
 pub mod learnt;
-mod lives;
+
 mod load;
 mod locality;
 mod occurrence;
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use cowslipchute_base::event::Event as Number;
-use cowslipchute_base::id;
 use cowslipchute_ports::executor::Failure;
 use cowslipchute_ports::executor::How;
 use cowslipchute_ports::executor::Refusal;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::executor::Stamp;
 use cowslipchute_ports::executor::Start;
+use cowslipchute_ports::executor::Target;
 use cowslipchute_ports::job::JobId;
 
 use crate::action::Action;
@@ -23,7 +23,6 @@
 use crate::host::Why;
 use crate::planner::Planner;
 use crate::sending::SENDING_LOOK;
-use crate::worker::Reading;
 use crate::worker::WorkerId;
 
 /// Pause before an unanswered order is repeated: its answer's own timeout has passed already.
@@ -75,7 +74,7 @@
 
     /// Returns the deadline to give a worker now, and remembers it: as far ahead as workers take. What
     /// runs on a worker that is cut off then works on until the cut heals, and outlasts a store that is
-    /// away; a worker that is gone is told from one that is cut off by [`crate::lives`] long before.
+    /// away; a worker that is gone is told from one that is cut off by [`crate::incarnations`] long before.
     pub(crate) fn grant(&mut self, worker: WorkerId) -> Option<Stamp> {
         let max_hold = self.settings.max_hold;
         let state = &mut self.workers[worker];
@@ -85,9 +84,8 @@
     }
 
     fn send_order(&mut self, worker: WorkerId, run: Run) {
-        let Some(state) = self.workers.get(worker) else { return };
-        let Some(target) = state.target() else { return };
-        let answers = state.answers();
+        let Some(target) = self.target(worker) else { return };
+        let answers = self.workers[worker].answers();
         if self.take_back_start(worker, run) {
             return;
         }
@@ -140,7 +138,7 @@
 
     fn send_start(&mut self, worker: WorkerId, run: Run) {
         let Some(deadline) = self.grant(worker) else { return };
-        let Some(target) = self.workers[worker].target() else { return };
+        let Some(target) = self.target(worker) else { return };
         let Some(job) = self.jobs.get(&run.task.job) else { return };
         let Some(task) = job.task(run.task) else { return };
         let start = Start {
@@ -158,14 +156,15 @@
         state.newest = self.now;
         if let Some(hosted) = state.runs.get_mut(&run) {
             hosted.ordered.get_or_insert(self.now);
+            hosted.starts_out += 1;
         }
     }
 
     /// Tells whether a start that was decided on is still to be sent. An owner short of processor time
     /// sends its orders seconds later; a task that had ended meanwhile would begin once more, and a worker
     /// that had shrunk would be overloaded.
-    pub fn wants_start(&self, worker: &id::Instance, run: Run) -> bool {
-        let worker = self.names.get(worker).and_then(|&worker| self.workers.get(worker));
+    pub fn wants_start(&self, target: &Target, run: Run) -> bool {
+        let worker = self.find(target).and_then(|worker| self.workers.get(worker));
         let Some(worker) = worker.filter(|worker| !self.is_overfull(worker)) else { return false };
         let hosted = worker.runs.get(&run);
         hosted.is_some_and(|hosted| {
@@ -179,29 +178,39 @@
         self.timers.insert((self.now + pause, Timer::Order(worker, run)));
     }
 
-    /// Finds the worker that an answer is of, and reads its clock.
-    fn answered(
-        &mut self,
-        name: &id::Instance,
-        outcome: Result<Stamp, Failure>,
-    ) -> Option<WorkerId> {
-        let worker = *self.names.get(name)?;
-        if let Ok(stamp) = outcome {
-            self.workers[worker].reading = Some(Reading { stamp, at: self.now });
+    /// Returns whom orders to a worker are meant for.
+    pub(crate) fn target(&self, worker: WorkerId) -> Option<Target> {
+        let state = self.workers.get(worker)?;
+        let epoch = state.order_epoch(self.epoch?);
+        Some(Target { name: state.name.clone(), address: state.address?, epoch })
+    }
+
+    /// Finds the incarnation that an order was meant for, if it isn't over. An answer to an order to an earlier one
+    /// tells nothing of it.
+    pub(crate) fn find(&self, target: &Target) -> Option<WorkerId> {
+        let worker = *self.names.get(&target.name)?;
+        let epoch = self.workers.get(worker)?.order_epoch(self.epoch?);
+        (epoch == target.epoch).then_some(worker)
+    }
+
+    /// Finds the worker that an answer is of, and notes that it lives.
+    fn answered(&mut self, target: &Target, outcome: Result<Stamp, Failure>) -> Option<WorkerId> {
+        let worker = self.find(target)?;
+        if outcome.is_ok() {
+            self.workers[worker].heard = Some(self.now);
         }
         Some(worker)
     }
 
     /// A worker answered a start, or did not.
-    pub(crate) fn started(
-        &mut self,
-        name: &id::Instance,
-        run: Run,
-        outcome: Result<Stamp, Failure>,
-    ) {
-        let Some(worker) = self.answered(name, outcome) else { return };
+    pub(crate) fn started(&mut self, target: &Target, run: Run, outcome: Result<Stamp, Failure>) {
+        let Some(worker) = self.answered(target, outcome) else { return };
+        let name = &target.name;
         let now = self.now;
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
+        if outcome != Err(Failure::Unknown) {
+            hosted.starts_out = hosted.starts_out.saturating_sub(1);
+        }
         let Stage::Starting { order: Order::Sent, unsettled } = hosted.stage else {
             // It is being stopped; that settles it.
             return;
@@ -224,10 +233,10 @@
             }
             Err(Failure::Refused(Refusal::OtherLife, _)) => {
                 if !unsettled {
-                    // The life that is over never had it.
+                    // The incarnation that is over never had it.
                     self.end_run(worker, run, How::Stopped, None);
                 }
-                self.life_over(worker);
+                self.end_incarnation(worker);
             }
             Err(Failure::Unknown | Failure::Refused(Refusal::Fenced, _)) => {
                 let order = Order::Due(now + REPEAT_PAUSE);
@@ -290,19 +299,14 @@
     }
 
     /// A worker answered a stop, or did not.
-    pub(crate) fn stopped(
-        &mut self,
-        name: &id::Instance,
-        run: Run,
-        outcome: Result<Stamp, Failure>,
-    ) {
-        let Some(worker) = self.answered(name, outcome) else { return };
+    pub(crate) fn stopped(&mut self, target: &Target, run: Run, outcome: Result<Stamp, Failure>) {
+        let Some(worker) = self.answered(target, outcome) else { return };
         let now = self.now;
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         let Stage::Stopping { why, order: Order::Sent } = hosted.stage else { return };
         match outcome {
             Ok(_) => hosted.stage = Stage::Stopping { why, order: Order::Done(now) },
-            Err(Failure::Refused(Refusal::OtherLife, _)) => self.life_over(worker),
+            Err(Failure::Refused(Refusal::OtherLife, _)) => self.end_incarnation(worker),
             Err(_) => {
                 let order = Order::Due(now + REPEAT_PAUSE);
                 hosted.stage = Stage::Stopping { why, order };
@@ -314,12 +318,13 @@
     /// A worker answered a change of pace, or did not.
     pub(crate) fn paced(
         &mut self,
-        name: &id::Instance,
+        target: &Target,
         run: Run,
         percent: u8,
         outcome: Result<Stamp, Failure>,
     ) {
-        let Some(&worker) = self.names.get(name) else { return };
+        let Some(worker) = self.find(target) else { return };
+        let name = &target.name;
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         hosted.pacing = false;
         hosted.paced = outcome.ok().map(|_| percent);
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -5,7 +5,6 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use cowslipchute_base::entity::Table;
 use cowslipchute_base::event::Event as Number;
@@ -16,11 +15,11 @@
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
-use cowslipchute_ports::job::StepId;
 use foldhash::HashMap;
 
 use crate::action::Action;
 use crate::action::Note;
+use crate::advice::Question;
 pub use crate::census::Census;
 use crate::event::Event;
 use crate::interfere::Model;
@@ -60,7 +59,10 @@
     pub(crate) ended: HashMap<JobId, State>,
     pub(crate) ended_order: VecDeque<(Time, JobId)>,
     pub(crate) workers: Table<Worker>,
+    /// The newest incarnation of each name.
     pub(crate) names: HashMap<id::Instance, WorkerId>,
+    /// How many incarnations have ended or were forgotten in this ownership.
+    pub(crate) incarnations_ended: u32,
     /// When a life at an address last ended without notice, as far as that is remembered.
     pub(crate) crashed_at: HashMap<SocketAddr, Time>,
     /// Entries of the directory whose service the configuration doesn't name.
@@ -69,8 +71,8 @@
     pub(crate) works: HashMap<Arc<str>, f64>,
     /// Logarithm of the speed of the cell's short runs, as a part of what was estimated.
     pub(crate) speed: f64,
-    /// The step about which the advisory service is being asked, and how long its tickets last.
-    pub(crate) asking: Option<(StepId, Duration)>,
+    /// What the advisory service is being asked.
+    pub(crate) asking: Option<Question>,
     /// The time of day.
     pub(crate) calendar: Calendar,
     /// Room kept for short tasks.
@@ -124,6 +126,7 @@
             ended_order: VecDeque::new(),
             workers: Table::default(),
             names: HashMap::default(),
+            incarnations_ended: 0,
             crashed_at: HashMap::default(),
             strangers: HashMap::default(),
             works: HashMap::default(),
@@ -182,11 +185,11 @@
             Event::Job { job, accepted } => self.learn(job, accepted),
             Event::Listed { registration } => self.list(&registration),
             Event::Unlisted { name } => self.unlist(&name),
-            Event::Held { worker, outcome } => self.held(&worker, outcome),
-            Event::Started { worker, run, outcome } => self.started(&worker, run, outcome),
-            Event::Stopped { worker, run, outcome } => self.stopped(&worker, run, outcome),
-            Event::Paced { worker, run, percent, outcome } => {
-                self.paced(&worker, run, percent, outcome);
+            Event::Held { target, outcome } => self.held(&target, outcome),
+            Event::Started { target, run, outcome } => self.started(&target, run, outcome),
+            Event::Stopped { target, run, outcome } => self.stopped(&target, run, outcome),
+            Event::Paced { target, run, percent, outcome } => {
+                self.paced(&target, run, percent, outcome);
             }
             Event::Advised { step, outcome } => self.advised(step, outcome),
             Event::Wave { wave, begun } => self.demand(wave, begun),
--- a/crates/planner/src/record.rs
+++ b/crates/planner/src/record.rs
@@ -3,15 +3,20 @@
 //! It names every place where a task may be running, since it is written before the start is
 //! ordered.
 
+mod named;
+
 use cowslipchute_base::id;
+use cowslipchute_ports::executor::Incarnation;
 use cowslipchute_ports::job;
 use serde::Deserialize;
 use serde::Serialize;
 use smallvec::SmallVec;
 use thiserror::Error;
 
-/// First byte of a record; another one is of a version that this program can't read.
+/// First byte of a stored value; another one is of a version that this program can't read.
 const VERSION: u8 = 1;
+/// The same of a job's record, which names incarnations of workers where the first version had their names.
+const RECORD_VERSION: u8 = 2;
 
 /// Attempts of a task that ended failed; few tasks have any.
 pub type Attempts = SmallVec<[id::Attempt; 2]>;
@@ -27,7 +32,7 @@
     /// Attempts that ended failed.
     pub failed: Attempts,
     /// Where it may be running.
-    pub worker: Option<id::Instance>,
+    pub worker: Option<Incarnation>,
     /// Where it resumes.
     pub checkpoint: Option<id::Checkpoint>,
 }
@@ -52,7 +57,7 @@
     pub opened: u32,
     /// Those of them that aren't done.
     pub occurrences: Vec<Occurrence>,
-    /// The crashes of workers that are counted against tasks. Records of earlier versions end before it.
+    /// The crashes of workers that are counted against tasks.
     pub crashes: Vec<Crashes>,
 }
 
@@ -70,27 +75,22 @@
     pub attempts: Attempts,
 }
 
-/// A record as it was before crashes were kept.
-#[derive(Deserialize)]
-struct Uncounted {
-    started: bool,
-    opened: u32,
-    occurrences: Vec<Occurrence>,
-}
-
 impl Record {
-    /// Reads a stored record, also one of a version that kept no crashes.
+    /// Renders the record for the store, behind its version.
+    pub fn encode(&self) -> Vec<u8> {
+        encode_as(RECORD_VERSION, self)
+    }
+
+    /// Reads a stored record, also one of an earlier version.
     ///
     /// # Errors
     ///
     /// When it is of another version or damaged.
     pub fn decode(bytes: &[u8]) -> Result<Record, Error> {
-        match decode(bytes) {
-            Err(Error::Body(postcard::Error::DeserializeUnexpectedEnd)) => {
-                let Uncounted { started, opened, occurrences } = decode(bytes)?;
-                Ok(Record { started, opened, occurrences, crashes: Vec::new() })
-            }
-            read => read,
+        match bytes.split_first() {
+            Some((&RECORD_VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+            Some((&VERSION, rest)) => Ok(named::decode(rest)?),
+            _ => Err(Error::Version),
         }
     }
 }
@@ -114,7 +114,11 @@
 /// Panics if the value can't be rendered, which only happens to types that hold maps of unknown
 /// length; none of ours does.
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    postcard::to_extend(value, vec![VERSION]).expect("the value has a known length")
+    encode_as(VERSION, value)
+}
+
+fn encode_as<T: Serialize>(version: u8, value: &T) -> Vec<u8> {
+    postcard::to_extend(value, vec![version]).expect("the value has a known length")
 }
 
 /// Reads a stored value.
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -5,6 +5,7 @@
 
 use cowslipchute_base::event::Event as Number;
 use cowslipchute_base::id;
+use cowslipchute_ports::executor::Incarnation;
 use cowslipchute_ports::executor::Registration;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::Accepted;
@@ -13,7 +14,6 @@
 use cowslipchute_ports::job::StepId;
 use cowslipchute_ports::job::StepIndex;
 use cowslipchute_ports::job::TaskId;
-use smallvec::SmallVec;
 
 use crate::host::Hosted;
 use crate::host::Why;
@@ -73,6 +73,7 @@
         self.ended_order.clear();
         self.workers = Default::default();
         self.names.clear();
+        self.incarnations_ended = 0;
         self.crashed_at.clear();
         self.strangers.clear();
         self.asking = None;
@@ -133,9 +134,13 @@
         }
     }
 
-    fn inherit(&mut self, run: Run, name: &id::Instance) {
-        let worker = self.ensure_worker(name);
-        self.workers[worker].met = id::Time::ZERO;
+    /// A record names a run with the incarnation that it was placed on. Whichever of them answers first, its account
+    /// tells which of the runs it holds.
+    fn inherit(&mut self, run: Run, host: &Incarnation) {
+        let worker = self.ensure_worker(&host.name);
+        let state = &mut self.workers[worker];
+        state.met = id::Time::ZERO;
+        state.born = state.born.max(host.born);
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
         let crashes = job.task(run.task).map_or(0, |task| task.crashed.len());
@@ -184,7 +189,8 @@
         if let Some(&worker) = self.names.get(name) {
             return worker;
         }
-        let worker = self.workers.insert(Worker::unlisted(name.clone(), self.now));
+        let rank = self.incarnations_ended;
+        let worker = self.workers.insert(Worker::unlisted(name.clone(), rank, self.now));
         self.names.insert(name.clone(), worker);
         self.timers.insert((self.now + LAPSE_CHECK, Timer::Lapse(worker)));
         worker
@@ -192,7 +198,7 @@
 
     /// A worker is in the directory, or its entry has changed.
     pub(crate) fn list(&mut self, registration: &Registration) {
-        if self.epoch.is_none() {
+        if self.epoch.is_none() || self.is_of_earlier(registration) {
             return;
         }
         if !self.names_service(&registration.service) && !self.is_sought(&registration.name) {
@@ -206,7 +212,7 @@
         self.strangers.remove(&registration.name);
         let known = known.is_some();
         let worker = self.ensure_worker(&registration.name);
-        self.see_born(worker, registration.born);
+        let worker = self.admit_entry(worker, registration);
         let was_draining = self.workers[worker].draining;
         let was_nowhere = self.workers[worker].address.is_none();
         self.workers[worker].list(registration);
@@ -227,23 +233,6 @@
         }
     }
 
-    /// Notes that a worker has started again.
-    pub(crate) fn see_born(&mut self, worker: WorkerId, born: Option<id::Incarnation>) {
-        let Some(born) = born else { return };
-        let state = &mut self.workers[worker];
-        let Some(before) = state.born.replace(born).filter(|before| *before != born) else {
-            return;
-        };
-        let detail = format!(
-            "started at {before}, now at {born}; {} runs, ends up to {} taken in, {} acknowledged",
-            state.runs.len(),
-            state.seen,
-            state.acknowledged
-        );
-        let name = state.name.clone();
-        self.note(Number::WorkerRestarted, None, None, Some(name), detail);
-    }
-
     /// Sends the orders that could not be sent while the worker's address was not known.
     fn resume_orders(&mut self, worker: WorkerId) {
         let runs: Vec<Run> = self.workers[worker].runs.keys().copied().collect();
@@ -284,19 +273,6 @@
         }
     }
 
-    /// A worker has answered at an address, which has one life at a time: whichever other was there is
-    /// over. An entry alone, which anybody may write, ends none.
-    pub(crate) fn end_predecessors(&mut self, worker: WorkerId) {
-        let address = self.workers[worker].address;
-        let others = self.workers.iter().filter(|(id, other)| {
-            *id != worker && other.address.is_some() && other.address == address
-        });
-        let others: SmallVec<[WorkerId; 1]> = others.map(|(id, _)| id).collect();
-        for other in others {
-            self.life_over(other);
-        }
-    }
-
     /// A worker is in the directory no more. It may run on, so its runs keep their places.
     pub(crate) fn unlist(&mut self, name: &id::Instance) {
         self.strangers.remove(name);
@@ -310,23 +286,10 @@
     pub(crate) fn drop_if_needless(&mut self, worker: WorkerId) {
         let state = &self.workers[worker];
         if !state.listed && !state.answers() && state.runs.is_empty() {
-            let name = state.name.clone();
-            self.workers.remove(worker);
-            self.names.remove(&name);
+            self.forget_incarnation(worker);
         }
     }
 
-    /// Another life answers at the worker's address: whatever ran there is over.
-    pub(crate) fn life_over(&mut self, worker: WorkerId) {
-        let name = self.workers[worker].name.clone();
-        self.note(Number::WorkerReplaced, None, None, Some(name.clone()), "");
-        let over = self.count_crash(worker);
-        self.end_all(worker);
-        self.give_up_crashed(over);
-        self.workers.remove(worker);
-        self.names.remove(&name);
-    }
-
     /// A leaving worker ends what runs on it: what lasts, or can't finish before, is moved.
     fn evacuate(&mut self, worker: WorkerId) {
         for run in self.workers[worker].runs_where(|hosted| hosted.lasts || hosted.checkpointing) {
--- a/crates/planner/src/wave.rs
+++ b/crates/planner/src/wave.rs
@@ -160,7 +160,7 @@
                 self.see_machine(number, machine, asked);
             }
         }
-        self.end_unlisted_lives(&machines, asked);
+        self.end_unlisted(&machines, asked);
         self.waves.unlisted.retain(|_, at| *at >= asked);
         self.waves.machines =
             machines.into_iter().map(|machine| (machine.name.clone(), machine)).collect();
@@ -189,12 +189,12 @@
         let Some(before) = before else { return };
         let same = machine.worker.as_ref() == Some(&self.workers[before].name);
         if machine.up && same {
-            // It was begun before this life, by an earlier owner whose word was lost.
+            // It was begun before this incarnation, by an earlier owner whose word was lost; or the worker has started
+            // again under its name, which its next account tells.
             self.workers[before].upkeep = false;
-            self.workers[before].going_down = false;
             self.room_changed = true;
         } else {
-            self.life_over(before);
+            self.end_incarnation(before);
         }
     }
 
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -1,4 +1,4 @@
-//! One life of a worker as the owner knows it.
+//! One incarnation of a worker as the owner knows it.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -11,10 +11,10 @@
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::executor::EndNumber;
+use cowslipchute_ports::executor::Incarnation;
 use cowslipchute_ports::executor::Registration;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::executor::Stamp;
-use cowslipchute_ports::executor::Target;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::StepId;
 use smallvec::SmallVec;
@@ -25,6 +25,12 @@
 use crate::interfere::Shares;
 use crate::settings::Settings;
 
+/// Bits of an order's epoch that tell incarnations within one ownership apart: as many as end in years of it. The
+/// rest leaves room for 2^33 epochs below 2^53, up to which any reader of numbers is exact.
+const RANK_BITS: u32 = 20;
+/// Incarnations past this one share their epoch, which only widens what a late order may do.
+const HIGHEST_RANK: u32 = (1 << RANK_BITS) - 1;
+
 /// Index of a worker in the planner's table.
 pub(crate) type WorkerId = Id<Worker>;
 
@@ -100,6 +106,8 @@
     pub(crate) name: id::Instance,
     /// Unix milliseconds of its start, once it has told.
     pub(crate) born: Option<id::Incarnation>,
+    /// Rises from one incarnation of a name to the next; the lower part of its orders' epoch.
+    pub(crate) rank: u32,
     /// None for one that only records name.
     pub(crate) address: Option<SocketAddr>,
     pub(crate) service: id::Service,
@@ -117,7 +125,11 @@
     /// earlier owner wrote.
     pub(crate) met: Time,
     pub(crate) contact: Contact,
+    /// What its clock showed with its last account. Answers to other orders aren't read for that: they may be the
+    /// next incarnation's, and overtake accounts.
     pub(crate) reading: Option<Reading>,
+    /// When it last answered any order.
+    pub(crate) heard: Option<Time>,
     /// The latest deadline that was sent to it.
     pub(crate) granted: Stamp,
     /// The highest end that was taken in.
@@ -150,10 +162,11 @@
 
 impl Worker {
     /// A worker of which only a record tells.
-    pub(crate) fn unlisted(name: id::Instance, now: Time) -> Worker {
+    pub(crate) fn unlisted(name: id::Instance, rank: u32, now: Time) -> Worker {
         Worker {
             name,
             born: None,
+            rank,
             address: None,
             service: id::Service::from(""),
             domain: id::Domain::from(""),
@@ -167,6 +180,7 @@
             met: now,
             contact: Contact::Unfenced { since: now },
             reading: None,
+            heard: None,
             granted: 0,
             seen: 0,
             acknowledged: 0,
@@ -202,6 +216,7 @@
     pub(crate) fn is_listed_as(&self, registration: &Registration) -> bool {
         self.listed
             && self.address == Some(registration.address)
+            && (self.born == registration.born || registration.born.is_none())
             && self.draining == registration.draining
             && self.capacity == registration.capacity
             && self.service == registration.service
@@ -210,8 +225,13 @@
             && self.rack == registration.rack
     }
 
-    pub(crate) fn target(&self) -> Option<Target> {
-        Some(Target { name: self.name.clone(), address: self.address? })
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        Incarnation { name: self.name.clone(), born: self.born }
+    }
+
+    /// Returns the epoch of orders to it: above those of earlier owners and of earlier incarnations.
+    pub(crate) fn order_epoch(&self, owned: id::Epoch) -> id::Epoch {
+        (owned << RANK_BITS) | id::Epoch::from(self.rank.min(HIGHEST_RANK))
     }
 
     /// Estimates the worker's clock now.
@@ -220,11 +240,11 @@
         Some(reading.stamp + now.saturating_sub(reading.at).as_millis() as Stamp)
     }
 
-    /// Counts the latest deadline that an earlier owner may have given: deadlines never shorten, and it
-    /// gave none after this ownership had begun, so long ago.
-    pub(crate) fn inherit_deadline(&mut self, owned_for: Duration, max_hold: Duration) {
+    /// Counts the latest deadline that an earlier owner may have given, or this one to an earlier incarnation:
+    /// deadlines never shorten, and none was given for so long.
+    pub(crate) fn inherit_deadline(&mut self, since: Duration, max_hold: Duration) {
         let Some(reading) = self.reading else { return };
-        let passed = owned_for.mul_f64(1.0 - CLOCK_DRIFT).as_millis() as Stamp;
+        let passed = since.mul_f64(1.0 - CLOCK_DRIFT).as_millis() as Stamp;
         let begun = reading.stamp.saturating_sub(passed);
         self.granted = self.granted.max(begun + max_hold.as_millis() as Stamp);
     }
--- a/crates/planner/src/write.rs
+++ b/crates/planner/src/write.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use cowslipchute_base::event::Event as Number;
-use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
+use cowslipchute_ports::executor::Incarnation;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
@@ -18,6 +18,7 @@
 use crate::order::Timer;
 use crate::planner::Planner;
 use crate::worker::Hold;
+use crate::worker::Worker;
 use crate::worker::WorkerId;
 
 /// Writes that may be on their way together: enough that a store that takes a few hundred
@@ -96,7 +97,7 @@
             jobs.push((job, state.version, state.end));
             changes.push(match state.end {
                 Some(state) => Change::End { job, state },
-                None => Change::Progress { job, record: state.record(|id| self.worker_name(id)) },
+                None => Change::Progress { job, record: state.record(|id| self.incarnation(id)) },
             });
         }
         self.writing.last += 1;
@@ -111,8 +112,8 @@
         self.actions.push(Action::Write { batch, changes });
     }
 
-    fn worker_name(&self, worker: WorkerId) -> Option<id::Instance> {
-        self.workers.get(worker).map(|worker| worker.name.clone())
+    fn incarnation(&self, worker: WorkerId) -> Option<Incarnation> {
+        self.workers.get(worker).map(Worker::incarnation)
     }
 
     /// A write is in the store: what depended on it may happen.
--- a/crates/planner/tests/interleavings.rs
+++ b/crates/planner/tests/interleavings.rs
@@ -77,6 +77,14 @@
     Resize(u8, u32),
     /// The list of machines can't be had, or can again.
     Unlisted(bool),
+    /// A worker crashes and starts again under its name, so many milliseconds later.
+    Restart(u8, u64),
+    /// A rack's workers do at the same moment.
+    RestartRack(bool, u64),
+    /// The directory's entry of a worker's start before arrives once more.
+    Former(u8),
+    /// Holds without an answer, carried out so many milliseconds later.
+    LateHolds(u8, u32, u64),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -113,6 +121,11 @@
         1 => (worker(), proptest::bool::ANY).prop_map(|(at, known)| Step::Foreign(at, known)),
         1 => proptest::bool::ANY.prop_map(Step::Unlisted),
         2 => (worker(), 1u32..=4).prop_map(|(at, processors)| Step::Resize(at, processors)),
+        3 => (worker(), 0u64..1500).prop_map(|(at, down)| Step::Restart(at, down)),
+        1 => (proptest::bool::ANY, 0u64..1500).prop_map(|(first, down)| Step::RestartRack(first, down)),
+        1 => worker().prop_map(Step::Former),
+        1 => (worker(), 1u32..4, 300u64..8000)
+            .prop_map(|(at, holds, by)| Step::LateHolds(at, holds, by)),
     ]
 }
 
@@ -183,6 +196,12 @@
             world.list_foreign(&format!("x{at}"), &name(*at), service);
         }
         Step::Resize(at, processors) => world.resize(&name(*at), capacity(*processors)),
+        Step::Restart(at, down) => world.restart(&name(*at), Duration::from_millis(*down)),
+        Step::RestartRack(first, down) => {
+            let rack = if *first { 0..WORKERS / 2 } else { WORKERS / 2..WORKERS };
+            rack.for_each(|at| world.restart(&name(at), Duration::from_millis(*down)));
+        }
+        Step::Former(at) => world.list_former(&name(*at)),
         Step::Unlisted(unlisted) => world.machines.unlisted = *unlisted,
         Step::NoRenewal => world.renewals = false,
         Step::Renewal => world.renewals = true,
@@ -193,6 +212,7 @@
         | Step::Slow(at)
         | Step::Mend(at)
         | Step::Late(at, _, _)
+        | Step::LateHolds(at, _, _)
         | Step::Lose(at, _) => {
             let worker = world.workers.get_mut(&name(*at)).expect("workers stay");
             match step {
@@ -202,6 +222,9 @@
                 Step::Hang(_) => worker.hangs = true,
                 Step::Slow(_) => worker.slow = 6,
                 Step::Late(_, orders, by) => worker.late = (*orders, Duration::from_millis(*by)),
+                Step::LateHolds(_, holds, by) => {
+                    worker.late_holds = (*holds, Duration::from_millis(*by));
+                }
                 Step::Lose(_, answers) => worker.lose = *answers,
                 _ => (worker.fails, worker.hangs, worker.slow) = (false, false, 1),
             }
@@ -219,6 +242,7 @@
         (worker.cut, worker.fails, worker.hangs, worker.slow) = (false, false, false, 1);
         worker.lose = 0;
         worker.late.0 = 0;
+        worker.late_holds.0 = 0;
         world.list(&name(at));
         world.resize(&name(at), capacity(PROCESSORS));
     }
--- a/crates/planner/tests/listing.rs
+++ b/crates/planner/tests/listing.rs
@@ -7,6 +7,7 @@
 use cowslipchute_base::amount::Amount;
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
+use cowslipchute_planner::action::Action;
 use cowslipchute_planner::event::Event;
 use cowslipchute_planner::planner::Planner;
 use cowslipchute_planner::settings::Settings;
@@ -59,9 +60,15 @@
     for event in events {
         planner.step(NOW, event, &mut Vec::new());
     }
-    planner.settle(NOW, &mut Vec::new());
+    let mut actions = Vec::new();
+    planner.settle(NOW, &mut actions);
+    let hold = actions.into_iter().find_map(|action| match action {
+        Action::Hold { target, .. } => Some(target),
+        _ => None,
+    });
+    let target = hold.expect("a worker that becomes known is asked what it runs");
     let outcome = Ok(Report { born: BORN, clock: 5000, ..Report::default() });
-    planner.step(NOW, Event::Held { worker: "worker".into(), outcome }, &mut Vec::new());
+    planner.step(NOW, Event::Held { target, outcome }, &mut Vec::new());
     let later = NOW + Duration::from_secs(1);
     planner.settle(later, &mut Vec::new());
     planner.settle(later + Duration::from_secs(1), &mut Vec::new());
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -18,8 +18,8 @@
 //! of a stream were done so soon); `culprit id=H [step=N] [task=N] [after=MS]` (that task crashes each worker so long after
 //! its start); `acquit id=H` (no task of the job does so any more); `crashes most=N` (whether no task has crashed more workers); `resize name=w cpu=N [memory=N]` (its entry tells
 //! a beat later); `beside` (from now on it is watched how tasks that last wait beside room for two of them) and
-//! `beside most=MS` (whether none did for longer); `restart name=w|(w, ..)|rack=R [down=MS] [gap=MS]` (workers crash and start
-//! again under their names); `former name=w` (the directory's entry of the start before arrives once more); `late_holds
+//! `beside most=MS` (whether none did for longer); `restart name=w|(w, ..)|rack=R [down=MS] [gap=MS] [entry=MS]` (workers crash and start
+//! again under their names, and write their entries so long after); `untold name=w` (it doesn't tell when it started); `former name=w` (the directory's entry of the start before arrives once more); `late_holds
 //! name=w [holds=N] [by=MS]` (holds without an answer, carried out later); `idle` and `idle most=MS` (the same as `beside`
 //! for jobs of which nothing runs); `at_work id=H least=N` (whether so many of a job's tasks run).
 
@@ -94,11 +94,14 @@
     restarted = { "restarted" },
     restarted_busy = { "restarted_busy" },
     restarted_cut = { "restarted_cut" },
+    restarted_cut_start = { "restarted_cut_start" },
+    restarted_quick_end = { "restarted_quick_end" },
     restarted_former = { "restarted_former" },
     restarted_lapse = { "restarted_lapse" },
     restarted_late_hold = { "restarted_late_hold" },
     restarted_late_start = { "restarted_late_start" },
     restarted_owners = { "restarted_owners" },
+    restarted_untold = { "restarted_untold" },
     restarted_rack = { "restarted_rack" },
     room_lost = { "room_lost" },
     rough = { "rough" },
@@ -239,6 +242,7 @@
 fn restart(world: &mut World, case: &TestCase) {
     let down = Duration::from_millis(number(case, "down").unwrap_or(0));
     let gap = Duration::from_millis(number(case, "gap").unwrap_or(0));
+    world.restarts.entry_delay = Duration::from_millis(number(case, "entry").unwrap_or(2));
     let names: Vec<String> = match (arg(case, "rack"), case.args.get("name")) {
         (Some(rack), _) => {
             let of = world.workers.iter().filter(|(_, worker)| &*worker.rack == rack);
@@ -287,6 +291,7 @@
     match directive {
         "cut" => worker.cut = true,
         "heal" => worker.cut = false,
+        "untold" => worker.tells_start = false,
         "unguard" => worker.guards = false,
         "fail" => worker.fails = true,
         "hang" => worker.hangs = true,
--- a/crates/planner/tests/world/link.rs
+++ b/crates/planner/tests/world/link.rs
@@ -5,7 +5,6 @@
 use cowslipchute_base::id::Time;
 use cowslipchute_planner::action::Action;
 use cowslipchute_planner::action::Change;
-use cowslipchute_planner::record;
 
 /// Bytes of an order's head, its other fields and its answer.
 const ORDER_BYTES: usize = 600;
@@ -48,7 +47,7 @@
 /// Returns the bytes of a write, as base64.
 pub fn write_bytes(changes: &[Change]) -> usize {
     let records = changes.iter().map(|change| match change {
-        Change::Progress { record, .. } => record::encode(record).len(),
+        Change::Progress { record, .. } => record.encode().len(),
         Change::End { .. } => 0,
     });
     records.map(|bytes| bytes * 4 / 3 + CHANGE_BYTES).sum()
--- a/crates/planner/tests/world/lives.rs
+++ b/crates/planner/tests/world/lives.rs
@@ -78,7 +78,7 @@
         machine.bytes().fold(7u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
     Registration {
         name: worker.name.clone(),
-        born: Some(worker.born),
+        born: worker.told_start(),
         address: std::net::SocketAddr::from((std::net::Ipv4Addr::from(host), 80)),
         service: "desk".into(),
         domain: "d1".into(),
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -59,7 +59,7 @@
     /// A waiting hold looks again whether something has ended.
     Hold(u32, Action, Time),
     /// An order that was left without an answer is carried out.
-    Late(u32, Action),
+    Late(Action),
     /// A write reaches the store.
     Write(u32, u64, Vec<Change>),
     /// An event reaches the owner of a term.
@@ -111,7 +111,7 @@
     pub starts: u64,
     pub machines: machines::Machines,
     pub crashes: Crashes,
-    restarts: restarts::Restarts,
+    pub restarts: restarts::Restarts,
     /// Jobs with a task whose worker ended by itself right after its start.
     unlucky: BTreeSet<JobId>,
     /// How full workers may be that have shrunk.
@@ -280,7 +280,7 @@
             Arrival::Write(term, batch, changes) => self.write(term, batch, changes),
             Arrival::Order(term, action) => self.order(term, action),
             Arrival::Submit(id, accepted) => self.submit(id, accepted),
-            Arrival::Late(term, action) => self.carry_out_late(term, &action),
+            Arrival::Late(action) => self.carry_out_late(&action),
             Arrival::Hold(term, action, until) => self.wait(term, action, until),
         }
     }
--- a/crates/planner/tests/world/orders.rs
+++ b/crates/planner/tests/world/orders.rs
@@ -28,7 +28,7 @@
         if let Action::Start { target, start } = &action {
             // The sender looks once more before it sends.
             let planner = self.planner.as_ref().filter(|_| term == self.term);
-            if planner.is_some_and(|planner| !planner.wants_start(&target.name, start.run)) {
+            if planner.is_some_and(|planner| !planner.wants_start(target, start.run)) {
                 let event = failed(action, Failure::Unsent);
                 self.answer(term, event);
                 return;
@@ -67,7 +67,7 @@
     pub(super) fn wait(&mut self, term: u32, action: Action, until: Time) {
         let Action::Hold { target, hold } = &action else { return };
         let acknowledged = hold.acknowledged;
-        let epoch = id::Epoch::from(term);
+        let epoch = target.epoch;
         let worker = self.by_name(&target.name.clone());
         let ended = worker.is_none_or(|worker| {
             !worker.up
@@ -91,7 +91,6 @@
 
     fn deliver(&mut self, term: u32, action: Action) {
         let now = self.now;
-        let epoch = id::Epoch::from(term);
         let (Action::Start { target, .. }
         | Action::Stop { target, .. }
         | Action::Pace { target, .. }
@@ -100,6 +99,7 @@
             return;
         };
         let name = target.name.clone();
+        let epoch = target.epoch;
         let spec = match &action {
             Action::Start { start, .. } => Some(self.spec(start.run)),
             _ => None,
@@ -124,7 +124,7 @@
         if worker.late.0 > 0 && !matches!(action, Action::Hold { .. }) {
             worker.late.0 -= 1;
             let at = now + worker.late.1;
-            self.push(at, Arrival::Late(term, action.clone()));
+            self.push(at, Arrival::Late(action.clone()));
             let event = failed(action, Failure::Unknown);
             self.push(now + TIMEOUT, Arrival::Event(term, event));
             return;
@@ -132,7 +132,7 @@
         if worker.late_holds.0 > 0 && matches!(action, Action::Hold { .. }) {
             worker.late_holds.0 -= 1;
             let at = now + worker.late_holds.1;
-            self.push(at, Arrival::Late(term, action.clone()));
+            self.push(at, Arrival::Late(action.clone()));
             let event = failed(action, Failure::Unknown);
             self.push(now + TIMEOUT, Arrival::Event(term, event));
             return;
@@ -145,7 +145,7 @@
         if lost {
             worker.lose -= 1;
         }
-        let Some(event) = carry_out(worker, epoch, &action, spec, now) else { return };
+        let Some(event) = carry_out(worker, &action, spec, now) else { return };
         if let Event::Started { run, outcome: Ok(_), .. } = &event {
             self.starts += 1;
             self.check_start(*run);
@@ -159,8 +159,7 @@
     }
 
     /// Carries an order out whose sender has given it up long ago.
-    pub(super) fn carry_out_late(&mut self, term: u32, action: &Action) {
-        let epoch = id::Epoch::from(term);
+    pub(super) fn carry_out_late(&mut self, action: &Action) {
         let now = self.now;
         let (Action::Start { target, .. }
         | Action::Stop { target, .. }
@@ -170,6 +169,7 @@
             return;
         };
         let name = target.name.clone();
+        let epoch = target.epoch;
         let spec = match action {
             Action::Start { start, .. } => Some(self.spec(start.run)),
             _ => None,
@@ -182,7 +182,7 @@
         let demand = spec.as_ref().map(|(step, _)| step.demand);
         let worker = self.workers.get_mut(&machine).expect("it was found a moment ago");
         // Whatever it answers, nobody hears it.
-        let event = carry_out(worker, epoch, action, spec, now);
+        let event = carry_out(worker, action, spec, now);
         let started = matches!(event, Some(Event::Started { outcome: Ok(_), .. }));
         if let (true, Some(demand), Some(bound)) = (started, demand, self.bounds.get_mut(&machine))
         {
@@ -203,27 +203,27 @@
 /// of it, or nothing for what is no order to a worker.
 fn carry_out(
     worker: &mut Worker,
-    epoch: id::Epoch,
     action: &Action,
     spec: Option<(Step, Duration)>,
     now: Time,
 ) -> Option<Event> {
-    let name = worker.name.clone();
     Some(match action {
-        Action::Start { start, .. } => {
+        Action::Start { target, start } => {
             let (step, work) = spec.expect("a start has a spec");
-            let outcome = worker.start(epoch, start, &step, work, now);
-            Event::Started { worker: name, run: start.run, outcome }
+            let outcome = worker.start(target.epoch, start, &step, work, now);
+            Event::Started { target: target.clone(), run: start.run, outcome }
         }
-        Action::Stop { run, .. } => {
-            Event::Stopped { worker: name, run: *run, outcome: worker.stop(epoch, *run, now) }
+        Action::Stop { target, run } => {
+            let outcome = worker.stop(target.epoch, *run, now);
+            Event::Stopped { target: target.clone(), run: *run, outcome }
         }
-        Action::Pace { run, percent, .. } => {
-            let outcome = worker.pace(epoch, *run, *percent, now);
-            Event::Paced { worker: name, run: *run, percent: *percent, outcome }
+        Action::Pace { target, run, percent } => {
+            let outcome = worker.pace(target.epoch, *run, *percent, now);
+            Event::Paced { target: target.clone(), run: *run, percent: *percent, outcome }
         }
-        Action::Hold { hold, .. } => {
-            Event::Held { worker: name, outcome: worker.hold(epoch, hold, now) }
+        Action::Hold { target, hold } => {
+            let outcome = worker.hold(target.epoch, hold, now);
+            Event::Held { target: target.clone(), outcome }
         }
         Action::Advise { .. }
         | Action::Write { .. }
@@ -237,15 +237,13 @@
 pub(super) fn failed(action: Action, failure: Failure) -> Event {
     match action {
         Action::Start { target, start } => {
-            Event::Started { worker: target.name, run: start.run, outcome: Err(failure) }
-        }
-        Action::Stop { target, run } => {
-            Event::Stopped { worker: target.name, run, outcome: Err(failure) }
+            Event::Started { target, run: start.run, outcome: Err(failure) }
         }
+        Action::Stop { target, run } => Event::Stopped { target, run, outcome: Err(failure) },
         Action::Pace { target, run, percent } => {
-            Event::Paced { worker: target.name, run, percent, outcome: Err(failure) }
+            Event::Paced { target, run, percent, outcome: Err(failure) }
         }
-        Action::Hold { target, .. } => Event::Held { worker: target.name, outcome: Err(failure) },
+        Action::Hold { target, .. } => Event::Held { target, outcome: Err(failure) },
         Action::Advise { .. }
         | Action::Write { .. }
         | Action::Upkeep { .. }
--- a/crates/planner/tests/world/restarts.rs
+++ b/crates/planner/tests/world/restarts.rs
@@ -8,6 +8,7 @@
 use cowslipchute_ports::executor::Registration;
 use cowslipchute_ports::executor::Run;
 
+use super::Arrival;
 use super::World;
 use super::lives::registration;
 
@@ -15,6 +16,8 @@
 #[derive(Debug, Default)]
 pub struct Restarts {
     back: BTreeMap<String, Time>,
+    /// How long after its start a worker's entry is in the directory.
+    pub entry_delay: Duration,
     former: BTreeMap<String, Registration>,
 }
 
@@ -45,8 +48,10 @@
             };
             self.restarts.former.insert(machine.clone(), registration(worker));
             *worker = worker.restarted(now);
+            let registration = registration(worker);
             self.bounds.remove(&machine);
-            self.list(&machine);
+            let at = now + self.restarts.entry_delay;
+            self.push(at, Arrival::Event(self.term, Event::Listed { registration }));
         }
     }
 
--- a/crates/ports/src/executor.rs
+++ b/crates/ports/src/executor.rs
@@ -12,6 +12,8 @@
 
 use cowslipchute_base::amount::Amount;
 use cowslipchute_base::id;
+use serde::Deserialize;
+use serde::Serialize;
 use smallvec::SmallVec;
 
 use crate::job::StepId;
@@ -21,7 +23,7 @@
 pub type Stamp = u64;
 /// Leave to run a step on a worker, as the advisory service words it.
 pub type Ticket = Arc<str>;
-/// Number of an end within one life of a worker, from one.
+/// Number of an end within one incarnation of a worker, from one.
 pub type EndNumber = u64;
 
 /// What a worker says of itself in the platform's directory.
@@ -49,13 +51,27 @@
     pub cold: Duration,
 }
 
-/// One life of a worker and where it is reached.
+/// One start of a worker. A worker may start again under its name; it then holds and knows nothing of
+/// before, its ends are numbered from one again, and its clock starts anew.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Incarnation {
+    /// The worker's name.
+    pub name: id::Instance,
+    /// Unix time of the start in milliseconds, where the worker tells it.
+    pub born: Option<id::Incarnation>,
+}
+
+/// The incarnation of a worker that an order is meant for, and where it is reached.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
-    /// The life that is meant; another one refuses the order.
+    /// The worker's name; a worker of another name refuses the order.
     pub name: id::Instance,
     /// Where it is reached.
     pub address: SocketAddr,
+    /// Ranks the order above those of earlier owners and those to earlier incarnations, which the
+    /// worker refuses from then on. No two incarnations of a name share one.
+    pub epoch: id::Epoch,
 }
 
 /// One run of a task.
@@ -108,7 +124,7 @@
     Ticket,
     /// It says that it is not healthy.
     Unhealthy,
-    /// Another life answers at the address; the one meant is over.
+    /// A worker of another name answers at the address; the one meant is over.
     OtherLife,
     /// It understands the order otherwise than we do.
     Malformed,
@@ -188,7 +204,6 @@
     fn start(
         &self,
         target: &Target,
-        epoch: id::Epoch,
         start: Start,
     ) -> impl Future<Output = Result<Stamp, Failure>> + Send;
 
@@ -196,7 +211,6 @@
     fn stop(
         &self,
         target: &Target,
-        epoch: id::Epoch,
         run: Run,
     ) -> impl Future<Output = Result<Stamp, Failure>> + Send;
 
@@ -204,7 +218,6 @@
     fn pace(
         &self,
         target: &Target,
-        epoch: id::Epoch,
         run: Run,
         percent: u8,
     ) -> impl Future<Output = Result<Stamp, Failure>> + Send;
@@ -213,7 +226,6 @@
     fn hold(
         &self,
         target: &Target,
-        epoch: id::Epoch,
         hold: Hold,
     ) -> impl Future<Output = Result<Report, Failure>> + Send;
 }
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -63,7 +63,9 @@
     pub name: id::Instance,
     /// Unix milliseconds of its start.
     pub born: id::Incarnation,
-    /// When that was, in the world's time.
+    /// Whether it tells that.
+    pub tells_start: bool,
+    /// When it started, in the world's time.
     begun: Time,
     /// All that it has.
     pub capacity: Amount,
@@ -117,6 +119,7 @@
         Worker {
             name: name.into(),
             born: BORN,
+            tells_start: true,
             begun: Time::ZERO,
             capacity,
             rack: rack.into(),
@@ -149,6 +152,7 @@
         Worker {
             born: BORN + now.as_millis() as id::Incarnation,
             begun: now,
+            tells_start: self.tells_start,
             guards: self.guards,
             cut: self.cut,
             listed: self.listed,
@@ -157,6 +161,11 @@
         }
     }
 
+    /// What it says of its start.
+    pub fn told_start(&self) -> Option<id::Incarnation> {
+        self.tells_start.then_some(self.born)
+    }
+
     /// The worker's clock runs two percent slow.
     pub fn clock(&self, now: Time) -> Stamp {
         let since = now.saturating_sub(self.begun).mul_f64(0.98).as_millis() as Stamp;
@@ -389,7 +398,7 @@
                 },
             }
         });
-        let born = Some(self.born);
+        let born = self.told_start();
         Report {
             born,
             clock: self.clock(now),
