A task on probation that fills has the exemption of all others that press everywhere

Cause: where most of the cell is free and a job of tasks that fill has had nothing at work for 1.2 s, one of its tasks goes where it costs the least, though it pays nowhere. Tasks on probation were left out of that, and their own way asks for a worker on which they pay. With serving tasks on every worker a heavy image finds none; two crashes under a task, which waves of restarts bring without any fault of its own, and it waited for good.

Why it works: the exemption takes a task that isn't on probation first, and else one that is, on a worker quiet enough to tell whether it is at fault.

--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -268,21 +268,26 @@
             return;
         }
         let Some(state) = self.jobs[&step.job].step(step) else { return };
-        let ready = |task: &Task| {
-            task.place == Place::Waiting && task.not_before <= self.now && !task.is_on_probation()
-        };
-        let Some(index) = state.tasks.iter().position(ready) else { return };
-        let task = step.task(index as u32);
-        let request = Request::new(&self.model, task, spec);
-        let roomy = open.iter().filter(|&&id| self.has_room(&self.workers[id], &request));
-        let cost = |id: WorkerId| self.cost(&self.workers[id], &request);
-        let cheapest = roomy.min_by(|&&a, &&b| cost(a).total_cmp(&cost(b)));
-        if let Some(&worker) = cheapest {
+        let ready = |task: &&Task| task.place == Place::Waiting && task.not_before <= self.now;
+        let tasks = || (0..).zip(&state.tasks).filter(|(_, task)| ready(task));
+        let trusted = tasks().find(|(_, task)| !task.is_on_probation());
+        let Some((index, state)) = trusted.or_else(|| tasks().next()) else { return };
+        let task = step.task(index);
+        let quiet = state.is_on_probation().then(|| self.quiet(state.waiting_since, open));
+        let open = quiet.as_deref().unwrap_or(open);
+        if let Some(worker) = self.cheapest(&Request::new(&self.model, task, spec), open) {
             self.intend(task, worker);
             self.refresh_beside(worker);
         }
     }
 
+    /// Returns the worker with room for a task that fills on which it costs the least, whether or not it pays there.
+    fn cheapest(&self, request: &Request<'_>, open: &[WorkerId]) -> Option<WorkerId> {
+        let roomy = open.iter().filter(|&&id| self.has_room(&self.workers[id], request));
+        let cost = |id: WorkerId| self.cost(&self.workers[id], request);
+        roomy.min_by(|&&a, &&b| cost(a).total_cmp(&cost(b))).copied()
+    }
+
     /// Places a step's tasks one by one; tells whether each found room.
     fn place_tasks(
         &mut self,
