One crash counts once against a run that is carried over to the next incarnation

What callers would see: a task that did nothing goes on probation, or is given up, a crash too early.

Cause: a run whose start may still reach the worker's next incarnation is carried over to it. When that one ended too, or turned out to be a worker of another name, the run counted as having begun there as well.

Evidence: restarted_counted.test without the line in may_have_begun shows "1 of 3" and then "2 of 3" after one crash. Found by probation_busy, whose victims were on probation after one crash.

A run that was carried over has begun there once the worker accounts for it. 'idle' of the test language tells which job waited.

--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -59,6 +59,9 @@
 impl Hosted {
     /// Tells whether its worker may have begun it.
     fn may_have_begun(&self) -> bool {
+        if self.carried_over {
+            return false;
+        }
         match self.stage {
             Stage::Intended { .. } | Stage::Starting { order: Order::Due(_), unsettled: false } => {
                 false
--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -248,6 +248,7 @@
             // The order was lost with an earlier owner or is on its way; it is listed all the same.
             Stage::Intended { .. } | Stage::Running { .. } | Stage::Stopping { .. } => {}
         }
+        hosted.carried_over = false;
         if running.checkpoint.is_some() {
             hosted.checkpoint = running.checkpoint;
         }
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -94,6 +94,8 @@
     pub(crate) ordered: Option<Time>,
     /// Starts of it that no answer has settled: the worker's next incarnation may carry them out.
     pub(crate) starts_out: u32,
+    /// Whether it was begun on an earlier incarnation, if at all, and this one hasn't accounted for it yet.
+    pub(crate) carried_over: bool,
     pub(crate) percent: u8,
     /// `percent` when it was first listed.
     pub(crate) first_percent: u8,
@@ -135,6 +137,7 @@
             proven: false,
             ordered: None,
             starts_out: 0,
+            carried_over: false,
             percent: 0,
             first_percent: 0,
             moved: now,
--- a/crates/planner/src/incarnations.rs
+++ b/crates/planner/src/incarnations.rs
@@ -196,7 +196,14 @@
             _ => Stage::Inherited,
         };
         let stopping = matches!(stage, Stage::Stopping { .. });
-        let hosted = Hosted { stage, starts_out: 0, paced: None, pacing: false, ..hosted };
+        let hosted = Hosted {
+            stage,
+            starts_out: 0,
+            carried_over: true,
+            paced: None,
+            pacing: false,
+            ..hosted
+        };
         self.workers[next].host(run, hosted);
         if stopping {
             self.schedule(next, run, Duration::ZERO);
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -93,6 +93,7 @@
     reserve = { "reserve" },
     restarted = { "restarted" },
     restarted_busy = { "restarted_busy" },
+    restarted_counted = { "restarted_counted" },
     restarted_cut = { "restarted_cut" },
     restarted_cut_start = { "restarted_cut_start" },
     restarted_quick_end = { "restarted_quick_end" },
@@ -263,8 +264,11 @@
         world.idle = Some(world::idle::Watch::default());
         return String::new();
     };
-    let longest = world.idle.as_ref().expect("it is watched").longest;
-    if longest <= most { String::from("within") } else { format!("{} ms", longest.as_millis()) }
+    let watch = world.idle.as_ref().expect("it is watched");
+    if watch.longest <= most {
+        return String::from("within");
+    }
+    format!("{} ms, {:x?}", watch.longest.as_millis(), watch.job)
 }
 
 fn culprit(world: &mut World, case: &TestCase) {
--- a/crates/planner/tests/world/idle.rs
+++ b/crates/planner/tests/world/idle.rs
@@ -20,11 +20,12 @@
 const IN_USE: u64 = 2;
 
 /// Since when jobs have had nothing at work, though a task's turn had come and there was room, and the longest
-/// that one had.
+/// that one had, and which.
 #[derive(Clone, Debug, Default)]
 pub struct Watch {
     since: BTreeMap<JobId, Time>,
     pub longest: Duration,
+    pub job: Option<JobId>,
     next_at: Time,
 }
 
@@ -44,7 +45,10 @@
         let mut since = BTreeMap::new();
         for job in idle {
             let began = watch.since.get(&job).copied().unwrap_or(self.now);
-            watch.longest = watch.longest.max(self.now - began);
+            if self.now - began > watch.longest {
+                watch.longest = self.now - began;
+                watch.job = Some(job);
+            }
             since.insert(job, began);
         }
         watch.since = since;
