Workers are kept quiet for tasks on probation, which wait for no more than seconds

Cause: a task on probation starts where nothing has begun for half a second and no other suspect runs. Where something begins on every worker all the time there is no such worker, and a gang wants several at once. And it waited for four seconds for a machine that hadn't crashed lately, also where all had.

Now a worker is kept quiet for a step that has found none: nothing else begins there, at most an eighth of the workers at a time, but for one step that needs more, which goes first. Machines that have crashed lately are waited for 1.5 s at most. A worker that is kept for another step (reservation) is no obstacle to the one that has it to itself; else the two waited for each other (seen in probation_gang while this was built).

--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -4,8 +4,9 @@
 //! a victim, is started elsewhere at once and takes the next worker down, with all that runs there. So a crash is
 //! counted against whatever had begun just before it. Most of that are victims, which are cleared once they have
 //! worked for a while elsewhere; they aren't started side by side if that can be helped. A task that is one crash
-//! short of [`CRASHES`] in a row is on *probation*: it is started on a worker where nothing else has begun just now,
-//! and nothing else begins there until it is cleared. A crash then speaks against it alone, and its job is given up.
+//! short of [`CRASHES`] in a row is on *probation* ([`crate::probation`]): it is started on a worker where nothing else
+//! has begun just now, and nothing else begins there until it is cleared. A crash then speaks against it alone, and its
+//! job is given up.
 //!
 //! Not counted are lives that end with notice (a drain, an upkeep), and workers that can't be reached: those may
 //! be cut off. The counts are part of the job's record, so they outlive the owner.
@@ -27,7 +28,6 @@
 use crate::host::Stage;
 use crate::job::Place;
 use crate::job::Task;
-use crate::order::Timer;
 use crate::planner::Planner;
 use crate::worker::Contact;
 use crate::worker::Worker;
@@ -43,19 +43,13 @@
 /// How long a worker that has a task on probation may let a hold wait.
 pub(crate) const PROBATION_HOLD: Duration = Duration::from_millis(75);
 /// A worker that outlives a start by this long did not die of the start itself.
-const START_TIME: Duration = Duration::from_millis(500);
+pub(crate) const START_TIME: Duration = Duration::from_millis(500);
 /// A task that has worked for this long without a crash is no suspect any more.
 const CLEARED_AFTER: Duration = Duration::from_secs(3);
-/// For so long a task on probation waits for a machine that hasn't crashed lately: one that goes down again and again
-/// brings whatever it is given under suspicion.
-const STEADY_WAIT: Duration = Duration::from_secs(4);
 /// How long a crash speaks against the machine.
-const MACHINE_MEMORY: Duration = Duration::from_secs(20);
+pub(crate) const MACHINE_MEMORY: Duration = Duration::from_secs(20);
 /// A worker that answered this long before a start which it didn't answer was alive when the start was sent.
 const ALIVE_WITHIN: Duration = Duration::from_millis(300);
-/// How soon a task on probation that found no worker looks again.
-const PROBATION_LOOK: Duration = Duration::from_millis(100);
-
 impl Hosted {
     /// Tells whether its worker may have begun it.
     fn may_have_begun(&self) -> bool {
@@ -74,7 +68,7 @@
     }
 
     /// Tells whether it is about to be started.
-    fn is_beginning(&self) -> bool {
+    pub(crate) fn is_beginning(&self) -> bool {
         matches!(self.stage, Stage::Intended { .. } | Stage::Starting { .. })
     }
 
@@ -252,40 +246,6 @@
         self.may_take(&self.workers[best], request).then_some(best)
     }
 
-    /// Chooses a worker for a task on probation.
-    pub(crate) fn choose_for_probation(
-        &mut self,
-        request: &Request<'_>,
-        since: Time,
-        open: &[WorkerId],
-    ) -> Option<WorkerId> {
-        let rated = self.quiet(since, open).into_iter().filter_map(|id| {
-            let rate = self.rate(&self.workers[id], request)?;
-            Some((rate, id))
-        });
-        let best = rated.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, id)| id);
-        if best.is_none() {
-            self.timers.insert((self.now + PROBATION_LOOK, Timer::Place));
-        }
-        best
-    }
-
-    /// Returns the workers on which a task that waits for its probation since then can be told from others.
-    pub(crate) fn quiet(&self, since: Time, open: &[WorkerId]) -> Vec<WorkerId> {
-        let now = self.now;
-        let crashed_lately = |worker: &Worker| {
-            let at = worker.address.and_then(|address| self.crashed_at.get(&address));
-            at.is_some_and(|&at| now < at + MACHINE_MEMORY)
-        };
-        let is_quiet = |worker: &Worker| {
-            worker.suspects == 0
-                && now >= worker.newest + START_TIME
-                && !worker.runs.values().any(Hosted::is_beginning)
-                && (now >= since + STEADY_WAIT || !crashed_lately(worker))
-        };
-        open.iter().copied().filter(|&id| is_quiet(&self.workers[id])).collect()
-    }
-
     /// Tells which run had been started last on a worker whose life is over without notice.
     fn note_crash(&mut self, worker: WorkerId) {
         let state = &self.workers[worker];
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -127,9 +127,14 @@
     /// Tells whether a worker has room for a task, whatever that costs tasks that serve.
     pub(crate) fn has_room(&self, worker: &Worker, request: &Request<'_>) -> bool {
         let Request { task, step, reserved, .. } = request;
-        let kept = worker.kept_for.is_some_and(|kept| kept != task.step_id()) && !step.fills;
+        let id = task.step_id();
+        // A step that has a worker to itself would wait for one that is kept for another, and that one for it.
+        let kept = worker.kept_for.is_some_and(|kept| kept != id)
+            && !step.fills
+            && !worker.has_to_itself(id);
         reserved.fits(worker.room())
             && !kept
+            && !worker.is_kept_quiet(id, self.now)
             && !worker.keeps_apart(task.step_id(), step.gang)
             && self.suits(worker, request)
     }
--- a/crates/planner/src/gang.rs
+++ b/crates/planner/src/gang.rs
@@ -24,13 +24,20 @@
             .tasks
             .iter()
             .all(|task| task.place == Place::Waiting && task.not_before <= self.now);
+        if !ready {
+            return false;
+        }
         let suspects = state.tasks.iter().filter(|task| task.is_on_probation());
         let quiet =
             suspects.map(|task| task.waiting_since).min().map(|since| self.quiet(since, open));
-        let open = quiet.as_deref().unwrap_or(open);
-        if !ready || self.slots(step, spec, open) < u64::from(spec.count) {
+        if self.slots(step, spec, quiet.as_deref().unwrap_or(open)) < u64::from(spec.count) {
+            if quiet.is_some() {
+                self.keep_quiet(step, spec, open);
+            }
             return false;
         }
+        let open = quiet.as_deref().unwrap_or(open);
+        let Some(state) = self.jobs[&step.job].step(step) else { return false };
         let attempt = state.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
         let checkpoint = state.tasks.iter().find_map(|task| task.checkpoint.clone());
         let mut placed = Vec::with_capacity(spec.count as usize);
@@ -125,7 +132,7 @@
 }
 
 /// Counts how often a step's demand fits into some room.
-fn fitting(spec: &Step, room: Amount) -> u64 {
+pub(crate) fn fitting(spec: &Step, room: Amount) -> u64 {
     let part = |room: u32, each: u32| room.checked_div(each).map_or(u64::MAX, u64::from);
     let cpu = if spec.fills { u64::MAX } else { part(room.cpu_milli, spec.demand.cpu_milli) };
     let memory = part(room.memory_mib, spec.demand.memory_mib);
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -39,6 +39,7 @@
 mod passed;
 mod place;
 pub mod planner;
+mod probation;
 mod progress;
 mod rank;
 pub mod record;
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -171,6 +171,7 @@
         let mut spare = self.spare(step, spec, &open, &mut pass.rooms);
         if self.place_tasks(step, spec, &open, &mut spare) {
             if self.waits_on_probation(step) {
+                self.keep_quiet(step, spec, &open);
                 self.note_wait(step, spec, &pass.open);
             }
         } else {
@@ -412,6 +413,7 @@
         hosted.crashes = crashes;
         job.move_task(task, Place::At(worker));
         self.workers[worker].host(run, hosted);
+        self.workers[worker].quiet_for.take_if(|quiet| quiet.step == task.step_id());
         self.writing.intend(worker, run);
     }
 
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -28,6 +28,7 @@
 use crate::occurrence::Calendar;
 use crate::order::Timer;
 use crate::passed::Placements;
+use crate::probation::Quiet;
 use crate::reservation::Reservation;
 use crate::reserve::Reserve;
 use crate::sending::Sending;
@@ -83,6 +84,8 @@
     pub(crate) given_up: u64,
     /// Workers that are kept for a task which waits.
     pub(crate) reservations: Vec<Reservation>,
+    /// The step on probation that needs more quiet workers than a part of the cell, if there is one.
+    pub(crate) quiet_first: Option<Quiet>,
     /// Which images slow which.
     pub(crate) model: Model,
     /// How fast loads turn.
@@ -137,6 +140,7 @@
             share: Share::default(),
             given_up: 0,
             reservations: Vec::new(),
+            quiet_first: None,
             model: Model::default(),
             rhythm: Rhythm::default(),
             fill_backlog: 0.0,
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -81,6 +81,7 @@
         self.fills_at = id::Time::ZERO;
         self.placements = Default::default();
         self.reservations.clear();
+        self.quiet_first = None;
         self.share = Default::default();
         self.ratings = 0;
         self.timers.clear();
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -23,6 +23,7 @@
 use crate::host::Hosted;
 use crate::interfere::Served;
 use crate::interfere::Shares;
+use crate::probation::Quiet;
 use crate::settings::Settings;
 
 /// Bits of an order's epoch that tell incarnations within one ownership apart: as many as end in years of it. The
@@ -158,6 +159,8 @@
     pub(crate) closed_until: Time,
     /// The step for whose next task it is kept.
     pub(crate) kept_for: Option<StepId>,
+    /// The step on probation for which nothing else begins there.
+    pub(crate) quiet_for: Option<Quiet>,
 }
 
 impl Worker {
@@ -197,6 +200,7 @@
             figures_at: Time::ZERO,
             closed_until: Time::ZERO,
             kept_for: None,
+            quiet_for: None,
         }
     }
 
