A gang that fills starts within seconds beside free room, as other tasks that fill do

Cause: the exemption for jobs that have had nothing at work for 1.2 s, where most of the cell is free, came after the way of gangs and never reached them: a gang of an image that presses on what serves on every worker found no place.

A gang that starves goes where it costs the least, all members or none. What a member does to its worker is counted before the next is placed.

--- a/crates/planner/src/gang.rs
+++ b/crates/planner/src/gang.rs
@@ -17,8 +17,15 @@
 use crate::worker::WorkerId;
 
 impl Planner {
-    /// Places a whole gang, or nothing of it; tells whether it did.
-    pub(crate) fn place_gang(&mut self, step: StepId, spec: &Step, open: &[WorkerId]) -> bool {
+    /// Places a whole gang, or nothing of it; tells whether it did. One that fills and starves goes where it costs the
+    /// least, though it pays nowhere.
+    pub(crate) fn place_gang(
+        &mut self,
+        step: StepId,
+        spec: &Step,
+        open: &[WorkerId],
+        starves: bool,
+    ) -> bool {
         let Some(state) = self.jobs[&step.job].step(step) else { return false };
         let ready = state
             .tasks
@@ -30,7 +37,8 @@
         let suspects = state.tasks.iter().filter(|task| task.is_on_probation());
         let quiet =
             suspects.map(|task| task.waiting_since).min().map(|since| self.quiet(since, open));
-        if self.slots(step, spec, quiet.as_deref().unwrap_or(open)) < u64::from(spec.count) {
+        if self.slots(step, spec, quiet.as_deref().unwrap_or(open), starves) < u64::from(spec.count)
+        {
             if quiet.is_some() {
                 self.keep_quiet(step, spec, open);
             }
@@ -43,7 +51,11 @@
         let mut placed = Vec::with_capacity(spec.count as usize);
         for index in 0..spec.count {
             let task = step.task(index);
-            let Some(worker) = self.choose(task, spec, open) else {
+            let chosen = match starves {
+                true => self.cheapest(&Request::new(&self.model, task, spec), open),
+                false => self.choose(task, spec, open),
+            };
+            let Some(worker) = chosen else {
                 // What presses on serving tasks is only known one by one.
                 self.undo(&placed);
                 return false;
@@ -54,6 +66,9 @@
                 member.checkpoint = checkpoint.clone();
             }
             self.intend(task, worker);
+            if spec.fills {
+                self.refresh_beside(worker);
+            }
             placed.push((worker, Run { task, attempt }));
         }
         true
@@ -70,12 +85,16 @@
         }
     }
 
-    /// Counts the tasks of a step for which there is room.
-    pub(crate) fn slots(&self, step: StepId, spec: &Step, open: &[WorkerId]) -> u64 {
+    /// Counts the tasks of a step for which there is room, for one that starves also where they don't pay.
+    pub(crate) fn slots(&self, step: StepId, spec: &Step, open: &[WorkerId], starves: bool) -> u64 {
         let request = Request::new(&self.model, step.task(0), spec);
         let slots = open.iter().map(|&id| {
             let worker = &self.workers[id];
-            if !self.may_take(worker, &request) {
+            let takes = match starves {
+                true => self.has_room(worker, &request),
+                false => self.may_take(worker, &request),
+            };
+            if !takes {
                 return 0;
             }
             let room = fitting(spec, worker.room());
--- a/crates/planner/src/locality.rs
+++ b/crates/planner/src/locality.rs
@@ -72,7 +72,8 @@
                 None => racks.push((rack.clone(), vec![worker])),
             }
         }
-        let roomiest = racks.into_iter().max_by_key(|(_, workers)| self.slots(step, spec, workers));
+        let roomiest =
+            racks.into_iter().max_by_key(|(_, workers)| self.slots(step, spec, workers, false));
         roomiest.map(|(rack, _)| rack)
     }
 }
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -162,7 +162,7 @@
         }
         let open = self.near(step, spec, open);
         if spec.gang {
-            if !self.place_gang(step, spec, &open) {
+            if !self.place_gang(step, spec, &open, starves) {
                 self.note_wait(step, spec, &pass.open);
                 pass.unplaced.extend(Unplaced::of(self, step, spec));
             }
@@ -283,7 +283,7 @@
     }
 
     /// Returns the worker with room for a task that fills on which it costs the least, whether or not it pays there.
-    fn cheapest(&self, request: &Request<'_>, open: &[WorkerId]) -> Option<WorkerId> {
+    pub(crate) fn cheapest(&self, request: &Request<'_>, open: &[WorkerId]) -> Option<WorkerId> {
         let roomy = open.iter().filter(|&&id| self.has_room(&self.workers[id], request));
         let cost = |id: WorkerId| self.cost(&self.workers[id], request);
         roomy.min_by(|&&a, &&b| cost(a).total_cmp(&cost(b))).copied()
