Starts of a gang that finds no place after all give their part of the link back

Cause: each member that was placed and taken back in the same pass had paid for its start from the link's budget, again in every pass in which the whole found no place; everything else had less to send by.

--- a/crates/planner/src/gang.rs
+++ b/crates/planner/src/gang.rs
@@ -78,6 +78,8 @@
     fn undo(&mut self, placed: &[(WorkerId, Run)]) {
         for &(worker, run) in placed {
             self.workers[worker].release(run);
+            let payload = self.jobs.get(&run.task.job).map(|job| job.accepted.spec.payload.len());
+            self.sending.refund(payload.unwrap_or(0));
             if let Some(job) = self.jobs.get_mut(&run.task.job) {
                 job.task_mut(run.task).attempt = run.attempt - 1;
                 job.move_task(run.task, Place::Waiting);
--- a/crates/planner/src/sending.rs
+++ b/crates/planner/src/sending.rs
@@ -89,6 +89,13 @@
         }
     }
 
+    /// Takes a start back that was noted and isn't sent after all.
+    pub(crate) fn refund(&mut self, payload: usize) {
+        if let Some(bucket) = &mut self.usual {
+            bucket.left += bytes(payload);
+        }
+    }
+
     /// Charges the start that was noted last to the part of jobs that had nothing at work.
     pub(crate) fn charge_starved(&mut self, payload: usize) {
         if let (Some(usual), Some(starved)) = (&mut self.usual, &mut self.starved) {
