--- a/crates/planner/src/wave.rs
+++ b/crates/planner/src/wave.rs
@@ -192,6 +192,7 @@
             // It was begun before this incarnation, by an earlier owner whose word was lost; or the worker has started
             // again under its name, which its next account tells.
             self.workers[before].upkeep = false;
+            self.workers[before].listed_up = Some(self.now);
             self.room_changed = true;
         } else {
             self.end_incarnation(before);
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -122,6 +122,9 @@
     pub(crate) upkeep: bool,
     /// Whether its upkeep is ordered, which ends its life.
     pub(crate) going_down: bool,
+    /// When its machine was listed as up after its upkeep had been ordered. An account that is asked for later tells
+    /// whether it outlived that.
+    pub(crate) listed_up: Option<Time>,
     /// When this owner first heard of it; the beginning of time if it heard from a record, which an
     /// earlier owner wrote.
     pub(crate) met: Time,
@@ -180,6 +183,7 @@
             draining: false,
             upkeep: false,
             going_down: false,
+            listed_up: None,
             met: now,
             contact: Contact::Unfenced { since: now },
             reading: None,
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -119,6 +119,7 @@
     unlike = { "unlike" },
     waiting = { "waiting" },
     wave = { "wave" },
+    wave_culprit = { "wave_culprit" },
     wave_crowded = { "wave_crowded" },
     wave_owner_killed = { "wave_owner_killed" },
 )]
