--- a/crates/e2e/tests/site.rs
+++ b/crates/e2e/tests/site.rs
@@ -182,6 +182,29 @@
     });
 }
 
+/// A watch that was asked for before the cut is answered some time into it, which doesn't end the outage: a client that
+/// comes after that is refused as well, and not told that nobody knows what became of its job.
+#[parameterized(
+    soon = { 60 },
+    later = { 150 },
+    after_every_watch = { 300 },
+)]
+fn a_client_that_comes_a_while_into_a_cut_is_refused(pause: u64) {
+    block_on(async {
+        let deployment = Deployment::open("site-while", 2, 1).await.unwrap();
+        owner(&deployment).await;
+        deployment.members["m0"].store.set(Mood::SilenceCalls);
+        await_until::some_async("the member wants no clients", LIMIT, || async {
+            (!deployment.is_ready("m0").await).then_some(())
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let refused = deployment.submit("m0", 0xa1, &chain(1, 2, WORK)).await;
+        assert_eq!(refused, Some(StatusCode::SERVICE_UNAVAILABLE));
+        assert_kept(&deployment);
+    });
+}
+
 #[test]
 fn a_refused_client_comes_back_at_once_where_another_member_reaches_the_store() {
     block_on(async {
