Soak: workers start again under their names

A job whose task had begun less than 150 ms before its worker went by itself may be given up, as in the planner's world.

--- a/crates/e2e/src/soak.rs
+++ b/crates/e2e/src/soak.rs
@@ -5,6 +5,7 @@
 //! is kept and played again many times.
 
 mod fault;
+mod restarts;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -89,6 +90,8 @@
     random: SmallRng,
     /// Draws culprits and shrinking workers, so that all else stays as it was for earlier seeds.
     drawn: SmallRng,
+    /// Draws workers that restart, for the same reason.
+    restarts: SmallRng,
     deployment: Deployment,
     jobs: BTreeMap<JobId, Known>,
     faults: Vec<(Instant, Fault)>,
@@ -107,6 +110,7 @@
         plan,
         random: SmallRng::seed_from_u64(plan.seed),
         drawn: SmallRng::seed_from_u64(!plan.seed),
+        restarts: SmallRng::seed_from_u64(plan.seed.rotate_left(32)),
         deployment,
         jobs: BTreeMap::new(),
         faults: Vec::new(),
@@ -130,6 +134,7 @@
                 next_fault += self.pause(FAULT_PAUSE);
                 self.strike();
                 self.shrink();
+                self.restart_workers();
             }
             self.mend(now)?;
             if now >= next_job {
@@ -235,8 +240,9 @@
             let text = format!("{id:016x} was {} and is {state}", known.shown);
             self.report.broken.push(text);
         }
-        let wrong_end =
-            (state == "failed" && !known.crashes) || (state == "cancelled" && !known.cancelled);
+        let unlucky = self.deployment.site.lock().unlucky.contains(&id);
+        let wrong_end = (state == "failed" && !known.crashes && !unlucky)
+            || (state == "cancelled" && !known.cancelled);
         if wrong_end {
             self.report.broken.push(format!("{id:016x} is {state} without cause"));
         }
--- a/crates/e2e/src/soak/fault.rs
+++ b/crates/e2e/src/soak/fault.rs
@@ -29,6 +29,8 @@
     Hangs(String),
     Fails(String),
     Shrunk(String),
+    /// Its orders are left without an answer and carried out late; in the end it restarts.
+    Late(String),
 }
 
 impl Soak {
@@ -130,6 +132,7 @@
             Fault::Shrunk(name) => {
                 self.change_worker(name, |worker| worker.capacity.cpu_milli = SHRUNK_MILLI)
             }
+            Fault::Late(name) => self.change_worker(name, |worker| worker.late.0 = 1),
         }
     }
 
@@ -190,6 +193,7 @@
             Fault::Shrunk(name) => {
                 self.change_worker(name, |worker| worker.capacity = site::CAPACITY);
             }
+            Fault::Late(name) => self.restart_worker(name),
         }
         Ok(())
     }
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -37,6 +37,8 @@
 
 /// How often the workers' time passes.
 const STEP: Duration = Duration::from_millis(5);
+/// A worker that ends so soon after a start by itself looks as if it had died of it.
+const INDISTINCT: Duration = Duration::from_millis(150);
 /// How often workers refresh their entries.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 
@@ -61,6 +63,10 @@
     pub strays: BTreeMap<String, String>,
     /// Tasks that crash their workers.
     pub crashes: Crashes,
+    /// Workers that are down until they start again under their names.
+    restarts: BTreeMap<String, Time>,
+    /// Jobs with a task whose worker ended by itself right after its start, which looks as if it had died of it.
+    pub unlucky: BTreeSet<JobId>,
     /// Promises that were broken.
     pub broken: Vec<String>,
 }
@@ -89,6 +95,7 @@
             }
         }
         self.pass_crashes(now);
+        self.pass_restarts(now);
     }
 
     /// Crashes the workers that run a culprit for long enough, and begins the next lives of those whose time is over.
@@ -105,6 +112,37 @@
         }
     }
 
+    /// Starts the workers again whose time has come.
+    fn pass_restarts(&mut self, now: Time) {
+        let due: Vec<String> = self
+            .restarts
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for machine in &due {
+            self.restarts.remove(machine);
+            let worker = self.workers.get_mut(machine).filter(|worker| !worker.up);
+            if let Some(worker) = worker {
+                *worker = worker.restarted(now);
+            }
+        }
+        if !due.is_empty() {
+            self.beat();
+        }
+    }
+
+    /// A worker crashes and starts again under its name after a while, knowing nothing of before.
+    fn restart(&mut self, machine: &str, down: Duration) {
+        let now = self.now();
+        let Some(worker) = self.workers.get_mut(machine).filter(|worker| worker.up) else { return };
+        let begun = worker.active.iter().filter(|(_, active)| now < active.since + INDISTINCT);
+        self.unlucky.extend(begun.map(|(run, _)| run.task.job));
+        worker.up = false;
+        worker.active.clear();
+        self.restarts.insert(machine.to_owned(), now + down);
+    }
+
     /// Another life begins on a machine.
     fn begin_life(&mut self, machine: &str) {
         self.lives += 1;
@@ -185,6 +223,8 @@
         finished: BTreeSet::new(),
         strays: BTreeMap::new(),
         crashes: Crashes::default(),
+        restarts: BTreeMap::new(),
+        unlucky: BTreeSet::new(),
         broken: Vec::new(),
     };
     let state = Arc::new(Mutex::new(state));
@@ -260,6 +300,11 @@
         self.lock().begin_life(machine);
     }
 
+    /// Lets a worker crash and start again under its name after a while.
+    pub fn restart(&self, machine: &str, down: Duration) {
+        self.lock().restart(machine, down);
+    }
+
     /// Writes the operator's configuration with one queue below `/q/` and one below `/low/`.
     pub fn configure(&self, version: u64, max_attempts: u32) {
         let route = |name: &str, prefix: &str, priority: u8| {
