--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -59,6 +59,8 @@
     pub started: BTreeSet<JobId>,
     /// Tasks of which a run has ended done.
     pub finished: BTreeSet<TaskId>,
+    /// Tasks of which an end as done was acknowledged.
+    acknowledged: BTreeSet<TaskId>,
     /// What other writers leave among the workers' entries, by key.
     pub strays: BTreeMap<String, String>,
     /// Tasks that crash their workers.
@@ -221,6 +223,7 @@
         jobs: BTreeMap::new(),
         started: BTreeSet::new(),
         finished: BTreeSet::new(),
+        acknowledged: BTreeSet::new(),
         strays: BTreeMap::new(),
         crashes: Crashes::default(),
         restarts: BTreeMap::new(),
--- a/crates/standin/src/site/workers.rs
+++ b/crates/standin/src/site/workers.rs
@@ -206,6 +206,9 @@
         .and_then(|worker| worker.start(order.fencing_token, &start, &step, work, now));
     if outcome.is_ok() {
         state.started.insert(run.task.job);
+        if state.acknowledged.contains(&run.task) {
+            state.broken.push(format!("{} is started after its end was acknowledged", run.task));
+        }
         let broken = state.crashes.start(run);
         state.broken.extend(broken);
     }
@@ -273,6 +276,7 @@
         {
             let mut state = state.lock().expect("no server of the site has failed");
             let now = state.now();
+            acknowledge(&mut state, &machine, &order);
             let outcome = meant(&mut state, &machine, named(request).as_deref())
                 .and_then(|worker| worker.hold(order.fencing_token, &asked, now));
             match outcome {
@@ -285,6 +289,16 @@
     }
 }
 
+/// Remembers which ends a worker is told to forget, if it obeys: from then on they stand for good.
+fn acknowledge(state: &mut State, machine: &Machine, order: &HoldOrder) {
+    let obeys = |worker: &&Worker| worker.up && worker.epoch <= order.fencing_token;
+    let Some(worker) = state.workers.get(&machine.0).filter(obeys) else { return };
+    let told =
+        worker.ended.iter().filter(|end| end.number <= order.ack_seq && end.how == How::Done);
+    let told: Vec<TaskId> = told.map(|end| end.run.task).collect();
+    state.acknowledged.extend(told);
+}
+
 fn listing(report: Report) -> Value {
     let running: Vec<Value> = report.running.iter().map(running).collect();
     let ended: Vec<Value> = report.ended.iter().take(LISTED).map(ended).collect();
