Names: incarnation in place of life, in the planner's surroundings

Names and comments only. Refusal::OtherWorker for OtherLife, since a worker of another name is all that an order is refused for; the seat's holder has an incarnation.

--- a/bin/scheduler/src/listing.rs
+++ b/bin/scheduler/src/listing.rs
@@ -19,7 +19,7 @@
 /// What is known of the directory.
 #[derive(Debug, Default)]
 pub struct Listing {
-    /// Lives that an entry names.
+    /// Workers that an entry names.
     listed: HashSet<id::Instance>,
     /// Names whose entry can't be read, once that was told.
     unreadable: HashSet<id::Instance>,
@@ -55,7 +55,7 @@
         unreadable
     }
 
-    /// Takes an entry in; returns the life that it names.
+    /// Takes an entry in; returns the worker that it names.
     fn entry(
         &mut self,
         entry: &kv::Entry,
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -74,7 +74,7 @@
     let holder = Holder {
         instance: settings.node_name.clone(),
         address: own,
-        life: rand::random(),
+        incarnation: rand::random(),
         cpu_share: settings.limits.cpu_share,
     };
     let seat = seat::spawn(store.clone(), holder, health.clone(), log.clone());
--- a/bin/scheduler/src/seat.rs
+++ b/bin/scheduler/src/seat.rs
@@ -44,8 +44,8 @@
     pub instance: id::Instance,
     /// Where it answers its peers.
     pub address: SocketAddr,
-    /// Tells this life of it from others.
-    pub life: u64,
+    /// Tells this incarnation of it from others.
+    pub incarnation: u64,
     /// The part of a core that it has.
     pub cpu_share: f64,
 }
--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -8,7 +8,7 @@
 //! has begun just now, and nothing else begins there until it is cleared. A crash then speaks against it alone, and its
 //! job is given up.
 //!
-//! Not counted are lives that end with notice (a drain, an upkeep), and workers that can't be reached: those may
+//! Not counted are incarnations that end with notice (a drain, an upkeep), and workers that can't be reached: those may
 //! be cut off. The counts are part of the job's record, so they outlive the owner.
 
 use std::collections::BinaryHeap;
@@ -164,7 +164,7 @@
 }
 
 impl Planner {
-    /// A worker's life is over. Counts the crash against what may have caused it, if it was one; returns the jobs
+    /// A worker's incarnation is over. Counts the crash against what may have caused it, if it was one; returns the jobs
     /// that are to be given up for it once their runs there have ended.
     pub(crate) fn count_crash(&mut self, worker: WorkerId) -> Vec<JobId> {
         let state = &self.workers[worker];
@@ -246,7 +246,7 @@
         self.may_take(&self.workers[best], request).then_some(best)
     }
 
-    /// Tells which run had been started last on a worker whose life is over without notice.
+    /// Tells which run had been started last on a worker whose incarnation is over without notice.
     fn note_crash(&mut self, worker: WorkerId) {
         let state = &self.workers[worker];
         let begun = || state.runs.iter().filter(|(_, hosted)| hosted.may_have_begun());
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -71,7 +71,7 @@
     },
     /// A worker is in the directory no more.
     Unlisted {
-        /// The life that was named there.
+        /// The worker that was named there.
         name: id::Instance,
     },
     /// A worker answered a hold, or did not.
--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -110,7 +110,7 @@
                 let pause = if waits { ACKNOWLEDGE_PAUSE } else { Duration::ZERO };
                 self.hold_at(worker, self.now + pause);
             }
-            Err(Failure::Refused(Refusal::OtherLife, _)) => self.end_incarnation(worker),
+            Err(Failure::Refused(Refusal::OtherWorker, _)) => self.end_incarnation(worker),
             Err(_) => {
                 self.fall_silent(worker);
                 self.hold_at(worker, self.now + SILENT_PAUSE);
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -231,7 +231,7 @@
                     "",
                 );
             }
-            Err(Failure::Refused(Refusal::OtherLife, _)) => {
+            Err(Failure::Refused(Refusal::OtherWorker, _)) => {
                 if !unsettled {
                     // The incarnation that is over never had it.
                     self.end_run(worker, run, How::Stopped, None);
@@ -306,7 +306,7 @@
         let Stage::Stopping { why, order: Order::Sent } = hosted.stage else { return };
         match outcome {
             Ok(_) => hosted.stage = Stage::Stopping { why, order: Order::Done(now) },
-            Err(Failure::Refused(Refusal::OtherLife, _)) => self.end_incarnation(worker),
+            Err(Failure::Refused(Refusal::OtherWorker, _)) => self.end_incarnation(worker),
             Err(_) => {
                 let order = Order::Due(now + REPEAT_PAUSE);
                 hosted.stage = Stage::Stopping { why, order };
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -64,7 +64,7 @@
     pub(crate) names: HashMap<id::Instance, WorkerId>,
     /// How many incarnations have ended or were forgotten in this ownership.
     pub(crate) incarnations_ended: u32,
-    /// When a life at an address last ended without notice, as far as that is remembered.
+    /// When an incarnation at an address last ended without notice, as far as that is remembered.
     pub(crate) crashed_at: HashMap<SocketAddr, Time>,
     /// Entries of the directory whose service the configuration doesn't name.
     pub(crate) strangers: HashMap<id::Instance, Registration>,
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -101,7 +101,7 @@
     pub(crate) version: u64,
 }
 
-/// One life of a worker.
+/// One incarnation of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
     pub(crate) name: id::Instance,
@@ -120,7 +120,7 @@
     pub(crate) draining: bool,
     /// Whether its machine is being emptied for its upkeep.
     pub(crate) upkeep: bool,
-    /// Whether its upkeep is ordered, which ends its life.
+    /// Whether its upkeep is ordered, which ends its incarnation.
     pub(crate) going_down: bool,
     /// When its machine was listed as up after its upkeep had been ordered. An account that is asked for later tells
     /// whether it outlived that.
--- a/crates/planner/tests/world/orders.rs
+++ b/crates/planner/tests/world/orders.rs
@@ -106,12 +106,12 @@
         };
         let address = target.address;
         let mut lives = self.workers.values();
-        let other_life =
+        let other_worker =
             lives.any(|worker| registration(worker).address == address && worker.name != name);
         let Some(worker) = self.by_name(&name) else {
-            let refusal = cowslipchute_ports::executor::Refusal::OtherLife;
+            let refusal = cowslipchute_ports::executor::Refusal::OtherWorker;
             let failure =
-                if other_life { Failure::Refused(refusal, None) } else { Failure::Unknown };
+                if other_worker { Failure::Refused(refusal, None) } else { Failure::Unknown };
             let event = failed(action, failure);
             self.answer(term, event);
             return;
--- a/crates/ports/src/executor.rs
+++ b/crates/ports/src/executor.rs
@@ -125,7 +125,7 @@
     /// It says that it is not healthy.
     Unhealthy,
     /// A worker of another name answers at the address; the one meant is over.
-    OtherLife,
+    OtherWorker,
     /// It understands the order otherwise than we do.
     Malformed,
 }
--- a/crates/ports/src/machine.rs
+++ b/crates/ports/src/machine.rs
@@ -1,4 +1,4 @@
-//! Port to whoever runs the machines that workers are lives on: which there are, and their upkeep.
+//! Port to whoever runs the machines that workers run on: which there are, and their upkeep.
 
 use std::future::Future;
 use std::sync::Arc;
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
-/// Names a machine over all lives of its worker.
+/// Names a machine, whichever worker it runs.
 pub type Name = Arc<str>;
 /// Number of a wave of upkeep.
 pub type WaveNumber = u64;
@@ -21,7 +21,7 @@
     pub name: Name,
     /// Whether it is up, and neither moving nor in its upkeep.
     pub up: bool,
-    /// The life of its worker, if it has one.
+    /// The name of its worker, if it has one.
     pub worker: Option<id::Instance>,
 }
 
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -56,7 +56,7 @@
     pub alone: bool,
 }
 
-/// One life of a worker.
+/// One incarnation of a worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
     /// Its name, which it keeps when it starts again.
@@ -114,7 +114,7 @@
 }
 
 impl Worker {
-    /// Begins a life.
+    /// Begins the first incarnation.
     pub fn open(name: &str, capacity: Amount, rack: &str) -> Worker {
         Worker {
             name: name.into(),
@@ -146,7 +146,7 @@
         }
     }
 
-    /// Begins the next life under the same name: it holds and knows nothing of before, and its clock starts anew.
+    /// Begins the next incarnation: it holds and knows nothing of before, and its clock starts anew.
     #[must_use]
     pub fn restarted(&self, now: Time) -> Worker {
         Worker {
--- a/crates/standin/src/site/workers.rs
+++ b/crates/standin/src/site/workers.rs
@@ -109,7 +109,7 @@
                 Refusal::Late => "late",
                 Refusal::Room => "room",
                 Refusal::Ticket => "ticket",
-                Refusal::OtherLife => {
+                Refusal::OtherWorker => {
                     return reply(StatusCode::MISDIRECTED_REQUEST, &json!({}));
                 }
                 Refusal::Unhealthy => {
@@ -136,7 +136,7 @@
     machine: &Machine,
     named: Option<&str>,
 ) -> Result<&'a mut Worker, Failure> {
-    let other = Failure::Refused(Refusal::OtherLife, None);
+    let other = Failure::Refused(Refusal::OtherWorker, None);
     let worker = state.workers.get_mut(&machine.0).ok_or(other)?;
     if !worker.up {
         return Err(Failure::Unknown);
