--- a/crates/planner/tests/interleavings.rs
+++ b/crates/planner/tests/interleavings.rs
@@ -27,6 +27,11 @@
 const STEPS: usize = 60;
 /// Failed runs that a job may have; faults alone don't spend them.
 const ATTEMPTS: u32 = 1000;
+/// A mended world is calm for so long before it is watched whether anything waits beside free room: the longest deadline
+/// that an earlier owner may have given has passed by then.
+const SETTLED: Duration = Duration::from_secs(12);
+/// So long a job may have nothing at work beside room that is free for it.
+const IDLE: Duration = Duration::from_secs(3);
 /// By then every job has come to its end in a mended world.
 const END: Duration = Duration::from_secs(60);
 
@@ -269,7 +274,11 @@
         take(&mut world, &mut jobs, &mut waves, step);
     }
     mend(&mut world);
-    world.run(END / 2);
+    world.run(SETTLED);
+    world.idle = Some(world::idle::Watch::default());
+    world.run(END / 2 - SETTLED);
+    let idle = world.idle.as_ref().expect("it is watched");
+    assert!(idle.longest <= IDLE, "{:?} idle for {:?}", idle.job, idle.longest);
     // Tasks that last may hold all the room that a gang needs; their clients cancel them at last.
     let lasting: Vec<u64> = world.specs.keys().copied().filter(|id| lasts(&world, *id)).collect();
     for id in lasting {
