Tests of other crates have their names back

A rename of Refusal::OtherLife by pattern also met four test names and a row of a table that speak of another life of a server or an instance, and made them say another worker, which is something else.

--- a/bin/measure/tests/requests.rs
+++ b/bin/measure/tests/requests.rs
@@ -142,7 +142,7 @@
 }
 
 #[test]
-fn another_worker_is_not_connected_to() {
+fn another_life_is_not_connected_to() {
     let mut server = Server::open(0);
     server.restart();
     assert_eq!(server.take(call(1), LIFE), Intake::NoConnection);
--- a/bin/operator/tests/lane.rs
+++ b/bin/operator/tests/lane.rs
@@ -180,7 +180,7 @@
 }
 
 #[test]
-fn another_worker_of_the_instance_moving_the_lane_costs_a_try_and_no_change() {
+fn another_life_of_the_instance_moving_the_lane_costs_a_try_and_no_change() {
     block_on(async {
         let store = Fake::default();
         let mut lane = Lane::open(String::from(LANE));
--- a/crates/standin/tests/backend.rs
+++ b/crates/standin/tests/backend.rs
@@ -164,7 +164,7 @@
 }
 
 #[tokio::test]
-async fn a_killed_server_breaks_what_is_in_progress_and_comes_back_in_another_worker() {
+async fn a_killed_server_breaks_what_is_in_progress_and_comes_back_in_another_life() {
     let (standin, address) = open();
     let client = client();
     let slow = get(&client, address, "r").header(backend::order::DELAY_HEADER, "3600000");
--- a/crates/standin/tests/worker.rs
+++ b/crates/standin/tests/worker.rs
@@ -21,7 +21,7 @@
     higher = { 6, 1, true },
     the_same = { 5, 1, true },
     lower = { 4, 1, false },
-    another_worker = { 6, 2, false },
+    another_life = { 6, 2, false },
 )]
 fn an_exchange_is_obeyed_only_under_its_epoch_and_life(epoch: u64, life: u64, obeyed: bool) {
     let mut bench = Bench::open();
