Read once more: what was worked out twice or kept beside what tells it

No behaviour changes. - Since when a step waits on probation was worked out three times (place, keep_quiet, gang): probation_since, once a look, handed on. - When a worker last answered was put together from its contact and 'heard', which every account sets as well: 'heard' alone. - An entry of the directory looked its worker up for each question; once now. admit_entry wrote a start and took it back. - The ranking in keep_quiet looked machines up at each comparison; once each. - The soak's late orders and cuts began beside 'begin', whose arm for late orders did something else and was never reached; they begin there.

--- a/crates/e2e/src/soak/fault.rs
+++ b/crates/e2e/src/soak/fault.rs
@@ -29,8 +29,8 @@
     Hangs(String),
     Fails(String),
     Shrunk(String),
-    /// Its orders are left without an answer and carried out late; in the end it restarts.
-    Late(String),
+    /// So many of its orders are left without an answer and carried out so much later; in the end it restarts.
+    Late(String, u32, Duration),
 }
 
 impl Soak {
@@ -132,7 +132,9 @@
             Fault::Shrunk(name) => {
                 self.change_worker(name, |worker| worker.capacity.cpu_milli = SHRUNK_MILLI)
             }
-            Fault::Late(name) => self.change_worker(name, |worker| worker.late.0 = 1),
+            Fault::Late(name, orders, by) => {
+                self.change_worker(name, |worker| worker.late = (*orders, *by))
+            }
         }
     }
 
@@ -193,7 +195,7 @@
             Fault::Shrunk(name) => {
                 self.change_worker(name, |worker| worker.capacity = site::CAPACITY);
             }
-            Fault::Late(name) => self.restart_worker(name),
+            Fault::Late(name, _, _) => self.restart_worker(name),
         }
         Ok(())
     }
--- a/crates/e2e/src/soak/restarts.rs
+++ b/crates/e2e/src/soak/restarts.rs
@@ -32,17 +32,19 @@
                     .into_iter()
                     .choose(&mut self.restarts)
                     .expect("there are some");
-                self.deployment.workers[&name].set(mood);
+                let cut = Fault::Worker(name.clone(), mood);
+                self.begin(&cut);
                 self.restart_worker(&name);
                 let part = self.restarts.random_range(0.05..1.0);
-                self.mend_after(Fault::Worker(name, mood), part);
+                self.mend_after(cut, part);
             }
             2 => {
                 let by = Duration::from_millis(self.restarts.random_range(100..LATE_MILLIS));
                 let orders = self.restarts.random_range(1..=LATE_ORDERS);
-                self.change_worker(&name, |worker| worker.late = (orders, by));
+                let late = Fault::Late(name, orders, by);
+                self.begin(&late);
                 let part = self.restarts.random_range(0.05..0.4);
-                self.mend_after(Fault::Late(name), part);
+                self.mend_after(late, part);
             }
             _ => {
                 let all: Vec<String> = self.deployment.workers.keys().cloned().collect();
--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -29,7 +29,6 @@
 use crate::job::Place;
 use crate::job::Task;
 use crate::planner::Planner;
-use crate::worker::Contact;
 use crate::worker::Worker;
 use crate::worker::WorkerId;
 
@@ -50,6 +49,7 @@
 pub(crate) const MACHINE_MEMORY: Duration = Duration::from_secs(20);
 /// A worker that answered this long before a start which it didn't answer was alive when the start was sent.
 const ALIVE_WITHIN: Duration = Duration::from_millis(300);
+
 impl Hosted {
     /// Tells whether its worker may have begun it.
     fn may_have_begun(&self) -> bool {
@@ -96,15 +96,6 @@
 }
 
 impl Worker {
-    /// When it last answered, if it ever did.
-    fn last_answer(&self) -> Option<Time> {
-        let held = match self.contact {
-            Contact::Answering { at } | Contact::Silent { at } => Some(at),
-            Contact::Unfenced { .. } => None,
-        };
-        held.max(self.heard)
-    }
-
     /// Returns for how long it is known to have outlived the start of a run; none at all for one that an earlier
     /// owner placed and that was never listed to this one.
     fn outlived(&self, hosted: &Hosted) -> Duration {
@@ -112,7 +103,7 @@
             Stage::Running { since } => Some(since),
             _ => None,
         });
-        let (Some(answer), Some(begun)) = (self.last_answer(), begun) else {
+        let (Some(answer), Some(begun)) = (self.heard, begun) else {
             return Duration::ZERO;
         };
         answer.saturating_sub(begun)
@@ -150,7 +141,7 @@
     fn points_at_one(&self, candidates: &[Run]) -> bool {
         let Some(first) = candidates.first() else { return false };
         let died_of_it = |run: &Run| {
-            let start = self.runs[run].ordered.zip(self.last_answer());
+            let start = self.runs[run].ordered.zip(self.heard);
             start.is_some_and(|(ordered, answer)| {
                 ordered <= answer + ALIVE_WITHIN && answer < ordered + SURE_TIME
             })
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -135,7 +135,7 @@
         reserved.fits(worker.room())
             && !kept
             && !worker.is_kept_quiet(id, self.now)
-            && !worker.keeps_apart(task.step_id(), step.gang)
+            && !worker.keeps_apart(id, step.gang)
             && self.suits(worker, request)
     }
 
--- a/crates/planner/src/gang.rs
+++ b/crates/planner/src/gang.rs
@@ -34,18 +34,16 @@
         if !ready {
             return false;
         }
-        let suspects = state.tasks.iter().filter(|task| task.is_on_probation());
-        let quiet =
-            suspects.map(|task| task.waiting_since).min().map(|since| self.quiet(since, open));
-        if self.slots(step, spec, quiet.as_deref().unwrap_or(open), starves) < u64::from(spec.count)
-        {
-            if quiet.is_some() {
-                self.keep_quiet(step, spec, open);
+        let since = self.probation_since(step);
+        let quiet = since.map(|since| self.quiet(since, open));
+        let usable = quiet.as_deref().unwrap_or(open);
+        if self.slots(step, spec, usable, starves) < u64::from(spec.count) {
+            if let Some(since) = since {
+                self.keep_quiet(step, spec, since, open);
             }
             return false;
         }
-        let open = quiet.as_deref().unwrap_or(open);
-        let Some(state) = self.jobs[&step.job].step(step) else { return false };
+        let open = usable;
         let attempt = state.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
         let checkpoint = state.tasks.iter().find_map(|task| task.checkpoint.clone());
         let mut placed = Vec::with_capacity(spec.count as usize);
--- a/crates/planner/src/incarnations.rs
+++ b/crates/planner/src/incarnations.rs
@@ -56,6 +56,11 @@
         silent && self.met + LIST_LAG <= asked
     }
 
+    /// Tells whether an entry of the directory is of an earlier incarnation.
+    pub(crate) fn succeeds(&self, registration: &Registration) -> bool {
+        self.born.zip(registration.born).is_some_and(|(known, listed)| listed < known)
+    }
+
     /// Tells whether an account is of a later incarnation. Each account was asked for after the one before had come,
     /// so a clock that has gone back is another one.
     pub(crate) fn is_succeeded(&self, report: &Report) -> bool {
@@ -126,13 +131,6 @@
         }
     }
 
-    /// Tells whether an entry of the directory is of an incarnation before the one that is known.
-    pub(crate) fn is_of_earlier(&self, registration: &Registration) -> bool {
-        let known = self.names.get(&registration.name).and_then(|&id| self.workers.get(id));
-        let born = known.and_then(|worker| worker.born);
-        born.zip(registration.born).is_some_and(|(known, listed)| listed < known)
-    }
-
     /// Takes in which incarnation wrote an entry; returns that one.
     pub(crate) fn admit_entry(
         &mut self,
@@ -140,13 +138,12 @@
         registration: &Registration,
     ) -> WorkerId {
         let Some(born) = registration.born else { return worker };
-        match self.workers[worker].born.replace(born) {
-            Some(before) if before < born => {
-                self.workers[worker].born = Some(before);
-                self.begin_next(worker, Some(born), |state, _, hosted| state.may_start_late(hosted))
-            }
-            _ => worker,
+        if self.workers[worker].born.is_some_and(|known| known < born) {
+            let may_hold = |state: &Worker, _, hosted: &Hosted| state.may_start_late(hosted);
+            return self.begin_next(worker, Some(born), may_hold);
         }
+        self.workers[worker].born = Some(born);
+        worker
     }
 
     /// A later incarnation answers: whatever it doesn't account for is over, but for starts that may still reach it.
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -170,8 +170,8 @@
         }
         let mut spare = self.spare(step, spec, &open, &mut pass.rooms);
         if self.place_tasks(step, spec, &open, &mut spare) {
-            if self.waits_on_probation(step) {
-                self.keep_quiet(step, spec, &open);
+            if let Some(since) = self.probation_since(step) {
+                self.keep_quiet(step, spec, since, &open);
                 self.note_wait(step, spec, &pass.open);
             }
         } else {
@@ -188,13 +188,6 @@
         }
     }
 
-    /// Tells whether a task of a step is on probation and has found no worker for it.
-    fn waits_on_probation(&self, step: StepId) -> bool {
-        let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
-        let mut tasks = state.into_iter().flat_map(|state| &state.tasks);
-        tasks.any(|task| task.place == Place::Waiting && task.is_on_probation())
-    }
-
     fn open_workers(&self) -> Vec<(id::Service, Vec<WorkerId>)> {
         let mut services: Vec<(id::Service, Vec<WorkerId>)> = Vec::new();
         for (id, worker) in self.workers.iter() {
--- a/crates/planner/src/probation.rs
+++ b/crates/planner/src/probation.rs
@@ -56,7 +56,7 @@
 impl Planner {
     /// Chooses a worker for a task on probation.
     pub(crate) fn choose_for_probation(
-        &mut self,
+        &self,
         request: &Request<'_>,
         since: Time,
         open: &[WorkerId],
@@ -90,13 +90,18 @@
         at.is_some_and(|&at| self.now < at + MACHINE_MEMORY)
     }
 
-    /// Keeps workers quiet for a step on probation that has found none: as many as a gang needs, or one. Steady machines
-    /// go first, and those on which nothing has begun for longer.
-    pub(crate) fn keep_quiet(&mut self, step: StepId, spec: &Step, open: &[WorkerId]) {
-        let now = self.now;
-        let tasks = self.jobs[&step.job].step(step).into_iter().flat_map(|state| &state.tasks);
+    /// Returns since when the task of a step on probation has waited that has for the longest, if one waits.
+    pub(crate) fn probation_since(&self, step: StepId) -> Option<Time> {
+        let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
+        let tasks = state.into_iter().flat_map(|state| &state.tasks);
         let waiting = tasks.filter(|task| task.place == Place::Waiting && task.is_on_probation());
-        let Some(since) = waiting.map(|task| task.waiting_since).min() else { return };
+        waiting.map(|task| task.waiting_since).min()
+    }
+
+    /// Keeps workers quiet for a step on probation that has found none and waits since then: as many as a gang needs, or
+    /// one. Steady machines go first, and those on which nothing has begun for longer.
+    pub(crate) fn keep_quiet(&mut self, step: StepId, spec: &Step, since: Time, open: &[WorkerId]) {
+        let now = self.now;
         self.timers.insert((now + PROBATION_LOOK, Timer::Place));
         if self.quiet_first.is_some_and(|first| first.step != step && now < first.until) {
             return;
@@ -130,7 +135,7 @@
         };
         let mut candidates: Vec<WorkerId> =
             open.iter().copied().filter(|&id| usable(&self.workers[id])).collect();
-        candidates.sort_by_key(|&id| {
+        candidates.sort_by_cached_key(|&id| {
             let worker = &self.workers[id];
             let crashed = self.has_crashed_lately(worker);
             let taken = worker.is_kept_quiet(step, self.now);
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -199,19 +199,23 @@
 
     /// A worker is in the directory, or its entry has changed.
     pub(crate) fn list(&mut self, registration: &Registration) {
-        if self.epoch.is_none() || self.is_of_earlier(registration) {
+        if self.epoch.is_none() {
             return;
         }
+        let known = self.names.get(&registration.name).map(|&worker| &self.workers[worker]);
+        if known.is_some_and(|worker| worker.succeeds(registration)) {
+            return;
+        }
+        let is_known = known.is_some();
+        let is_news = known.is_none_or(|worker| !worker.is_listed_as(registration));
         if !self.names_service(&registration.service) && !self.is_sought(&registration.name) {
             self.set_aside(registration);
             return;
         }
-        let known = self.names.get(&registration.name).map(|&worker| &self.workers[worker]);
-        if known.is_some_and(|worker| worker.is_listed_as(registration)) {
+        if !is_news {
             return;
         }
         self.strangers.remove(&registration.name);
-        let known = known.is_some();
         let worker = self.ensure_worker(&registration.name);
         let worker = self.admit_entry(worker, registration);
         let was_draining = self.workers[worker].draining;
@@ -221,7 +225,7 @@
             self.resume_orders(worker);
         }
         self.room_changed = true;
-        if !known {
+        if !is_known {
             let name = registration.name.clone();
             let detail = format!("{} in {}", registration.address, registration.domain);
             self.note(Number::WorkerKnown, None, None, Some(name), detail);
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -132,7 +132,7 @@
     /// What its clock showed with its last account. Answers to other orders aren't read for that: they may be the
     /// next incarnation's, and overtake accounts.
     pub(crate) reading: Option<Reading>,
-    /// When it last answered any order.
+    /// When it last answered a hold or any other order.
     pub(crate) heard: Option<Time>,
     /// The latest deadline that was sent to it.
     pub(crate) granted: Stamp,
