Evacuated failure domains: nothing is started in one, whichever way its place was chosen

Cause: the operator's evacuations were read nowhere. Ruled out: a leak in placement; there was nothing to leak from.

The planner holds the set of evacuated domains (Event::Evacuated, the whole set at a time), told before an ownership begins and whenever it changes; platform/ translates, bin/scheduler reads and follows it. A worker there isn't open. One gate (gate.rs, which takes in what shrunk.rs checked) is passed by every start when it falls due, when it is repeated and right before it is sent; it also keeps starts from workers that are leaving. What runs in an evacuated domain ends in place.

Scenarios failed first by parts of the code taken out in turn: without the check of open workers 8 of 16 fail, without withdrawal evacuated_withdrawn, without the gate at the sender evacuated_busy and draining_start, without the gate at repeats evacuated_late_start, with the set forgotten between owners evacuated_owners. The planner's world, the interleavings and `idle` know evacuations.

--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -23,6 +23,7 @@
 
 use crate::clock;
 use crate::config::InForce;
+use crate::evacuations::Evacuations;
 use crate::event;
 use crate::journal::Journal;
 use crate::journal::Outranked;
@@ -117,12 +118,15 @@
         "records" => loaded.records.len(), "revision" => loaded.revision);
     let journal = Journal::open(parts.store.clone(), epoch, loaded.revisions, parts.log.clone());
     let learnt = load::learnt(&parts.store, &parts.log).await;
+    let evacuations = Evacuations::read(&parts.store, &parts.log).await;
+    let mut known = vec![evacuations.event()];
     let (sender, receiver) = inbox;
     let (writes, write_receiver) = mpsc::unbounded_channel();
     let mut tasks = JoinSet::new();
     tasks.spawn(keep_learnt(journal.clone(), parts.planner.clone(), parts.words.clone()));
     let (store, log) = (parts.store.clone(), parts.log.clone());
     tasks.spawn(sweep::run(store.clone(), epoch, parts.keep_ends, log.clone()));
+    tasks.spawn(evacuations.follow(store.clone(), sender.clone()));
     let (reports, report_receiver) = mpsc::unbounded_channel();
     tasks.spawn(waves::follow(store.clone(), sender.clone(), log.clone()));
     tasks.spawn(waves::keep(store, epoch, report_receiver, log.clone()));
@@ -140,8 +144,8 @@
         watcher::spawn(parts.directory.clone(), directory::PREFIX, None, None, parts.log.clone());
     let listing = Listing::default();
     let owner = Owner { parts, epoch, events: sender, writes, reports, tasks, listing };
-    let begin = Event::Owned { epoch, jobs: loaded.jobs, records: loaded.records, learnt };
-    owner.serve(begin, receiver, jobs, workers).await;
+    known.push(Event::Owned { epoch, jobs: loaded.jobs, records: loaded.records, learnt });
+    owner.serve(known, receiver, jobs, workers).await;
 }
 
 /// Hands on what is learnt, every few seconds.
@@ -204,7 +208,7 @@
 impl<S: Store, F: Fleet, A: Advisor, M: Machines> Owner<S, F, A, M> {
     async fn serve(
         mut self,
-        begin: Event,
+        known: Vec<Event>,
         mut inbox: mpsc::UnboundedReceiver<Event>,
         mut jobs: mpsc::Receiver<Change>,
         mut workers: mpsc::Receiver<Change>,
@@ -214,7 +218,7 @@
         if let Some(config) = config.borrow_and_update().clone() {
             events.push(Event::Config { config });
         }
-        events.push(begin);
+        events.extend(known);
         loop {
             let pause = self.turn(&mut events);
             tokio::select! {
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -148,6 +148,10 @@
     282 WorkerCrashed Warning "A worker's incarnation is over without notice; the run that was started last there and its age are given.";
     283 TaskSuspected Warning "A worker crashed right after a task had begun there; how often that has happened to it is given, and how often it may.";
     284 WorkerRestarted Info "A worker has started again under its name; when it started before and now is given, and what it ran.";
+    285 StartWithdrawn Info "A start that was decided on and not sent is withdrawn, since its worker takes nothing more; the reason is given.";
+    286 DomainEvacuated Warning "An operator has evacuated a failure domain: nothing more is started there; how many workers and runs it has is given.";
+    287 DomainRestored Info "An operator has restored an evacuated failure domain.";
+    288 EvacuationInvalid Warning "The text of an evacuation can't be read; its failure domain counts as evacuated.";
     300 ConfigApplied Info "A revision of the configuration is in force here.";
     301 ConfigIgnored Debug "An older revision of the configuration came and was ignored.";
     302 ConfigFromPeer Info "The configuration was learnt from a peer.";
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -1,5 +1,6 @@
 //! What a planner is told.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,6 +58,12 @@
         /// The configuration.
         config: Arc<Config>,
     },
+    /// Which failure domains are evacuated. Told before [`Event::Owned`], so that an owner knows them before it places
+    /// anything, and whenever they change.
+    Evacuated {
+        /// All of them.
+        domains: BTreeSet<id::Domain>,
+    },
     /// A job is in the store, or was changed there.
     Job {
         /// Its number.
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -114,6 +114,7 @@
     pub(crate) fn is_open(&self, worker: &Worker) -> bool {
         worker.listed
             && !worker.draining
+            && !self.is_evacuated(worker)
             && !worker.upkeep
             && worker.answers()
             && worker.closed_until <= self.now
--- /dev/null
+++ b/crates/planner/src/gate.rs
@@ -0,0 +1,99 @@
+//! Starts that are checked once more before they are sent.
+//!
+//! Load pattern: a start waits for the store, for the link, for an answer or for processor time while its worker
+//! changes. Its place was right when it was chosen; a worker that has shrunk, is leaving or has its failure domain
+//! evacuated by then must not be started on. Every start passes here, whichever way its place was chosen: when it falls
+//! due, when it is repeated, and right before it is sent.
+
+use cowslipchute_base::event::Event as Number;
+use cowslipchute_ports::executor::How;
+use cowslipchute_ports::executor::Run;
+use cowslipchute_ports::executor::Target;
+
+use crate::host::Hosted;
+use crate::host::Order;
+use crate::host::Stage;
+use crate::host::Why;
+use crate::planner::Planner;
+use crate::worker::Worker;
+use crate::worker::WorkerId;
+
+/// Why nothing more may be started on a worker, whatever was decided before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Obstacle {
+    /// It takes whatever it is told and has less room than is reserved.
+    Overfull,
+    /// It is about to leave.
+    Draining,
+    /// Its failure domain is evacuated.
+    Evacuated,
+}
+
+impl Obstacle {
+    fn text(self) -> &'static str {
+        match self {
+            Obstacle::Overfull => "its worker has less room than when it was placed",
+            Obstacle::Draining => "its worker is leaving",
+            Obstacle::Evacuated => "its worker's failure domain is evacuated",
+        }
+    }
+}
+
+impl Planner {
+    /// Returns what keeps starts from a worker, if anything does.
+    pub(crate) fn obstacle(&self, worker: &Worker) -> Option<Obstacle> {
+        if self.is_evacuated(worker) {
+            Some(Obstacle::Evacuated)
+        } else if worker.draining {
+            Some(Obstacle::Draining)
+        } else if !worker.reserved.fits(worker.capacity) && !self.refuses_excess(&worker.service) {
+            Some(Obstacle::Overfull)
+        } else {
+            None
+        }
+    }
+
+    /// Withdraws a start that is due and may not be sent; returns `true` if it did. One of which nobody knows whether it
+    /// was carried out is stopped instead, so that it keeps its room until that is known.
+    pub(crate) fn withdraw_start(&mut self, worker: WorkerId, run: Run) -> bool {
+        let state = &self.workers[worker];
+        let stage = state.runs.get(&run).map(|hosted| hosted.stage);
+        let unsettled = match stage {
+            Some(Stage::Intended { .. }) => false,
+            Some(Stage::Starting { order: Order::Due(_), unsettled }) => unsettled,
+            _ => return false,
+        };
+        let Some(obstacle) = self.obstacle(state) else { return false };
+        let name = state.name.clone();
+        let job = Some(run.task.job);
+        self.note(Number::StartWithdrawn, job, Some(run), Some(name), obstacle.text());
+        if unsettled {
+            self.stop_run(worker, run, Why::Unsettled);
+        } else {
+            self.end_run(worker, run, How::Stopped, None);
+        }
+        true
+    }
+
+    /// Withdraws the starts for a worker that were decided on and not sent.
+    pub(crate) fn withdraw_starts(&mut self, worker: WorkerId) {
+        for run in self.workers[worker].runs_where(Hosted::is_beginning) {
+            self.withdraw_start(worker, run);
+        }
+    }
+
+    /// Returns `true` if a start that was decided on is still to be sent. An owner short of processor time sends its
+    /// orders late: the task may have ended since, or its worker may take nothing more.
+    pub fn wants_start(&self, target: &Target, run: Run) -> bool {
+        let worker = self.find(target).and_then(|worker| self.workers.get(worker));
+        let Some(worker) = worker else { return false };
+        let Some(hosted) = worker.runs.get(&run) else { return false };
+        let wanted = match hosted.stage {
+            // Repeated to see whether the worker lives; the next incarnation may carry it out.
+            Stage::Running { .. } => hosted.proven,
+            Stage::Starting { .. } => true,
+            _ => false,
+        };
+        wanted && self.obstacle(worker).is_none()
+    }
+}
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -86,7 +86,7 @@
     fn send_order(&mut self, worker: WorkerId, run: Run) {
         let Some(target) = self.target(worker) else { return };
         let answers = self.workers[worker].answers();
-        if self.take_back_start(worker, run) {
+        if self.withdraw_start(worker, run) {
             return;
         }
         let Some(hosted) = self.workers[worker].runs.get(&run) else { return };
@@ -160,19 +160,6 @@
         }
     }
 
-    /// Tells whether a start that was decided on is still to be sent. An owner short of processor time
-    /// sends its orders seconds later; a task that had ended meanwhile would begin once more, and a worker
-    /// that had shrunk would be overloaded.
-    pub fn wants_start(&self, target: &Target, run: Run) -> bool {
-        let worker = self.find(target).and_then(|worker| self.workers.get(worker));
-        let Some(worker) = worker.filter(|worker| !self.is_overfull(worker)) else { return false };
-        let hosted = worker.runs.get(&run);
-        hosted.is_some_and(|hosted| {
-            let proves = hosted.proven && matches!(hosted.stage, Stage::Running { .. });
-            proves || matches!(hosted.stage, Stage::Starting { .. })
-        })
-    }
-
     /// Repeats an order at a time, or sends it for the first time.
     pub(crate) fn schedule(&mut self, worker: WorkerId, run: Run, pause: Duration) {
         self.timers.insert((self.now + pause, Timer::Order(worker, run)));
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -51,6 +51,8 @@
     /// Orders may be sent until then.
     pub(crate) valid_until: Time,
     pub(crate) config: Option<Arc<Config>>,
+    /// Failure domains in which nothing more may be started ([`crate::evacuation`]).
+    pub(crate) evacuated: BTreeSet<id::Domain>,
     pub(crate) jobs: HashMap<JobId, Job>,
     /// Rises with each job that becomes known.
     pub(crate) arrivals: u64,
@@ -122,6 +124,7 @@
             owned_at: Time::ZERO,
             valid_until: Time::ZERO,
             config: None,
+            evacuated: BTreeSet::new(),
             jobs: HashMap::default(),
             arrivals: 0,
             waiting: BTreeSet::new(),
@@ -186,6 +189,7 @@
             Event::Renewed { until } => self.valid_until = self.valid_until.max(until),
             Event::Disowned => self.disown(),
             Event::Config { config } => self.configure(config),
+            Event::Evacuated { domains } => self.set_evacuated(domains),
             Event::Job { job, accepted } => self.learn(job, accepted),
             Event::Listed { registration } => self.list(&registration),
             Event::Unlisted { name } => self.unlist(&name),
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -234,7 +234,7 @@
             self.timers.insert((at, Timer::Hold(worker)));
         }
         if registration.draining && !was_draining {
-            self.evacuate(worker);
+            self.vacate(worker);
         }
     }
 
@@ -295,8 +295,8 @@
         }
     }
 
-    /// A leaving worker ends what runs on it: what lasts, or can't finish before, is moved.
-    fn evacuate(&mut self, worker: WorkerId) {
+    /// Moves off a leaving worker what lasts, and what saves its progress.
+    fn vacate(&mut self, worker: WorkerId) {
         for run in self.workers[worker].runs_where(|hosted| hosted.lasts || hosted.checkpointing) {
             self.stop_run(worker, run, Why::Leaving);
         }
--- a/crates/planner/tests/interleavings.rs
+++ b/crates/planner/tests/interleavings.rs
@@ -90,6 +90,9 @@
     Former(u8),
     /// Holds without an answer, carried out so many milliseconds later.
     LateHolds(u8, u32, u64),
+    /// The operator evacuates a failure domain, or restores it.
+    Evacuate(bool),
+    Restore(bool),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -131,6 +134,8 @@
         1 => worker().prop_map(Step::Former),
         1 => (worker(), 1u32..4, 300u64..8000)
             .prop_map(|(at, holds, by)| Step::LateHolds(at, holds, by)),
+        1 => proptest::bool::ANY.prop_map(Step::Evacuate),
+        2 => proptest::bool::ANY.prop_map(Step::Restore),
     ]
 }
 
@@ -142,6 +147,11 @@
     format!("w{worker}")
 }
 
+/// Each failure domain has a worker that refuses what doesn't fit and one that doesn't.
+fn domain(first: bool) -> &'static str {
+    if first { "d1" } else { "d2" }
+}
+
 fn job(width: u32, chain: u16, time: u64, kind: u8) -> Accepted {
     let steps = (0..chain).map(|index| JobStep {
         count: width,
@@ -208,6 +218,8 @@
         }
         Step::Former(at) => world.list_former(&name(*at)),
         Step::Unlisted(unlisted) => world.machines.unlisted = *unlisted,
+        Step::Evacuate(first) => world.evacuate(domain(*first)),
+        Step::Restore(first) => world.restore(domain(*first)),
         Step::NoRenewal => world.renewals = false,
         Step::Renewal => world.renewals = true,
         Step::Cut(at)
@@ -242,6 +254,7 @@
     world.store_delay = Duration::from_millis(4);
     world.renewals = true;
     world.machines.unlisted = false;
+    [true, false].into_iter().for_each(|first| world.restore(domain(first)));
     for at in 0..WORKERS {
         let worker = world.workers.get_mut(&name(at)).expect("workers stay");
         (worker.cut, worker.fails, worker.hangs, worker.slow) = (false, false, false, 1);
@@ -263,7 +276,8 @@
     let mut jobs = 0;
     let mut waves = 0;
     for at in 0..WORKERS {
-        world.add_worker(&name(at), capacity(PROCESSORS), if at < 2 { "r1" } else { "r2" });
+        let rack = if at < 2 { "r1" } else { "r2" };
+        world.add_worker_in(domain(at % 2 == 0), &name(at), capacity(PROCESSORS), rack);
     }
     // Half of them take whatever they are given.
     for at in 0..WORKERS / 2 {
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -1,6 +1,6 @@
 //! Runs the scenario files of `filetests`. Each file is one world.
 //!
-//! Directives: `worker name=w cpu=N [memory=N] [rack=R] [count=N]`; `own` (a new owner takes over, `attempts=N`, `advised=w`);
+//! Directives: `worker name=w cpu=N [memory=N] [rack=R] [domain=D] [count=N]`; `own` (a new owner takes over, `attempts=N`, `advised=w`);
 //! `kill` (the owner goes without a word); `busy ms=N` (its orders leave so much later than it decides on them); `link rate=N` (bytes a second
 //! of the link of owners from then on); `job id=H [queue=q] [payload=N] [work=MS] [start=MS interval=MS count=N]` with a step a line (`count=N cpu=N memory=N time=MS
 //! [after=N,..]` and any of `gang`, `lasts`, `fills`, `saves`, `tight`, `image=I`, `target=MS`, `spares=N`, `apart=N`,
@@ -21,7 +21,8 @@
 //! `beside most=MS` (whether none did for longer); `restart name=w|(w, ..)|rack=R [down=MS] [gap=MS] [entry=MS]` (workers crash and start
 //! again under their names, and write their entries so long after); `untold name=w` (it doesn't tell when it started); `former name=w` (the directory's entry of the start before arrives once more); `late_holds
 //! name=w [holds=N] [by=MS]` (holds without an answer, carried out later); `idle` and `idle most=MS` (the same as `beside`
-//! for jobs of which nothing runs); `at_work id=H least=N` (whether so many of a job's tasks run).
+//! for jobs of which nothing runs); `at_work id=H least=N` (whether so many of a job's tasks run); `evacuate domain=D` and
+//! `restore domain=D` (by the operator, in the store).
 
 mod world;
 
@@ -34,6 +35,7 @@
 use cowslipchute_ports::job::Spec;
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::TaskId;
+use cowslipchute_standin::site::worker::FIRST_DOMAIN;
 use cowslipchute_standin::site::worker::Worker;
 use datadriven::TestCase;
 use world::World;
@@ -57,6 +59,21 @@
     cut = { "cut" },
     cut_unlisted = { "cut_unlisted" },
     draining = { "draining" },
+    draining_start = { "draining_start" },
+    evacuated = { "evacuated" },
+    evacuated_busy = { "evacuated_busy" },
+    evacuated_by_turns = { "evacuated_by_turns" },
+    evacuated_cut = { "evacuated_cut" },
+    evacuated_everywhere = { "evacuated_everywhere" },
+    evacuated_fills = { "evacuated_fills" },
+    evacuated_gang = { "evacuated_gang" },
+    evacuated_lasting = { "evacuated_lasting" },
+    evacuated_late_start = { "evacuated_late_start" },
+    evacuated_owners = { "evacuated_owners" },
+    evacuated_reserved = { "evacuated_reserved" },
+    evacuated_store_down = { "evacuated_store_down" },
+    evacuated_unknown = { "evacuated_unknown" },
+    evacuated_withdrawn = { "evacuated_withdrawn" },
     failures = { "failures" },
     filling = { "filling" },
     foreign = { "foreign" },
@@ -160,11 +177,12 @@
         "worker" => {
             let capacity = capacity(case);
             let rack = arg(case, "rack").unwrap_or("r1");
-            match number::<u32>(case, "count") {
-                None => world.add_worker(name, capacity, rack),
-                Some(count) => (0..count)
-                    .for_each(|index| world.add_worker(&format!("{name}{index}"), capacity, rack)),
-            }
+            let domain = arg(case, "domain").unwrap_or(FIRST_DOMAIN);
+            let names: Vec<String> = match number::<u32>(case, "count") {
+                None => vec![name.to_owned()],
+                Some(count) => (0..count).map(|index| format!("{name}{index}")).collect(),
+            };
+            names.iter().for_each(|name| world.add_worker_in(domain, name, capacity, rack));
         }
         "own" => {
             let advised = arg(case, "advised").map(str::to_owned);
@@ -205,6 +223,8 @@
         "restart" => restart(world, case),
         "former" => world.list_former(name),
         "idle" => return idle(world, case),
+        "evacuate" => world.evacuate(arg(case, "domain").expect("a failure domain")),
+        "restore" => world.restore(arg(case, "domain").expect("a failure domain")),
         "list" => world.list(name),
         "unlist" => world.unlist(name),
         "foreign" => {
--- a/crates/planner/tests/world/beside.rs
+++ b/crates/planner/tests/world/beside.rs
@@ -33,7 +33,8 @@
     }
 
     fn look_beside(&self, watch: &mut Watch) {
-        let rooms: Vec<Amount> = self.workers.values().filter(|w| w.up).map(free).collect();
+        let usable = self.workers.values().filter(|worker| worker.up && !self.is_evacuated(worker));
+        let rooms: Vec<Amount> = usable.map(free).collect();
         let mut since = BTreeMap::new();
         for task in self.idle_lasting() {
             let step = self.step_of(task);
--- /dev/null
+++ b/crates/planner/tests/world/evacuations.rs
@@ -0,0 +1,70 @@
+//! Evacuated failure domains of the planner's world, and the starts there that come too late.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cowslipchute_base::id;
+use cowslipchute_base::id::Time;
+use cowslipchute_planner::event::Event;
+use cowslipchute_ports::executor::Run;
+use cowslipchute_standin::site::worker::Worker;
+
+use super::World;
+
+/// By then an evacuation that an owner could read is in force.
+const IN_FORCE: Duration = Duration::from_millis(500);
+
+/// What the operator has evacuated.
+#[derive(Clone, Debug, Default)]
+pub struct Evacuations {
+    /// What the store holds.
+    pub domains: BTreeSet<id::Domain>,
+    /// What the owner was last told.
+    told: BTreeSet<id::Domain>,
+    /// Since when an owner could know of each.
+    known: BTreeMap<id::Domain, Time>,
+}
+
+impl World {
+    pub fn evacuate(&mut self, domain: &str) {
+        self.evacuations.domains.insert(domain.into());
+    }
+
+    pub fn restore(&mut self, domain: &str) {
+        self.evacuations.domains.remove(domain);
+        self.evacuations.known.remove(domain);
+    }
+
+    /// Tells the owner of what has changed, as soon as the store can be read.
+    pub(super) fn advance_evacuations(&mut self) {
+        let changed = self.evacuations.told != self.evacuations.domains;
+        if changed && self.store_up && self.planner.is_some() {
+            let event = self.read_evacuations();
+            self.tell(event);
+        }
+    }
+
+    /// Reads what a new owner is told before it owns the cell.
+    pub(super) fn read_evacuations(&mut self) -> Event {
+        let evacuations = &mut self.evacuations;
+        for domain in &evacuations.domains {
+            evacuations.known.entry(domain.clone()).or_insert(self.now);
+        }
+        evacuations.told = evacuations.domains.clone();
+        Event::Evacuated { domains: evacuations.domains.clone() }
+    }
+
+    pub(super) fn is_evacuated(&self, worker: &Worker) -> bool {
+        self.evacuations.domains.contains(&worker.domain)
+    }
+
+    /// Nothing is started in a failure domain whose evacuation is in force.
+    pub(super) fn check_domain(&self, worker: &str, run: Run) {
+        let worker = self.workers.values().find(|known| &*known.name == worker);
+        let domain = &worker.expect("it has just begun the run").domain;
+        let Some(&known) = self.evacuations.known.get(domain) else { return };
+        let late = self.now > known + IN_FORCE;
+        assert!(!late, "{run:?} is started in {domain}, which is evacuated");
+    }
+}
--- a/crates/planner/tests/world/idle.rs
+++ b/crates/planner/tests/world/idle.rs
@@ -55,7 +55,9 @@
     }
 
     fn usable(&self) -> impl Iterator<Item = &Worker> {
-        self.workers.values().filter(|worker| worker.up && !worker.cut && worker.listed)
+        self.workers.values().filter(|worker| {
+            worker.up && !worker.cut && worker.listed && !self.is_evacuated(worker)
+        })
     }
 
     fn is_mostly_free(&self) -> bool {
--- a/crates/planner/tests/world/lives.rs
+++ b/crates/planner/tests/world/lives.rs
@@ -6,13 +6,20 @@
 use cowslipchute_base::amount::Amount;
 use cowslipchute_planner::event::Event;
 use cowslipchute_ports::executor::Registration;
+use cowslipchute_standin::site::worker::FIRST_DOMAIN;
 use cowslipchute_standin::site::worker::Worker;
 
 use super::World;
 
 impl World {
     pub fn add_worker(&mut self, name: &str, capacity: Amount, rack: &str) {
-        self.workers.insert(name.to_owned(), Worker::open(name, capacity, rack));
+        self.add_worker_in(FIRST_DOMAIN, name, capacity, rack);
+    }
+
+    pub fn add_worker_in(&mut self, domain: &str, name: &str, capacity: Amount, rack: &str) {
+        let mut worker = Worker::open(name, capacity, rack);
+        worker.domain = domain.into();
+        self.workers.insert(name.to_owned(), worker);
         self.list(name);
     }
 
@@ -57,6 +64,7 @@
             Worker::open(&format!("{name}+{}", self.lives), worker.capacity, &worker.rack.clone());
         life.updated = self.now;
         life.guards = worker.guards;
+        life.domain = worker.domain.clone();
         self.bounds.remove(name);
         let old = self.workers.insert(name.to_owned(), life);
         let old = old.expect("it was looked up before");
@@ -81,7 +89,7 @@
         born: worker.told_start(),
         address: std::net::SocketAddr::from((std::net::Ipv4Addr::from(host), 80)),
         service: "desk".into(),
-        domain: "d1".into(),
+        domain: worker.domain.clone(),
         draining: worker.draining,
         capacity: worker.capacity,
         labels: [Arc::from("a"), worker.rack.clone()].into_iter().collect(),
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -4,7 +4,7 @@
 //! after an end that was acknowledged; a step never begins before those it comes after; no worker
 //! is given more than it has, or had a moment ago; a job's end is shown only after the store holds
 //! it; what is acknowledged can be read from the store; a task that crashes its workers is given up,
-//! and no other for theirs.
+//! and no other for theirs; nothing is started in an evacuated failure domain.
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
@@ -12,6 +12,7 @@
 mod capacity;
 mod check;
 mod crashes;
+mod evacuations;
 mod gangs;
 pub mod idle;
 pub mod link;
@@ -112,6 +113,7 @@
     pub machines: machines::Machines,
     pub crashes: Crashes,
     pub restarts: restarts::Restarts,
+    pub evacuations: evacuations::Evacuations,
     /// Jobs with a task whose worker ended by itself right after its start.
     unlucky: BTreeSet<JobId>,
     /// How full workers may be that have shrunk.
@@ -151,6 +153,7 @@
             machines: machines::Machines::default(),
             crashes: Crashes::default(),
             restarts: restarts::Restarts::default(),
+            evacuations: evacuations::Evacuations::default(),
             unlucky: BTreeSet::new(),
             bounds: BTreeMap::new(),
         }
@@ -197,6 +200,7 @@
             self.advance_crashes();
             self.advance_restarts();
             self.advance_machines();
+            self.advance_evacuations();
             if self.renewals && self.store_up {
                 let queue = self.link.as_ref().map_or(Duration::ZERO, |link| link.queue(self.now));
                 let renewed = Event::Renewed { until: self.now + LEASE };
--- a/crates/planner/tests/world/orders.rs
+++ b/crates/planner/tests/world/orders.rs
@@ -145,10 +145,17 @@
         if lost {
             worker.lose -= 1;
         }
+        let is_there = match &action {
+            Action::Start { start, .. } => worker.active.contains_key(&start.run),
+            _ => false,
+        };
         let Some(event) = carry_out(worker, &action, spec, now) else { return };
         if let Event::Started { run, outcome: Ok(_), .. } = &event {
             self.starts += 1;
             self.check_start(*run);
+            if !is_there {
+                self.check_domain(&name, *run);
+            }
         }
         if lost {
             let event = failed(action, Failure::Unknown);
--- a/crates/planner/tests/world/owner.rs
+++ b/crates/planner/tests/world/owner.rs
@@ -70,9 +70,11 @@
         let jobs = self.jobs.iter().map(|(id, job)| (*id, job.clone())).collect();
         let records = self.records.iter().map(|(id, record)| (*id, record.clone())).collect();
         let config = self.with_services(config);
+        let evacuated = self.read_evacuations();
         let events = [
             Event::Wall { wall: self.now },
             Event::Config { config },
+            evacuated,
             Event::Owned { epoch: self.term.into(), jobs, records, learnt: None },
             Event::Renewed { until: self.now + LEASE },
         ];
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -31,6 +31,8 @@
 const MAX_HOLD: Duration = Duration::from_secs(10);
 /// What the worker's clock shows at the world's beginning.
 const CLOCK_START: Stamp = 400_000;
+/// Failure domain of workers for which none is given.
+pub const FIRST_DOMAIN: &str = "d1";
 /// When the workers of a world's beginning were started.
 const BORN: id::Incarnation = 1_780_000_000_000;
 
@@ -71,6 +73,8 @@
     pub capacity: Amount,
     /// Its rack.
     pub rack: id::Rack,
+    /// Its failure domain.
+    pub domain: id::Domain,
     /// Whether it lives.
     pub up: bool,
     /// Whether the directory holds it.
@@ -123,6 +127,7 @@
             begun: Time::ZERO,
             capacity,
             rack: rack.into(),
+            domain: FIRST_DOMAIN.into(),
             up: true,
             listed: true,
             cut: false,
@@ -156,6 +161,7 @@
             guards: self.guards,
             cut: self.cut,
             listed: self.listed,
+            domain: self.domain.clone(),
             updated: now,
             ..Worker::open(&self.name, self.capacity, &self.rack)
         }
