--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -151,9 +151,7 @@
         state.born = state.born.or(report.born);
         state.reading = Some(Reading { stamp: report.clock, at: now });
         state.heard = Some(now);
-        if state.listed_up.take_if(|at| *at <= sent).is_some() {
-            state.going_down = false;
-        }
+        state.outlive_upkeep(sent);
         if let Contact::Unfenced { .. } = before {
             // Orders of this owner to an earlier incarnation were refused only from this answer on.
             let since = if state.rank > 0 { Duration::ZERO } else { owned_for };
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -206,9 +206,13 @@
             Ok(_) => {
                 hosted.stage = Stage::Running { since: now };
                 hosted.moved = now;
-                if hosted.wants_proof() {
+                let (ordered, wants_proof) = (hosted.ordered, hosted.wants_proof());
+                if wants_proof {
                     self.schedule(worker, run, SURE_TIME);
                 }
+                if let Some(ordered) = ordered {
+                    self.workers[worker].outlive_upkeep(ordered);
+                }
                 self.begin(run.task.job);
                 self.note(
                     Number::RunStarted,
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -275,6 +275,13 @@
         }
     }
 
+    /// An order sent at a time was carried out: if the machine had been listed as up by then, its upkeep is over.
+    pub(crate) fn outlive_upkeep(&mut self, sent: Time) {
+        if self.listed_up.take_if(|at| *at <= sent).is_some() {
+            self.going_down = false;
+        }
+    }
+
     pub(crate) fn answers(&self) -> bool {
         matches!(self.contact, Contact::Answering { .. })
     }
