Nothing else begins beside a task on probation for one second, not for three

Seen in the interleavings: a job that could run had nothing at work for 3.4 s beside free room, 3 s being allowed, since each of four workers ran a task on probation and kept everything else away until it was cleared (three seconds). Kept as a case of interleavings.rs; it failed before.

--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -43,6 +43,9 @@
 pub(crate) const PROBATION_HOLD: Duration = Duration::from_millis(75);
 /// A worker that outlives a start by this long did not die of the start itself.
 pub(crate) const START_TIME: Duration = Duration::from_millis(500);
+/// How long nothing else begins beside a task on probation. Jobs of a small cell wait for that long wherever they
+/// would go, so it stays well below the seconds within which every task starts.
+const APART_TIME: Duration = Duration::from_millis(1000);
 /// A task that has worked for this long without a crash is no suspect any more.
 const CLEARED_AFTER: Duration = Duration::from_secs(3);
 /// How long a crash speaks against the machine.
@@ -114,11 +117,14 @@
         self.suspects > 0 && self.runs.values().any(|hosted| is_on_probation(hosted.crashes))
     }
 
-    /// Tells whether a task is on probation there, unless it is another member of a gang.
-    pub(crate) fn keeps_apart(&self, step: StepId, gang: bool) -> bool {
+    /// Returns `true` if a task on probation has begun there too lately for anything else to begin, unless it is another
+    /// member of a gang.
+    pub(crate) fn keeps_apart(&self, step: StepId, gang: bool, now: Time) -> bool {
         let member = |run: &Run| gang && run.task.step_id() == step;
-        self.suspects > 0
-            && self.runs.iter().any(|(run, hosted)| is_on_probation(hosted.crashes) && !member(run))
+        let keeps = |hosted: &Hosted| {
+            is_on_probation(hosted.crashes) && !hosted.has_run_for(APART_TIME, now)
+        };
+        self.suspects > 0 && self.runs.iter().any(|(run, hosted)| keeps(hosted) && !member(run))
     }
 
     /// Returns the runs that may have crashed it: suspects that aren't cleared, and beside them what had begun just
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -136,7 +136,7 @@
         reserved.fits(worker.room())
             && !kept
             && !worker.is_kept_quiet(id, self.now)
-            && !worker.keeps_apart(id, step.gang)
+            && !worker.keeps_apart(id, step.gang, self.now)
             && self.suits(worker, request)
     }
 
--- a/crates/planner/tests/interleavings.rs
+++ b/crates/planner/tests/interleavings.rs
@@ -16,6 +16,7 @@
 use proptest::test_runner::Config;
 use proptest::test_runner::TestRunner;
 use world::World;
+use yare::parameterized;
 
 /// Workers of the world.
 const WORKERS: u8 = 4;
@@ -318,3 +319,35 @@
         })
         .unwrap_or_else(|error| panic!("{error}"));
 }
+
+/// After crashes of culprits beside them every worker runs a suspect for three seconds, so that no worker counts as
+/// isolated and a best-effort task on probation waits for longer than it may.
+fn suspects_on_every_worker() -> Vec<Step> {
+    vec![
+        Step::Submit { width: 1, chain: 2, time: 86, kind: 0 },
+        Step::Wait(41),
+        Step::Wait(391),
+        Step::Submit { width: 1, chain: 2, time: 2131, kind: 0 },
+        Step::Culprit { width: 4, at: 1, after: 121, kind: 2 },
+        Step::Submit { width: 4, chain: 2, time: 225, kind: 0 },
+        Step::Evacuate(false),
+        Step::Culprit { width: 2, at: 2, after: 71, kind: 2 },
+        Step::Rebirth(2),
+        Step::Submit { width: 2, chain: 2, time: 508, kind: 2 },
+        Step::Resize(0, 1),
+        Step::Submit { width: 4, chain: 3, time: 668, kind: 2 },
+        Step::Wait(2241),
+        Step::Wait(306),
+        Step::Restart(1, 761),
+        Step::Culprit { width: 3, at: 1, after: 31, kind: 5 },
+        Step::Culprit { width: 4, at: 3, after: 111, kind: 5 },
+        Step::Submit { width: 4, chain: 2, time: 496, kind: 5 },
+    ]
+}
+
+#[parameterized(
+    suspects_everywhere = { suspects_on_every_worker() },
+)]
+fn a_case_that_failed_once_keeps_every_promise(steps: Vec<Step>) {
+    play(&steps);
+}
