--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -107,6 +107,8 @@
         "Tasks of the cell that wait or have a place, by kind, at its owner.";
     WORKERS Gauge "cowslipchute_workers" ["contact"]
         "Workers of the cell by whether they answer, at its owner.";
+    EVACUATED Gauge "cowslipchute_evacuated_runs" ["domain"]
+        "Runs that are still in a failure domain which the operator has evacuated, at the owner.";
     RATINGS Gauge "cowslipchute_worker_ratings" []
         "How often a worker was rated for a step that waits, since this process owns the cell; the most of an owner's work.";
     CONFIG_VERSION Gauge "cowslipchute_config_version" []
@@ -139,6 +141,7 @@
     jobs: IntGaugeVec,
     tasks: IntGaugeVec,
     workers: IntGaugeVec,
+    evacuated: IntGaugeVec,
     ratings: IntGauge,
     config_version: IntGauge,
     config_age: IntGauge,
@@ -204,6 +207,7 @@
             jobs: gauges(&registry, JOBS)?,
             tasks: gauges(&registry, TASKS)?,
             workers: gauges(&registry, WORKERS)?,
+            evacuated: gauges(&registry, EVACUATED)?,
             ratings: gauge(&registry, RATINGS)?,
             config_version: gauge(&registry, CONFIG_VERSION)?,
             config_age: gauge(&registry, CONFIG_AGE)?,
@@ -285,6 +289,7 @@
         self.jobs.reset();
         self.tasks.reset();
         self.workers.reset();
+        self.evacuated.reset();
         for (state, count) in census.iter().flat_map(Census::jobs) {
             self.jobs.with_label_values(&[state]).set(count);
         }
@@ -294,6 +299,9 @@
         for (contact, count) in census.iter().flat_map(Census::workers) {
             self.workers.with_label_values(&[contact]).set(count);
         }
+        for (domain, runs) in census.iter().flat_map(Census::evacuated) {
+            self.evacuated.with_label_values(&[&**domain]).set(*runs);
+        }
         let ratings = census.map_or(0, |census| census.ratings());
         self.ratings.set(i64::try_from(ratings).unwrap_or(i64::MAX));
         if let Some(since) = *lock(&self.config_since) {
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -33,6 +33,8 @@
 const HOST: &str = "desk.example";
 /// What each worker has.
 pub const CAPACITY: Amount = Amount { cpu_milli: 8000, memory_mib: 32_000, accelerators: 0 };
+/// The workers' failure domains, by turns.
+pub const DOMAINS: [&str; 2] = ["d1", "d2"];
 /// How long a client waits for an answer.
 const CLIENT_TIME: Duration = Duration::from_millis(2500);
 
@@ -95,7 +97,9 @@
             directory,
         };
         for index in 0..workers {
-            deployment.add_worker(&format!("w{index}"), CAPACITY).await?;
+            let name = format!("w{index}");
+            deployment.add_worker(&name, CAPACITY).await?;
+            deployment.site.set_domain(&name, DOMAINS[index % DOMAINS.len()]);
         }
         deployment.site.configure(1, 100);
         for index in 0..members {
--- a/crates/e2e/src/soak.rs
+++ b/crates/e2e/src/soak.rs
@@ -4,6 +4,7 @@
 //! All randomness comes from the seed; how the processes interleave doesn't, so a seed that failed
 //! is kept and played again many times.
 
+mod evacuations;
 mod fault;
 mod restarts;
 
@@ -92,6 +93,10 @@
     drawn: SmallRng,
     /// Draws workers that restart, for the same reason.
     restarts: SmallRng,
+    /// Draws evacuations, for the same reason.
+    evacuations: SmallRng,
+    /// Starts before this don't tell whether an owner knew of an evacuation.
+    hidden_until: Instant,
     deployment: Deployment,
     jobs: BTreeMap<JobId, Known>,
     faults: Vec<(Instant, Fault)>,
@@ -111,6 +116,8 @@
         random: SmallRng::seed_from_u64(plan.seed),
         drawn: SmallRng::seed_from_u64(!plan.seed),
         restarts: SmallRng::seed_from_u64(plan.seed.rotate_left(32)),
+        evacuations: SmallRng::seed_from_u64(plan.seed.rotate_left(16)),
+        hidden_until: Instant::now(),
         deployment,
         jobs: BTreeMap::new(),
         faults: Vec::new(),
@@ -118,6 +125,7 @@
     };
     soak.play().await?;
     soak.mend_all()?;
+    soak.evacuate_calmly().await;
     soak.finish().await;
     Ok(soak.close())
 }
@@ -135,7 +143,9 @@
                 self.strike();
                 self.shrink();
                 self.restart_workers();
+                self.evacuate();
             }
+            self.check_evacuations(now);
             self.mend(now)?;
             if now >= next_job {
                 next_job = now + self.pause(JOB_PAUSE);
--- a/crates/e2e/src/soak/fault.rs
+++ b/crates/e2e/src/soak/fault.rs
@@ -29,10 +29,31 @@
     Hangs(String),
     Fails(String),
     Shrunk(String),
+    /// The operator has evacuated a failure domain.
+    Evacuated(String),
     /// So many of its orders are left without an answer and carried out so much later; in the end it restarts.
     Late(String, u32, Duration),
 }
 
+impl Fault {
+    /// Returns `true` if an owner may not hear of the operator's changes meanwhile.
+    pub(super) fn hides_news(&self, owner: Option<&str>) -> bool {
+        match self {
+            Fault::Killed(name)
+            | Fault::Frozen(name)
+            | Fault::Stopped(name)
+            | Fault::Line(name, _) => owner == Some(name),
+            Fault::Store(_) | Fault::StoreSlow => true,
+            Fault::Worker(..)
+            | Fault::Hangs(_)
+            | Fault::Fails(_)
+            | Fault::Shrunk(_)
+            | Fault::Evacuated(_)
+            | Fault::Late(..) => false,
+        }
+    }
+}
+
 impl Soak {
     pub(super) fn mood(&mut self) -> Mood {
         match self.random.random_range(0..4) {
@@ -132,6 +153,10 @@
             Fault::Shrunk(name) => {
                 self.change_worker(name, |worker| worker.capacity.cpu_milli = SHRUNK_MILLI)
             }
+            Fault::Evacuated(domain) => {
+                self.deployment.site.evacuate(domain);
+                true
+            }
             Fault::Late(name, orders, by) => {
                 self.change_worker(name, |worker| worker.late = (*orders, *by))
             }
@@ -195,6 +220,7 @@
             Fault::Shrunk(name) => {
                 self.change_worker(name, |worker| worker.capacity = site::CAPACITY);
             }
+            Fault::Evacuated(domain) => self.deployment.site.restore(domain),
             Fault::Late(name, _, _) => self.restart_worker(name),
         }
         Ok(())
--- a/crates/planner/src/census.rs
+++ b/crates/planner/src/census.rs
@@ -1,5 +1,7 @@
 //! Counts of what the owner knows of its cell, for its metrics.
 
+use cowslipchute_base::id;
+
 use crate::job::Place;
 use crate::planner::Planner;
 use crate::worker::Contact;
@@ -12,7 +14,7 @@
 }
 
 /// Counts of jobs, tasks and workers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Census {
     queued: i64,
     active: i64,
@@ -23,6 +25,7 @@
     silent: i64,
     unfenced: i64,
     ratings: u64,
+    evacuated: Vec<(id::Domain, i64)>,
 }
 
 impl Census {
@@ -46,6 +49,11 @@
         counts.into_iter()
     }
 
+    /// Returns the evacuated failure domains, each with the number of runs that are still there.
+    pub fn evacuated(&self) -> &[(id::Domain, i64)] {
+        &self.evacuated
+    }
+
     /// Returns how often a worker was rated for a step that waits, since the ownership began.
     pub fn ratings(&self) -> u64 {
         self.ratings
@@ -55,7 +63,8 @@
 impl Planner {
     /// Counts what is known of the cell.
     pub fn census(&self) -> Census {
-        let mut census = Census { ratings: self.ratings, ..Census::default() };
+        let evacuated = self.evacuated_runs();
+        let mut census = Census { ratings: self.ratings, evacuated, ..Census::default() };
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.end.is_none()) {
             *if job.started { &mut census.active } else { &mut census.queued } += 1;
             for (step, state) in job.steps(*id) {
--- a/crates/planner/src/evacuation.rs
+++ b/crates/planner/src/evacuation.rs
@@ -39,7 +39,7 @@
 
     fn evacuate_domain(&mut self, domain: &id::Domain) {
         let workers = self.workers_in(domain);
-        let runs: usize = workers.iter().map(|&id| self.workers[id].runs.len()).sum();
+        let runs = self.runs_in(domain);
         let detail = format!("{domain}: {} workers, {runs} runs", workers.len());
         self.note(Number::DomainEvacuated, None, None, None, detail);
         for worker in workers {
@@ -52,6 +52,16 @@
         !self.evacuated.is_empty() && self.evacuated.contains(&worker.domain)
     }
 
+    /// Returns how many runs are still in each evacuated failure domain.
+    pub(crate) fn evacuated_runs(&self) -> Vec<(id::Domain, i64)> {
+        let count = |domain: &id::Domain| (domain.clone(), self.runs_in(domain) as i64);
+        self.evacuated.iter().map(count).collect()
+    }
+
+    fn runs_in(&self, domain: &id::Domain) -> usize {
+        self.workers_in(domain).iter().map(|&id| self.workers[id].runs.len()).sum()
+    }
+
     fn workers_in(&self, domain: &id::Domain) -> Vec<WorkerId> {
         let there = self.workers.iter().filter(|(_, worker)| worker.domain == *domain);
         there.map(|(id, _)| id).collect()
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -5,6 +5,7 @@
 //! see: that no task runs twice at once, and that nothing runs that nobody asked for.
 
 pub mod crashes;
+pub mod evacuations;
 pub mod serving;
 pub mod store;
 pub mod worker;
@@ -32,6 +33,7 @@
 use serde_json::json;
 
 use crashes::Crashes;
+use evacuations::Evacuations;
 use store::Store;
 use worker::Worker;
 
@@ -69,6 +71,8 @@
     restarts: BTreeMap<String, Time>,
     /// Jobs with a task whose worker ended by itself right after its start, which looks as if it had died of it.
     pub unlucky: BTreeSet<JobId>,
+    /// Failure domains that the operator has evacuated.
+    pub evacuations: Evacuations,
     /// Promises that were broken.
     pub broken: Vec<String>,
 }
@@ -153,6 +157,7 @@
         let Some(old) = self.workers.get(machine) else { return };
         let mut life = Worker::open(&name, old.capacity, &old.rack.clone());
         life.updated = now;
+        life.domain = old.domain.clone();
         self.workers.insert(machine.to_owned(), life);
         self.beat();
     }
@@ -168,7 +173,7 @@
                 let entry = json!({
                     "service": "desk",
                     "address": self.addresses[machine].to_string(),
-                    "zone": "d1",
+                    "zone": &*worker.domain,
                     "version": "v1",
                     "slots": 8,
                     "state": if worker.draining { "draining" } else { "ready" },
@@ -228,6 +233,7 @@
         crashes: Crashes::default(),
         restarts: BTreeMap::new(),
         unlucky: BTreeSet::new(),
+        evacuations: Evacuations::default(),
         broken: Vec::new(),
     };
     let state = Arc::new(Mutex::new(state));
@@ -286,6 +292,30 @@
         Ok(())
     }
 
+    /// Moves a machine's worker to another failure domain.
+    pub fn set_domain(&self, machine: &str, domain: &str) {
+        let mut state = self.lock();
+        if let Some(worker) = state.workers.get_mut(machine) {
+            worker.domain = domain.into();
+        }
+        state.beat();
+    }
+
+    /// The operator evacuates a failure domain.
+    pub fn evacuate(&self, domain: &str) {
+        let mut state = self.lock();
+        let now = state.now();
+        state.evacuations.evacuate(domain, now);
+        state.store.put(&format!("op/evacuate/{domain}"), b"{}".to_vec(), 0);
+    }
+
+    /// The operator restores an evacuated failure domain.
+    pub fn restore(&self, domain: &str) {
+        let mut state = self.lock();
+        state.evacuations.restore(domain);
+        state.store.remove(&format!("op/evacuate/{domain}"));
+    }
+
     /// Where a machine's worker is reached.
     pub fn address(&self, machine: &str) -> Option<SocketAddr> {
         self.lock().addresses.get(machine).copied()
--- a/crates/standin/src/site/workers.rs
+++ b/crates/standin/src/site/workers.rs
@@ -43,6 +43,14 @@
 /// Ends that are listed at once.
 const LISTED: usize = 500;
 
+/// Whether an order is carried out as it arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Timing {
+    Prompt,
+    /// Long after its sender has given it up.
+    Late,
+}
+
 /// A machine's name, for its routes.
 #[derive(Clone)]
 struct Machine(String);
@@ -159,14 +167,14 @@
 async fn answer(
     state: &Shared,
     machine: &Machine,
-    act: impl FnOnce(&Shared, &Machine) -> Response + Send + 'static,
+    act: impl FnOnce(&Shared, &Machine, Timing) -> Response + Send + 'static,
 ) -> Response {
-    let Some(by) = late(state, machine) else { return act(state, machine) };
+    let Some(by) = late(state, machine) else { return act(state, machine, Timing::Prompt) };
     let (state, machine) = (state.clone(), machine.clone());
     tokio::spawn(async move {
         tokio::time::sleep(by).await;
         // Nobody waits for what it would say.
-        drop(act(&state, &machine));
+        drop(act(&state, &machine, Timing::Late));
     });
     tokio::time::sleep(UNANSWERED).await;
     settle(Err(Failure::Unknown))
@@ -180,10 +188,19 @@
     machine: Data<&Machine>,
 ) -> Response {
     let named = named(request);
-    answer(&state, &machine, move |state, machine| start(state, machine, named, &order)).await
+    let act = move |state: &Shared, machine: &Machine, timing| {
+        start(state, machine, named, &order, timing)
+    };
+    answer(&state, &machine, act).await
 }
 
-fn start(state: &Shared, machine: &Machine, named: Option<String>, order: &Order) -> Response {
+fn start(
+    state: &Shared,
+    machine: &Machine,
+    named: Option<String>,
+    order: &Order,
+    timing: Timing,
+) -> Response {
     let mut state = state.lock().expect("no server of the site has failed");
     let now = state.now();
     let Some(run) = order.run() else {
@@ -202,8 +219,14 @@
     let start =
         Start { run, payload: "".into(), deadline: order.deadline_ms, checkpoint, ticket: None };
     let work = step.estimate;
+    let worker = state.workers.get(&machine.0);
+    let is_there = worker.is_some_and(|worker| worker.active.contains_key(&run));
     let outcome = meant(&mut state, machine, named.as_deref())
         .and_then(|worker| worker.start(order.fencing_token, &start, &step, work, now));
+    if outcome.is_ok() && !is_there && timing == Timing::Prompt {
+        let domain = state.workers[&machine.0].domain.clone();
+        state.evacuations.start(run, &domain, now);
+    }
     if outcome.is_ok() {
         state.started.insert(run.task.job);
         if state.acknowledged.contains(&run.task) {
@@ -239,7 +262,7 @@
     machine: Data<&Machine>,
 ) -> Response {
     let named = named(request);
-    let stop = move |state: &Shared, machine: &Machine| {
+    let stop = move |state: &Shared, machine: &Machine, _| {
         carry_out(named.as_deref(), state, machine, &order, |worker, run, now| {
             worker.stop(order.fencing_token, run, now)
         })
