--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -43,6 +43,7 @@
 mod probation;
 mod progress;
 mod rank;
+mod reclaim;
 pub mod record;
 mod reservation;
 mod reserve;
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -62,6 +62,8 @@
     rooms: Rooms,
     /// Steps for which a worker may be kept.
     unplaced: Vec<Unplaced>,
+    /// Services whose lost jobs make way for service tasks ([`crate::reclaim`]).
+    reclaiming: Vec<id::Service>,
 }
 
 impl Refused {
@@ -94,9 +96,13 @@
             fills,
             rooms: Vec::new(),
             unplaced: Vec::new(),
+            reclaiming: Vec::new(),
         };
         let mut backlog = 0.0;
         for job in self.ranked() {
+            if self.makes_way(job, &pass.reclaiming) {
+                continue;
+            }
             self.place_job(job, &mut pass);
             match self.jobs.get(&job).filter(|job| job.has_waiting()) {
                 Some(job) => backlog += job.waiting_fill_work(),
@@ -129,6 +135,12 @@
     fn place_job(&mut self, job: JobId, pass: &mut Pass) {
         for step in self.jobs[&job].waiting_steps(job) {
             self.place_step(step, pass);
+            if !pass.mostly_free
+                && self.jobs[&job].spec(step.step).long_running
+                && self.reclaims(step)
+            {
+                pass.reclaiming.push(self.service(job));
+            }
         }
     }
 
