The workers' directory is followed on a thread of its own, and only news goes to the owner

The directory makes 2,000 changes a second, which pass two queues of 64 and the owner's loop between thousands of orders and answers. Ruled out: the planner (it acts in the turn in which it is told), the store (others heard in time).

An entry that says nothing new is told again after four seconds, since the owner may have forgotten its worker. The store's watch and the watchers queue 1,024 changes. A metric tells how long starts wait to be sent.

--- a/bin/scheduler/src/lib.rs
+++ b/bin/scheduler/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod config;
 pub mod desk;
+pub mod directory;
 pub mod evacuations;
 pub mod health;
 pub mod intake;
--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -95,6 +95,8 @@
         "Time from when the owner learnt of a job to its first start.";
     JOB_SECONDS Histogram "cowslipchute_job_seconds" ["state"]
         "Time from when the owner learnt of a job until its end was in the store, by how it ended.";
+    START_AGE Histogram "cowslipchute_start_age_seconds" []
+        "How long a start that was decided on waited for its turn to be sent, for want of processor time.";
     LEASE_MARGIN Histogram "cowslipchute_lease_margin_seconds" []
         "What was left of the owner's lease when it was renewed.";
     LAG Histogram "cowslipchute_loop_lag_seconds" []
@@ -135,6 +137,7 @@
     store_seconds: HistogramVec,
     start_seconds: Histogram,
     job_seconds: HistogramVec,
+    start_age: Histogram,
     lease_margin: Histogram,
     lag: Histogram,
     owned: IntGauge,
@@ -201,6 +204,7 @@
             store_seconds: histograms(&registry, STORE_SECONDS, CALL_BOUNDS)?,
             start_seconds: histogram(&registry, START_SECONDS, JOB_BOUNDS)?,
             job_seconds: histograms(&registry, JOB_SECONDS, JOB_BOUNDS)?,
+            start_age: histogram(&registry, START_AGE, CALL_BOUNDS)?,
             lease_margin: histogram(&registry, LEASE_MARGIN, CALL_BOUNDS)?,
             lag: histogram(&registry, LAG, CALL_BOUNDS)?,
             owned: gauge(&registry, OWNED)?,
@@ -239,6 +243,11 @@
         self.lease_margin.observe(left.as_secs_f64());
     }
 
+    /// Notes how long a start waited for its turn to be sent.
+    pub fn start_sent(&self, age: Duration) {
+        self.start_age.observe(age.as_secs_f64());
+    }
+
     /// Notes how late the process woke up.
     pub fn woke(&self, late: Duration) {
         self.lag.observe(late.as_secs_f64());
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -12,7 +12,6 @@
 use cowslipchute_planner::event::Batch;
 use cowslipchute_planner::event::Event;
 use cowslipchute_planner::planner::Planner;
-use cowslipchute_platform::directory;
 use cowslipchute_ports::executor::Advisor;
 use cowslipchute_ports::executor::Failure;
 use cowslipchute_ports::executor::Fleet;
@@ -23,12 +22,12 @@
 
 use crate::clock;
 use crate::config::InForce;
+use crate::directory;
 use crate::evacuations::Evacuations;
 use crate::event;
 use crate::journal::Journal;
 use crate::journal::Outranked;
 use crate::keys;
-use crate::listing::Listing;
 use crate::load;
 use crate::log::Log;
 use crate::seat::Word;
@@ -53,7 +52,8 @@
     /// The store.
     pub store: S,
     /// The store, for watching the workers' directory: each of them writes there every second or
-    /// two, so its changes are gathered for longer.
+    /// two, so its changes are gathered for longer. It shares no connections with the other, since it is
+    /// called on another thread.
     pub directory: S,
     /// The workers.
     pub fleet: F,
@@ -140,12 +140,23 @@
         None,
         parts.log.clone(),
     );
-    let workers =
-        watcher::spawn(parts.directory.clone(), directory::PREFIX, None, None, parts.log.clone());
-    let listing = Listing::default();
-    let owner = Owner { parts, epoch, events: sender, writes, reports, tasks, listing };
+    follow_directory(&parts, &sender, &mut tasks);
+    let owner = Owner { parts, epoch, events: sender, writes, reports, tasks };
     known.push(Event::Owned { epoch, jobs: loaded.jobs, records: loaded.records, learnt });
-    owner.serve(known, receiver, jobs, workers).await;
+    owner.serve(known, receiver, jobs).await;
+}
+
+/// Follows the workers' directory, on the owner's own thread where the system refuses another.
+fn follow_directory<S: Store, F, A, M>(
+    parts: &Parts<S, F, A, M>,
+    events: &mpsc::UnboundedSender<Event>,
+    tasks: &mut JoinSet<()>,
+) {
+    let (store, log) = (parts.directory.clone(), parts.log.clone());
+    if let Err(error) = directory::spawn(store.clone(), events.clone(), log.clone()) {
+        event!(log, Number::ThreadRefused, "reason" => error.to_string());
+        tasks.spawn(directory::follow(store, events.clone(), log));
+    }
 }
 
 /// Hands on what is learnt, every few seconds.
@@ -201,8 +212,6 @@
     reports: mpsc::UnboundedSender<waves::Report>,
     /// Orders on their way; they end with this ownership.
     tasks: JoinSet<()>,
-    /// The workers' directory.
-    listing: Listing,
 }
 
 impl<S: Store, F: Fleet, A: Advisor, M: Machines> Owner<S, F, A, M> {
@@ -211,7 +220,6 @@
         known: Vec<Event>,
         mut inbox: mpsc::UnboundedReceiver<Event>,
         mut jobs: mpsc::Receiver<Change>,
-        mut workers: mpsc::Receiver<Change>,
     ) {
         let mut config = self.parts.config.clone();
         let mut events = Vec::new();
@@ -231,11 +239,6 @@
                         self.job_changed(change, &mut events);
                     }
                 }
-                Some(change) = workers.recv() => {
-                    for change in watcher::gathered(change, &mut workers) {
-                        self.worker_changed(change, &mut events);
-                    }
-                }
                 Ok(()) = config.changed() => {
                     if let Some(config) = config.borrow_and_update().clone() {
                         events.push(Event::Config { config });
@@ -288,13 +291,6 @@
         }
     }
 
-    fn worker_changed(&mut self, change: Change, events: &mut Vec<Event>) {
-        for (name, error) in self.listing.take(change, events) {
-            event!(self.parts.log, Number::WorkerEntryInvalid, "worker" => name.to_string(),
-                "reason" => error.to_string());
-        }
-    }
-
     fn act(&mut self, action: Action) {
         let fleet = self.parts.fleet.clone();
         let events = self.events.clone();
@@ -302,9 +298,12 @@
         match action {
             Action::Start { target, start } => {
                 let planner = self.parts.planner.clone();
+                let metrics = self.parts.log.metrics().clone();
+                let decided = clock::now();
                 self.tasks.spawn(async move {
                     let run = start.run;
                     let wanted = lock(&planner).wants_start(&target, run);
+                    metrics.start_sent(clock::now().saturating_sub(decided));
                     let outcome = match wanted {
                         true => fleet.start(&target, start).await,
                         false => Err(Failure::Unsent),
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -52,6 +52,8 @@
 /// How long changes of the workers' directory are gathered: a leaving worker has to get nothing new
 /// after two seconds, and each look is a call that the platform counts.
 const DIRECTORY_GAP: Duration = Duration::from_millis(350);
+/// Connections for watching it.
+const DIRECTORY_CONNECTIONS: usize = 1;
 
 /// Serves until a stop is asked for.
 ///
@@ -64,7 +66,7 @@
     let client = Client::open(settings.limits.idle_connections());
     let keys = Keys::open(client.clone(), settings.platform.address);
     let health = Health::default();
-    let store = Measured::open(keys.clone(), log.metrics().clone(), health.clone());
+    let store = Measured::open(keys, log.metrics().clone(), health.clone());
     let in_force = config::spawn(store.clone(), health.clone(), log.clone());
     let planner = Arc::new(Mutex::new(Planner::open(figures(&settings))));
     let own = SocketAddr::new(settings.ip, settings.internal_ports.0);
@@ -113,7 +115,8 @@
     let cloud = settings.cloud.as_ref().and_then(|cloud| cloud.address);
     let parts = Parts {
         directory: Measured::open(
-            keys.with_watch_gap(DIRECTORY_GAP),
+            Keys::open(Client::open(DIRECTORY_CONNECTIONS), settings.platform.address)
+                .with_watch_gap(DIRECTORY_GAP),
             log.metrics().clone(),
             health.clone(),
         ),
--- a/bin/scheduler/src/watcher.rs
+++ b/bin/scheduler/src/watcher.rs
@@ -21,6 +21,9 @@
 /// Longest pause. All processes together then make a few calls a second to a store that is down.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// Changes that may wait for whoever follows them. Some thousand workers make that many in half a second.
+pub const QUEUE: usize = 1024;
+
 /// What a watcher tells.
 #[derive(Clone, Debug)]
 pub enum Change {
@@ -57,7 +60,7 @@
     health: Option<Health>,
     log: Log,
 ) -> mpsc::Receiver<Change> {
-    let (sender, receiver) = mpsc::channel(64);
+    let (sender, receiver) = mpsc::channel(QUEUE);
     let watcher =
         Watcher { store, prefix, after, sender, health, log, failing: false, asked: clock::now() };
     tokio::spawn(watcher.run());
--- /dev/null
+++ b/bin/scheduler/tests/directory.rs
@@ -0,0 +1,66 @@
+//! What of the workers' directory the owner is told. Load pattern: thousands of workers refresh entries that say
+//! nothing new.
+
+use std::time::Duration;
+
+use cowslipchute_base::amount::Amount;
+use cowslipchute_planner::event::Event;
+use cowslipchute_ports::executor::Registration;
+use cowslipchute_scheduler::directory::News;
+use yare::parameterized;
+
+const START: Duration = Duration::from_secs(100);
+
+fn registration() -> Registration {
+    Registration {
+        name: "w1".into(),
+        born: Some(1),
+        address: "10.0.0.1:80".parse().unwrap(),
+        service: "desk".into(),
+        domain: "d1".into(),
+        draining: false,
+        capacity: Amount { cpu_milli: 4000, memory_mib: 8000, accelerators: 0 },
+        labels: Default::default(),
+        rack: None,
+        cold: Duration::ZERO,
+    }
+}
+
+fn listed(registration: Registration) -> Event {
+    Event::Listed { registration }
+}
+
+#[test]
+fn a_refresh_that_says_nothing_new_is_told_once_in_a_while() {
+    let mut news = News::default();
+    let told = |news: &mut News, millis| {
+        news.is_news(START + Duration::from_millis(millis), &listed(registration()))
+    };
+    assert!(told(&mut news, 0));
+    assert!(!told(&mut news, 1500));
+    assert!(!told(&mut news, 3000));
+    assert!(told(&mut news, 4500), "its worker may have been forgotten meanwhile");
+    assert!(!told(&mut news, 6000));
+}
+
+#[parameterized(
+    leaving = { Registration { draining: true, ..registration() } },
+    shrunk = { Registration { capacity: Amount::ZERO, ..registration() } },
+    started_again = { Registration { born: Some(2), ..registration() } },
+    moved = { Registration { address: "10.0.0.2:80".parse().unwrap(), ..registration() } },
+    warmed_up = { Registration { cold: Duration::from_secs(1), ..registration() } },
+)]
+fn whatever_changes_is_told_at_once(changed: Registration) {
+    let mut news = News::default();
+    assert!(news.is_news(START, &listed(registration())));
+    assert!(news.is_news(START, &listed(changed.clone())));
+    assert!(!news.is_news(START, &listed(changed)));
+}
+
+#[test]
+fn a_worker_that_is_listed_again_is_told() {
+    let mut news = News::default();
+    assert!(news.is_news(START, &listed(registration())));
+    assert!(news.is_news(START, &Event::Unlisted { name: "w1".into() }));
+    assert!(news.is_news(START, &listed(registration())));
+}
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -152,6 +152,7 @@
     286 DomainEvacuated Warning "An operator has evacuated a failure domain: nothing more is started there; how many workers and runs it has is given.";
     287 DomainRestored Info "An operator has restored an evacuated failure domain.";
     288 EvacuationInvalid Warning "The text of an evacuation can't be read; its failure domain counts as evacuated.";
+    289 ThreadRefused Warning "The system refused a thread; its work is done on the main one, later under load.";
     300 ConfigApplied Info "A revision of the configuration is in force here.";
     301 ConfigIgnored Debug "An older revision of the configuration came and was ignored.";
     302 ConfigFromPeer Info "The configuration was learnt from a peer.";
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -234,6 +234,8 @@
             self.timers.insert((at, Timer::Hold(worker)));
         }
         if registration.draining && !was_draining {
+            let name = registration.name.clone();
+            self.note(Number::WorkerLeaving, None, None, Some(name), "");
             self.vacate(worker);
         }
     }
