--- a/bin/scheduler/src/directory.rs
+++ b/bin/scheduler/src/directory.rs
@@ -1,9 +1,9 @@
 //! Follows the workers' directory on a thread of its own, and hands on what is news.
 //!
 //! Load pattern: thousands of workers refresh their entries each second or two, in a cell whose owner has more orders
-//! and answers in a turn than it has processor time. Read between these, entries came up to twenty seconds late, and
-//! tasks were started on workers that were leaving. What closes a worker has to be known before a start, so entries are
-//! read beside the owner's turns, however long those are, and refreshes that say nothing new end here.
+//! and answers in a turn than it has processor time. Read between these, entries arrive seconds late, and tasks are
+//! started on workers that are leaving. What closes a worker has to be known before a start, so entries are read beside
+//! the owner's turns, however long those are, and refreshes that say nothing new end here.
 
 use std::collections::HashMap;
 use std::io;
