--- a/crates/e2e/src/bin/soak.rs
+++ b/crates/e2e/src/bin/soak.rs
@@ -52,6 +52,9 @@
         for broken in &report.broken {
             println!("    {broken}");
         }
+        if let Some(logs) = &report.logs {
+            println!("    logs: {}", logs.display());
+        }
         if !report.broken.is_empty() {
             failed += 1;
             println!("    faults: {}", report.faults.join("; "));
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -66,12 +66,16 @@
     pub workers: BTreeMap<String, Proxy>,
     client: Client,
     directory: PathBuf,
+    /// Whether the directory stays, with the logs of all processes.
+    keeps_logs: bool,
 }
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        // What can't be removed now is in the way of nothing.
-        let _ = fs::remove_dir_all(&self.directory);
+        if !self.keeps_logs {
+            // What can't be removed now is in the way of nothing.
+            let _ = fs::remove_dir_all(&self.directory);
+        }
     }
 }
 
@@ -95,6 +99,7 @@
             workers: BTreeMap::new(),
             client,
             directory,
+            keeps_logs: false,
         };
         for index in 0..workers {
             let name = format!("w{index}");
@@ -109,6 +114,12 @@
         Ok(deployment)
     }
 
+    /// Lets the logs of all processes outlive the deployment; returns their directory.
+    pub fn keep_logs(&mut self) -> PathBuf {
+        self.keeps_logs = true;
+        self.directory.clone()
+    }
+
     async fn add_worker(&mut self, machine: &str, capacity: Amount) -> Result<()> {
         self.site.add_worker(machine, capacity, "r1").await?;
         let address = self.site.address(machine).context("the worker was added")?;
--- a/crates/e2e/src/soak.rs
+++ b/crates/e2e/src/soak.rs
@@ -10,6 +10,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::path::PathBuf;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -71,6 +72,8 @@
     pub faults: Vec<String>,
     /// Promises that were broken.
     pub broken: Vec<String>,
+    /// Where the logs of all processes are kept, if one was.
+    pub logs: Option<PathBuf>,
 }
 
 /// What a client knows of its job.
@@ -319,6 +322,9 @@
         self.report.accepted = self.jobs.values().filter(|known| known.accepted).count();
         self.report.refused = refused.len();
         drop(state);
+        if !self.report.broken.is_empty() {
+            self.report.logs = Some(self.deployment.keep_logs());
+        }
         self.report
     }
 }
--- a/crates/e2e/tests/soak.rs
+++ b/crates/e2e/tests/soak.rs
@@ -15,7 +15,7 @@
     let plan = Plan { seed, span: Duration::from_secs(8), members: 3, workers: 3 };
     let report = runtime.block_on(soak::run(plan)).unwrap();
     assert!(report.accepted > 0, "nothing was taken in");
-    assert!(report.broken.is_empty(), "{:?}\nfaults: {:?}", report.broken, report.faults);
+    assert!(report.broken.is_empty(), "{report:#?}");
 }
 
 #[parameterized(
@@ -33,5 +33,5 @@
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
     let plan = Plan { seed, span: Duration::from_secs(15), members: 4, workers: 4 };
     let report = runtime.block_on(soak::run(plan)).unwrap();
-    assert!(report.broken.is_empty(), "{:?}\nfaults: {:?}", report.broken, report.faults);
+    assert!(report.broken.is_empty(), "{report:#?}");
 }
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -119,6 +119,7 @@
     restarted_late_hold = { "restarted_late_hold" },
     restarted_late_start = { "restarted_late_start" },
     restarted_owners = { "restarted_owners" },
+    restarted_twice_late = { "restarted_twice_late" },
     restarted_untold = { "restarted_untold" },
     restarted_rack = { "restarted_rack" },
     room_lost = { "room_lost" },
