Reclaim: a service is noted once in a placing pass, however many of its steps wait

Read again: each service step that waited to come back was looked through and its service noted anew, in every pass. Noted once it isn't looked for any more. The watchers' queue length is used in its own module alone.

--- a/bin/scheduler/src/watcher.rs
+++ b/bin/scheduler/src/watcher.rs
@@ -22,7 +22,7 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
 /// Changes that may wait for whoever follows them. Some thousand workers make that many in half a second.
-pub const QUEUE: usize = 1024;
+const QUEUE: usize = 1024;
 
 /// What a watcher tells.
 #[derive(Clone, Debug)]
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -135,11 +135,8 @@
     fn place_job(&mut self, job: JobId, pass: &mut Pass) {
         for step in self.jobs[&job].waiting_steps(job) {
             self.place_step(step, pass);
-            if !pass.mostly_free
-                && self.jobs[&job].spec(step.step).long_running
-                && self.reclaims(step)
-            {
-                pass.reclaiming.push(self.service(job));
+            if !pass.mostly_free && self.jobs[&job].spec(step.step).long_running {
+                self.note_reclaiming(step, &mut pass.reclaiming);
             }
         }
     }
--- a/crates/planner/src/reclaim.rs
+++ b/crates/planner/src/reclaim.rs
@@ -22,8 +22,16 @@
 const RECLAIM_TIME: Duration = Duration::from_secs(30);
 
 impl Planner {
+    /// Notes the service of a service step that lost jobs are to make way for, once.
+    pub(crate) fn note_reclaiming(&self, step: StepId, reclaiming: &mut Vec<id::Service>) {
+        let service = self.service(step.job);
+        if !reclaiming.contains(&service) && self.reclaims(step) {
+            reclaiming.push(service);
+        }
+    }
+
     /// Returns `true` if a task of a service step waits to come back and lost jobs are to make way for it.
-    pub(crate) fn reclaims(&self, step: StepId) -> bool {
+    fn reclaims(&self, step: StepId) -> bool {
         let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
         let mut tasks = state.into_iter().flat_map(|state| &state.tasks);
         let returns =
