A task whose start is outstanding is started again on that worker only

Cause: an unanswered start names a worker, not its incarnation. The first incarnation after it accounts for its runs without it, the task is started elsewhere, and the second one, cut off, carries the start out before its first order.

Ruled out: waiting for 12 s before the task is started elsewhere (four times what a task may wait); asking the incarnation that answers (the next one isn't it).

Fix: such a task is pinned to the worker until the start has expired and is started there again at once, ahead of the placing pass. Incarnations of one worker follow one another, so two runs there never overlap.

--- a/crates/planner/src/advice.rs
+++ b/crates/planner/src/advice.rs
@@ -51,6 +51,16 @@
 }
 
 impl Leave {
+    /// Adds the tickets of an answer before that are still valid.
+    fn and(mut self, earlier: Option<Leave>) -> Leave {
+        if let Some(earlier) = earlier {
+            self.until =
+                if self.tickets.is_empty() { earlier.until } else { self.until.min(earlier.until) };
+            self.tickets.extend(earlier.tickets);
+        }
+        self
+    }
+
     pub(crate) fn ticket(&self, worker: WorkerId) -> Option<Ticket> {
         self.tickets.get(&worker).cloned()
     }
@@ -75,7 +85,13 @@
         Vec::new()
     }
 
-    fn ask(&mut self, step: StepId, spec: &Step, advice: Advice, open: &[WorkerId]) {
+    /// Returns `true` if a step holds a valid ticket for a worker.
+    pub(crate) fn has_ticket(&self, step: StepId, worker: WorkerId) -> bool {
+        let leave = self.jobs[&step.job].step(step).and_then(|state| state.leave.as_ref());
+        leave.is_some_and(|leave| leave.until > self.now && leave.tickets.contains_key(&worker))
+    }
+
+    pub(crate) fn ask(&mut self, step: StepId, spec: &Step, advice: Advice, open: &[WorkerId]) {
         if self.asking.is_some() {
             return;
         }
@@ -116,11 +132,13 @@
             .collect();
         let last =
             if tickets.is_empty() { AGAIN } else { question.validity.saturating_sub(TICKET_SLACK) };
-        let until = self.now + last;
+        let now = self.now;
+        let until = now + last;
         self.timers.insert((until, Timer::Place));
         let job = self.jobs.get_mut(&step.job);
         if let Some(state) = job.and_then(|job| job.step_mut(step)) {
-            state.leave = Some(Leave { tickets, until });
+            let valid = state.leave.take().filter(|leave| leave.until > now);
+            state.leave = Some(Leave { tickets, until }.and(valid));
         }
     }
 
--- a/crates/planner/src/end.rs
+++ b/crates/planner/src/end.rs
@@ -97,7 +97,8 @@
         } else if how == How::Done && !lasts {
             self.complete(worker, run, current);
         } else if current {
-            let kept = checkpoint.or_else(|| hosted.and_then(|hosted| hosted.checkpoint));
+            let kept =
+                checkpoint.or_else(|| hosted.as_ref().and_then(|hosted| hosted.checkpoint.clone()));
             if kept.is_some() {
                 task.checkpoint = kept;
             }
@@ -109,6 +110,9 @@
             job.move_task(run.task, Place::Waiting);
             self.waiting.insert(run.task.job);
             self.timers.insert((restart_time(now, how), Timer::Place));
+            if let Some(hosted) = &hosted {
+                self.pin(worker, run, hosted);
+            }
             if gang {
                 self.stop_gang(run);
             }
--- a/crates/planner/src/gang.rs
+++ b/crates/planner/src/gang.rs
@@ -9,6 +9,7 @@
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::StepId;
+use cowslipchute_ports::job::TaskId;
 
 use crate::fit::Request;
 use crate::host::Why;
@@ -47,8 +48,9 @@
         let attempt = state.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
         let checkpoint = state.tasks.iter().find_map(|task| task.checkpoint.clone());
         let mut placed = Vec::with_capacity(spec.count as usize);
-        for index in 0..spec.count {
-            let task = step.task(index);
+        for task in self.pinned_first(step, spec.count) {
+            let only = self.is_pinned(task).then(|| self.pinned_open(task, open));
+            let open = only.as_deref().unwrap_or(open);
             let chosen = match starves {
                 true => self.cheapest(&Request::new(&self.model, task, spec), open),
                 false => self.choose(task, spec, open),
@@ -72,6 +74,19 @@
         true
     }
 
+    /// Returns the tasks of a step, those first that have only one worker to go to.
+    fn pinned_first(&self, step: StepId, count: u32) -> Vec<TaskId> {
+        let mut tasks: Vec<TaskId> = (0..count).map(|index| step.task(index)).collect();
+        tasks.sort_by_key(|&task| !self.is_pinned(task));
+        tasks
+    }
+
+    /// Returns the worker that a task is pinned to if it is among those that are open and holds no run of the task.
+    fn pinned_open(&self, task: TaskId, open: &[WorkerId]) -> Vec<WorkerId> {
+        let takes = |id: &WorkerId| open.contains(id) && !self.runs_there(*id, task);
+        self.pinned_worker(task).filter(takes).into_iter().collect()
+    }
+
     /// Takes back places that were given in this pass.
     fn undo(&mut self, placed: &[(WorkerId, Run)]) {
         for &(worker, run) in placed {
--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -133,10 +133,14 @@
         if state.answers() {
             return;
         }
-        if state.has_lapsed(self.now, &self.settings) && !state.runs.is_empty() {
-            let name = state.name.clone();
-            self.note(Number::WorkerLapsed, None, None, Some(name), "");
-            self.end_all(worker);
+        if state.has_lapsed(self.now, &self.settings) {
+            if !state.runs.is_empty() {
+                let name = state.name.clone();
+                self.note(Number::WorkerLapsed, None, None, Some(name), "");
+                self.end_all(worker);
+            }
+            // It has been silent for about as long as a start may take.
+            self.unpin_worker(worker);
         }
         self.timers.insert((self.now + LAPSE_CHECK, Timer::Lapse(worker)));
         self.drop_if_needless(worker);
@@ -242,6 +246,10 @@
         let known = matches!(hosted.stage, Stage::Running { .. });
         match hosted.stage {
             Stage::Starting { .. } | Stage::Inherited => {
+                if matches!(hosted.stage, Stage::Inherited) {
+                    // One of its starts has been carried out.
+                    hosted.starts_out = hosted.starts_out.saturating_sub(1);
+                }
                 hosted.stage = Stage::Running { since: now };
                 hosted.moved = now;
                 hosted.first_percent = running.percent;
@@ -272,6 +280,7 @@
             None => Hosted::stray(self.workers[worker].capacity, stage, self.now),
         };
         self.workers[worker].host(run, hosted);
+        self.pin_stray(worker, run);
         self.stop_run(worker, run, Why::Needless);
     }
 
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -94,6 +94,8 @@
     pub(crate) ordered: Option<Time>,
     /// Starts of it that no answer has settled: the worker's next incarnation may carry them out.
     pub(crate) starts_out: u32,
+    /// When the newest start of it was sent, by this owner or at the latest by an earlier one.
+    pub(crate) last_start: Time,
     /// Whether it was begun on an earlier incarnation, if at all, and this one hasn't accounted for it yet.
     pub(crate) carried_over: bool,
     pub(crate) percent: u8,
@@ -137,6 +139,7 @@
             proven: false,
             ordered: None,
             starts_out: 0,
+            last_start: Time::ZERO,
             carried_over: false,
             percent: 0,
             first_percent: 0,
@@ -159,9 +162,10 @@
         Hosted::new(&Step { demand: capacity, ..Step::default() }, stage, now)
     }
 
-    /// A run that an earlier owner placed.
+    /// A run that an earlier owner placed, whose start may be outstanding until the worker has listed it.
     pub(crate) fn inherited(step: &Step, now: Time) -> Hosted {
-        Hosted { paced: None, ..Hosted::new(step, Stage::Inherited, now) }
+        let hosted = Hosted::new(step, Stage::Inherited, now);
+        Hosted { paced: None, starts_out: 1, last_start: now, ..hosted }
     }
 
     /// Tells whether its pace has to be ordered.
--- a/crates/planner/src/incarnations.rs
+++ b/crates/planner/src/incarnations.rs
@@ -72,9 +72,9 @@
 
     /// Tells whether a start of a run may yet reach the next incarnation: one that went without an answer, or one of an
     /// earlier owner, which this incarnation hasn't been told to refuse.
-    fn may_start_late(&self, hosted: &Hosted) -> bool {
+    fn may_start_late(&self, hosted: &Hosted, now: Time) -> bool {
         let unfenced = matches!(self.contact, Contact::Unfenced { .. });
-        hosted.starts_out > 0 || (unfenced && matches!(hosted.stage, Stage::Inherited))
+        hosted.has_outstanding_start(now) || (unfenced && matches!(hosted.stage, Stage::Inherited))
     }
 
     /// The next incarnation at the same place; the directory has yet to tell what it has.
@@ -124,8 +124,9 @@
     fn end_absent(&mut self, worker: WorkerId) {
         let state = &self.workers[worker];
         let answered = !matches!(state.contact, Contact::Unfenced { .. });
-        if answered && state.runs.values().any(|hosted| state.may_start_late(hosted)) {
-            self.begin_next(worker, None, |state, _, hosted| state.may_start_late(hosted));
+        let now = self.now;
+        if answered && state.runs.values().any(|hosted| state.may_start_late(hosted, now)) {
+            self.begin_next(worker, None, |state, _, hosted| state.may_start_late(hosted, now));
         } else {
             self.end_incarnation(worker);
         }
@@ -139,7 +140,8 @@
     ) -> WorkerId {
         let Some(born) = registration.born else { return worker };
         if self.workers[worker].born.is_some_and(|known| known < born) {
-            let may_hold = |state: &Worker, _, hosted: &Hosted| state.may_start_late(hosted);
+            let now = self.now;
+            let may_hold = |state: &Worker, _, hosted: &Hosted| state.may_start_late(hosted, now);
             return self.begin_next(worker, Some(born), may_hold);
         }
         self.workers[worker].born = Some(born);
@@ -152,8 +154,9 @@
         let held: HashSet<Run> = running.chain(report.ended.iter().map(|end| end.run)).collect();
         // Where this was its first answer to this owner, it has been told to refuse the orders of all earlier ones.
         let fenced = matches!(self.workers[worker].contact, Contact::Unfenced { .. });
+        let now = self.now;
         self.begin_next(worker, report.born, |state, run, hosted| {
-            held.contains(&run) || (!fenced && state.may_start_late(hosted))
+            held.contains(&run) || (!fenced && state.may_start_late(hosted, now))
         });
     }
 
@@ -194,14 +197,7 @@
             _ => Stage::Inherited,
         };
         let stopping = matches!(stage, Stage::Stopping { .. });
-        let hosted = Hosted {
-            stage,
-            starts_out: 0,
-            carried_over: true,
-            paced: None,
-            pacing: false,
-            ..hosted
-        };
+        let hosted = Hosted { stage, carried_over: true, paced: None, pacing: false, ..hosted };
         self.workers[next].host(run, hosted);
         if stopping {
             self.schedule(next, run, Duration::ZERO);
@@ -251,6 +247,7 @@
         let over = self.count_crash(worker);
         self.end_all(worker);
         self.give_up_crashed(over);
+        self.unpin_worker(worker);
         self.forget_incarnation(worker);
     }
 
--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -440,6 +440,7 @@
             opened: self.opened,
             occurrences: open().map(|occurrence| occurrence.record(&name)).collect(),
             crashes: open().flat_map(Occurrence::crashes).collect(),
+            outstanding: Vec::new(),
         }
     }
 }
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -38,6 +38,7 @@
 mod order;
 mod pace;
 mod passed;
+mod pin;
 mod place;
 pub mod planner;
 mod probation;
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -157,6 +157,7 @@
         if let Some(hosted) = state.runs.get_mut(&run) {
             hosted.ordered.get_or_insert(self.now);
             hosted.starts_out += 1;
+            hosted.last_start = self.now;
         }
     }
 
--- /dev/null
+++ b/crates/planner/src/pin.rs
@@ -0,0 +1,206 @@
+//! Tasks that may be started on one worker only, since an earlier start of theirs is outstanding there.
+//!
+//! Failure pattern: a start goes unanswered, its worker restarts and accounts for its runs without it, and the task is
+//! started elsewhere. The worker restarts once more behind a partition. That incarnation hasn't been fenced yet, carries
+//! the old start out, and the task runs twice. Nothing recalls such a start, and waiting until it can't be carried out any
+//! more takes longer than a task may wait.
+//!
+//! So the task is *pinned* to the worker until the start has expired. It is started there again at once: a worker's
+//! incarnations follow one another, so two runs on them never overlap, and each incarnation lists a run that was carried out
+//! late before it is given another one. Pins are part of the job's record, so they outlive the owner.
+//!
+//! Only workers that tell when they started are restarted under their names. One that is leaving won't be, and one in an
+//! evacuated failure domain may not be given the task again: both release their tasks once they have been fenced.
+
+use std::time::Duration;
+
+use cowslipchute_base::id;
+use cowslipchute_base::id::Time;
+use cowslipchute_ports::executor::Run;
+use cowslipchute_ports::job::JobId;
+use cowslipchute_ports::job::Step;
+use cowslipchute_ports::job::StepId;
+use cowslipchute_ports::job::TaskId;
+
+use crate::fit::Request;
+use crate::host::Hosted;
+use crate::job::Place;
+use crate::job::Task;
+use crate::order::Timer;
+use crate::planner::Planner;
+use crate::record::Outstanding;
+use crate::sending::SENDING_LOOK;
+use crate::worker::Worker;
+use crate::worker::WorkerId;
+
+/// A start that went unanswered may be carried out until this long after it was sent.
+const START_EXPIRY: Duration = Duration::from_secs(12);
+
+/// Where a task may be started until its outstanding start has expired.
+#[derive(Clone, Debug)]
+pub(crate) struct Pin {
+    /// The worker's name: any later incarnation may carry the start out.
+    worker: id::Instance,
+    until: Time,
+}
+
+impl Hosted {
+    /// Returns `true` if a start of the run that went unanswered may still be carried out.
+    pub(crate) fn has_outstanding_start(&self, now: Time) -> bool {
+        self.starts_out > 0 && now < self.last_start + START_EXPIRY
+    }
+}
+
+impl Planner {
+    /// Pins a task whose run has left a worker, if a start of that run is outstanding.
+    pub(crate) fn pin(&mut self, worker: WorkerId, run: Run, hosted: &Hosted) {
+        if hosted.has_outstanding_start(self.now) {
+            self.pin_until(worker, run.task, hosted.last_start + START_EXPIRY);
+        }
+    }
+
+    /// Pins a task that waits while a worker runs it: an outstanding start was carried out there.
+    pub(crate) fn pin_stray(&mut self, worker: WorkerId, run: Run) {
+        let task = self.jobs.get(&run.task.job).and_then(|job| job.task(run.task));
+        if task.is_some_and(|task| task.place == Place::Waiting) {
+            self.pin_until(worker, run.task, self.now + START_EXPIRY);
+        }
+    }
+
+    fn pin_until(&mut self, worker: WorkerId, task: TaskId, until: Time) {
+        let Some(state) = self.workers.get(worker) else { return };
+        if state.born.is_none() || self.releases_pins(state) {
+            return;
+        }
+        self.pins.insert(task, Pin { worker: state.name.clone(), until });
+        self.timers.insert((until, Timer::Place));
+    }
+
+    /// Returns `true` if a worker's tasks may go elsewhere although their starts are outstanding.
+    fn releases_pins(&self, worker: &Worker) -> bool {
+        worker.answers() && (worker.draining || self.is_evacuated(worker))
+    }
+
+    pub(crate) fn is_pinned(&self, task: TaskId) -> bool {
+        self.pins.contains_key(&task)
+    }
+
+    /// Returns the worker that a task is pinned to; nothing while no incarnation of it is known.
+    pub(crate) fn pinned_worker(&self, task: TaskId) -> Option<WorkerId> {
+        self.names.get(&self.pins.get(&task)?.worker).copied()
+    }
+
+    /// Returns what the record of a job keeps of its pins.
+    pub(crate) fn outstanding(&self, job: JobId) -> Vec<Outstanding> {
+        let of_job = self.pins.iter().filter(|(task, _)| task.job == job);
+        of_job.map(|(task, pin)| Outstanding::new(*task, pin.worker.clone())).collect()
+    }
+
+    /// Pins the tasks that an earlier owner had pinned. Whenever it sent their starts, it was before this ownership.
+    pub(crate) fn restore_pins(&mut self, job: JobId, outstanding: &[Outstanding]) {
+        let until = self.now + START_EXPIRY;
+        for start in outstanding {
+            let pin = Pin { worker: start.worker.clone(), until };
+            self.pins.insert(start.task(job), pin);
+            self.timers.insert((until, Timer::Place));
+        }
+    }
+
+    pub(crate) fn unpin_job(&mut self, job: JobId) {
+        self.pins.retain(|task, _| task.job != job);
+    }
+
+    /// Releases the tasks that are pinned to a worker.
+    pub(crate) fn unpin_worker(&mut self, worker: WorkerId) {
+        let name = &self.workers[worker].name;
+        let before = self.pins.len();
+        self.pins.retain(|_, pin| pin.worker != *name);
+        self.room_changed |= self.pins.len() != before;
+    }
+
+    /// Starts pinned tasks again where they are pinned, ahead of everything else that might take their room there.
+    pub(crate) fn place_pinned(&mut self) {
+        self.unpin();
+        let waiting: Vec<TaskId> = self.pins.keys().copied().collect();
+        for task in waiting {
+            if !self.sending.allows(self.now) {
+                self.timers.insert((self.now + SENDING_LOOK, Timer::Place));
+                return;
+            }
+            self.place_pinned_task(task);
+        }
+    }
+
+    /// Releases tasks whose starts have expired, or whose workers won't carry them out.
+    fn unpin(&mut self) {
+        let mut pins = std::mem::take(&mut self.pins);
+        pins.retain(|task, pin| {
+            let worker = self.names.get(&pin.worker).and_then(|&id| self.workers.get(id));
+            self.now < pin.until
+                && self.jobs.contains_key(&task.job)
+                && !worker.is_some_and(|worker| self.releases_pins(worker))
+        });
+        self.pins = pins;
+    }
+
+    fn place_pinned_task(&mut self, task: TaskId) {
+        let Some(worker) = self.pinned_worker(task) else { return };
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let accepted = job.accepted.clone();
+        let waits = job.task(task).is_some_and(|state| state.is_ready(self.now));
+        let is_open = job.end.is_none() && job.step(task.step_id()).is_some_and(|step| step.open);
+        // A gang is placed as a whole.
+        let step = &accepted.spec.steps[usize::from(task.step)];
+        if waits && is_open && !step.gang {
+            self.start_again(task, worker, step);
+        }
+    }
+
+    fn start_again(&mut self, task: TaskId, worker: WorkerId, step: &Step) {
+        if !self.takes_back(worker, task.step_id()) || self.runs_there(worker, task) {
+            return;
+        }
+        if let Some(advice) = self.queue(task.job).and_then(|queue| queue.advice)
+            && !self.has_ticket(task.step_id(), worker)
+        {
+            // Tickets of the incarnation before are of no use to this one.
+            self.ask(task.step_id(), step, advice, &[worker]);
+            return;
+        }
+        if !self.may_begin(task, worker) {
+            return;
+        }
+        let request = Request::new(&self.model, task, step);
+        if self.has_room(&self.workers[worker], &request) {
+            self.intend(task, worker);
+            if step.fills {
+                self.refresh_beside(worker);
+            }
+        }
+    }
+
+    /// Returns `true` if a worker takes new tasks of a step's service.
+    fn takes_back(&self, worker: WorkerId, step: StepId) -> bool {
+        let state = &self.workers[worker];
+        self.is_open(state) && state.service == self.service(step.job)
+    }
+
+    /// Returns `true` if a worker still holds a run of a task, which may have been carried out late.
+    pub(crate) fn runs_there(&self, worker: WorkerId, task: TaskId) -> bool {
+        self.workers[worker].runs.keys().any(|run| run.task == task)
+    }
+
+    /// Returns `true` unless a task is on probation and the worker isn't isolated.
+    fn may_begin(&self, task: TaskId, worker: WorkerId) -> bool {
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let probation = state.filter(|state| state.is_on_probation());
+        probation.is_none_or(|state| !self.quiet(state.waiting_since, &[worker]).is_empty())
+    }
+}
+
+impl Task {
+    /// Returns `true` if it waits and may be started now.
+    pub(crate) fn is_ready(&self, now: Time) -> bool {
+        self.place == Place::Waiting && self.not_before <= now
+    }
+}
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -87,6 +87,7 @@
             self.begin_fills(&open);
         }
         self.look_at_share(open.iter().flat_map(|(_, workers)| workers).copied());
+        self.place_pinned();
         self.drop_reservations();
         self.use_reservations();
         let mut pass = Pass {
@@ -271,8 +272,9 @@
             return;
         }
         let Some(state) = self.jobs[&step.job].step(step) else { return };
-        let ready = |task: &&Task| task.place == Place::Waiting && task.not_before <= self.now;
-        let tasks = || (0..).zip(&state.tasks).filter(|(_, task)| ready(task));
+        let free = |index: u32| !self.is_pinned(step.task(index));
+        let ready = |&(index, task): &(u32, &Task)| task.is_ready(self.now) && free(index);
+        let tasks = || (0..).zip(&state.tasks).filter(ready);
         let trusted = tasks().find(|(_, task)| !task.is_on_probation());
         let Some((index, task)) = trusted.or_else(|| tasks().next()) else { return };
         let quiet = task.is_on_probation().then(|| self.quiet(task.waiting_since, open));
@@ -305,8 +307,9 @@
             .tasks
             .iter()
             .enumerate()
-            .filter(|(_, task)| task.place == Place::Waiting && task.not_before <= self.now)
-            .map(|(index, task)| (index as u32, task.attempt > 0))
+            .map(|(index, task)| (index as u32, task))
+            .filter(|(index, task)| task.is_ready(self.now) && !self.is_pinned(step.task(*index)))
+            .map(|(index, task)| (index, task.attempt > 0))
             .collect();
         tasks.sort_by_key(|&(_, ran)| !ran);
         let back = tasks.first().is_some_and(|&(_, ran)| ran);
@@ -358,7 +361,7 @@
         true
     }
 
-    fn queue(&self, job: JobId) -> Option<&Queue> {
+    pub(crate) fn queue(&self, job: JobId) -> Option<&Queue> {
         let config = self.config.as_ref()?;
         config.queue(&self.jobs[&job].accepted.queue)
     }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -1,6 +1,7 @@
 //! The planner: its state and its door. Each other module adds one duty.
 
 use std::borrow::Cow;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -15,6 +16,7 @@
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
+use cowslipchute_ports::job::TaskId;
 use foldhash::HashMap;
 
 use crate::action::Action;
@@ -28,6 +30,7 @@
 use crate::occurrence::Calendar;
 use crate::order::Timer;
 use crate::passed::Placements;
+use crate::pin::Pin;
 use crate::probation::Quiet;
 use crate::reservation::Reservation;
 use crate::reserve::Reserve;
@@ -99,6 +102,8 @@
     pub(crate) sending: Sending,
     /// When tasks that fill are placed again.
     pub(crate) fills_at: Time,
+    /// Tasks that may be started on one worker only ([`crate::pin`]).
+    pub(crate) pins: BTreeMap<TaskId, Pin>,
     /// Who was placed lately.
     pub(crate) placements: Placements,
     /// How often a worker was rated for a step that waits, in this ownership.
@@ -148,6 +153,7 @@
             rhythm: Rhythm::default(),
             fill_backlog: 0.0,
             fills_at: Time::ZERO,
+            pins: BTreeMap::new(),
             placements: Placements::default(),
             ratings: 0,
             waves: Waves::default(),
--- a/crates/planner/src/record.rs
+++ b/crates/planner/src/record.rs
@@ -15,8 +15,10 @@
 
 /// First byte of a stored value; another one is of a version that this program can't read.
 const VERSION: u8 = 1;
-/// The same of a job's record, which names incarnations of workers where the first version had their names.
-const RECORD_VERSION: u8 = 2;
+/// The same of a job's record.
+const RECORD_VERSION: u8 = 3;
+/// Records that name incarnations of workers where the first version had their names, and keep no outstanding starts.
+const UNPINNED_VERSION: u8 = 2;
 
 /// Attempts of a task that ended failed; few tasks have any.
 pub type Attempts = SmallVec<[id::Attempt; 2]>;
@@ -59,6 +61,49 @@
     pub occurrences: Vec<Occurrence>,
     /// The crashes of workers that are counted against tasks.
     pub crashes: Vec<Crashes>,
+    /// Starts that went unanswered and may still be carried out.
+    pub outstanding: Vec<Outstanding>,
+}
+
+/// A record as it was before outstanding starts were kept.
+#[derive(Deserialize)]
+struct Unpinned {
+    started: bool,
+    opened: u32,
+    occurrences: Vec<Occurrence>,
+    crashes: Vec<Crashes>,
+}
+
+impl From<Unpinned> for Record {
+    fn from(record: Unpinned) -> Record {
+        let Unpinned { started, opened, occurrences, crashes } = record;
+        Record { started, opened, occurrences, crashes, outstanding: Vec::new() }
+    }
+}
+
+/// What is kept of a start that went unanswered and may still be carried out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Outstanding {
+    /// The occurrence of its job.
+    pub occurrence: job::Occurrence,
+    /// Its step.
+    pub step: job::StepIndex,
+    /// Its place in the step.
+    pub index: id::TaskIndex,
+    /// The name of the worker that may carry it out, in whichever incarnation.
+    pub worker: id::Instance,
+}
+
+impl Outstanding {
+    pub(crate) fn new(task: job::TaskId, worker: id::Instance) -> Outstanding {
+        let job::TaskId { occurrence, step, index, .. } = task;
+        Outstanding { occurrence, step, index, worker }
+    }
+
+    pub(crate) fn task(&self, job: job::JobId) -> job::TaskId {
+        job::TaskId { job, occurrence: self.occurrence, step: self.step, index: self.index }
+    }
 }
 
 /// What is kept of a task that may crash its workers.
@@ -89,6 +134,7 @@
     pub fn decode(bytes: &[u8]) -> Result<Record, Error> {
         match bytes.split_first() {
             Some((&RECORD_VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+            Some((&UNPINNED_VERSION, rest)) => Ok(postcard::from_bytes::<Unpinned>(rest)?.into()),
             Some((&VERSION, rest)) => Ok(named::decode(rest)?),
             _ => Err(Error::Version),
         }
--- a/crates/planner/src/record/named.rs
+++ b/crates/planner/src/record/named.rs
@@ -59,7 +59,8 @@
     fn from(record: Record) -> super::Record {
         let Record { started, opened, occurrences, crashes } = record;
         let occurrences = occurrences.into_iter().map(super::Occurrence::from).collect();
-        super::Record { started, opened, occurrences, crashes }
+        let outstanding = Vec::new();
+        super::Record { started, opened, occurrences, crashes, outstanding }
     }
 }
 
--- a/crates/planner/src/reservation.rs
+++ b/crates/planner/src/reservation.rs
@@ -106,9 +106,11 @@
             return false;
         }
         let now = self.now;
-        let ready = |task: &Task| self.may_reserve(spec, task) && task.not_before <= now;
-        let Some(index) = state.tasks.iter().position(ready) else { return false };
-        let task = step.task(index as u32);
+        let ready = |&(index, task): &(u32, &Task)| {
+            self.may_reserve(spec, task) && task.is_ready(now) && !self.is_pinned(step.task(index))
+        };
+        let Some((index, _)) = (0..).zip(&state.tasks).find(ready) else { return false };
+        let task = step.task(index);
         let request = Request::new(&self.model, task, spec);
         if !self.may_take(&self.workers[worker], &request) || !self.sending.allows(now) {
             return false;
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -79,6 +79,7 @@
         self.asking = None;
         self.waves = Default::default();
         self.fills_at = id::Time::ZERO;
+        self.pins.clear();
         self.placements = Default::default();
         self.reservations.clear();
         self.quiet_first = None;
@@ -130,6 +131,7 @@
             }
         }
         state.open_steps();
+        self.restore_pins(job, &record.outstanding);
         for (run, worker) in placed {
             self.inherit(run, &worker);
         }
--- a/crates/planner/src/write.rs
+++ b/crates/planner/src/write.rs
@@ -15,8 +15,10 @@
 use crate::event::Batch;
 use crate::host::Order;
 use crate::host::Stage;
+use crate::job::Job;
 use crate::order::Timer;
 use crate::planner::Planner;
+use crate::record::Record;
 use crate::worker::Hold;
 use crate::worker::Worker;
 use crate::worker::WorkerId;
@@ -97,7 +99,7 @@
             jobs.push((job, state.version, state.end));
             changes.push(match state.end {
                 Some(state) => Change::End { job, state },
-                None => Change::Progress { job, record: state.record(|id| self.incarnation(id)) },
+                None => Change::Progress { job, record: self.record(job, state) },
             });
         }
         self.writing.last += 1;
@@ -112,6 +114,10 @@
         self.actions.push(Action::Write { batch, changes });
     }
 
+    fn record(&self, id: JobId, job: &Job) -> Record {
+        Record { outstanding: self.outstanding(id), ..job.record(|id| self.incarnation(id)) }
+    }
+
     fn incarnation(&self, worker: WorkerId) -> Option<Incarnation> {
         self.workers.get(worker).map(Worker::incarnation)
     }
@@ -145,6 +151,7 @@
             return;
         }
         self.writing.dirty.remove(&job);
+        self.unpin_job(job);
         self.ended.insert(job, state);
         self.ended_order.push_back((self.now + self.settings.remember, job));
         let detail = match state {
--- a/crates/planner/tests/record.rs
+++ b/crates/planner/tests/record.rs
@@ -3,6 +3,7 @@
 use cowslipchute_base::id;
 use cowslipchute_planner::record::Crashes;
 use cowslipchute_planner::record::Occurrence;
+use cowslipchute_planner::record::Outstanding;
 use cowslipchute_planner::record::Record;
 use cowslipchute_planner::record::Task;
 use cowslipchute_ports::executor::Incarnation;
@@ -15,7 +16,7 @@
     let task =
         Task { attempt: 2, worker: Some(incarnation(Some(1_780_000_000_000))), ..Task::default() };
     let occurrence = Occurrence { number: 0, steps: vec![vec![task]] };
-    Record { started: true, opened: 1, occurrences: vec![occurrence], crashes: Vec::new() }
+    Record { started: true, opened: 1, occurrences: vec![occurrence], ..Record::default() }
 }
 
 #[test]
@@ -26,6 +27,22 @@
     assert_eq!(Record::decode(&record.encode()).unwrap(), record);
 }
 
+#[test]
+fn outstanding_starts_are_kept() {
+    let start = Outstanding { occurrence: 0, step: 0, index: 0, worker: "w1".into() };
+    let record = Record { outstanding: vec![start], ..begun() };
+    assert_eq!(Record::decode(&record.encode()).unwrap(), record);
+}
+
+/// The record above as the second version wrote it.
+const UNPINNED: &[u8] =
+    b"\x02\x01\x01\x01\x00\x01\x01\x02\x00\x00\x01\x02w1\x01\x80\x90\x92\x82\xe73\x00\x00";
+
+#[test]
+fn a_record_of_before_outstanding_starts_were_kept_has_none() {
+    assert_eq!(Record::decode(UNPINNED).unwrap(), begun());
+}
+
 /// The record above as the first version wrote it, with an empty list of crashes at its end.
 const NAMED: &[u8] = b"\x01\x01\x01\x01\x00\x01\x01\x02\x00\x00\x01\x02w1\x00\x00";
 
