That a start went unanswered is in the record, so the next owner waits for it too

Cause: the owner whose starts went unanswered was killed; the next one knew only where the runs had been placed. While their worker restarted no machine was listed that runs it, so it was taken for over and the gang was started elsewhere. It came back behind a partition and carried the starts out.

Fix: a start whose answer stays out makes its job's record dirty, which names it; the next owner treats the run like its own with an unanswered start. Ruled out: treating every inherited run so, which would let all tasks of a worker lost for good wait for its deadline after each change of owner.

--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -94,6 +94,8 @@
     pub(crate) ordered: Option<Time>,
     /// Starts of it that no answer has settled: the worker's next incarnation may carry them out.
     pub(crate) starts_out: u32,
+    /// Whether the answer to one of them has stayed out, so that the store has to hold that it is outstanding.
+    pub(crate) unanswered: bool,
     /// When the newest start of it was sent, by this owner or at the latest by an earlier one.
     pub(crate) last_start: Time,
     /// Whether it was begun on an earlier incarnation, if at all, and this one hasn't accounted for it yet.
@@ -139,6 +141,7 @@
             proven: false,
             ordered: None,
             starts_out: 0,
+            unanswered: false,
             last_start: Time::ZERO,
             carried_over: false,
             percent: 0,
@@ -162,10 +165,10 @@
         Hosted::new(&Step { demand: capacity, ..Step::default() }, stage, now)
     }
 
-    /// A run that an earlier owner placed, whose start may be outstanding until the worker has listed it.
+    /// A run that an earlier owner placed.
     pub(crate) fn inherited(step: &Step, now: Time) -> Hosted {
         let hosted = Hosted::new(step, Stage::Inherited, now);
-        Hosted { paced: None, starts_out: 1, last_start: now, ..hosted }
+        Hosted { paced: None, last_start: now, ..hosted }
     }
 
     /// Tells whether its pace has to be ordered.
--- a/crates/planner/src/incarnations.rs
+++ b/crates/planner/src/incarnations.rs
@@ -122,11 +122,10 @@
 
     /// A machine runs a worker no more. It may start again under its name, and carry out what is on its way there.
     fn end_absent(&mut self, worker: WorkerId) {
-        let state = &self.workers[worker];
-        let answered = !matches!(state.contact, Contact::Unfenced { .. });
         let now = self.now;
-        if answered && state.runs.values().any(|hosted| state.may_start_late(hosted, now)) {
-            self.begin_next(worker, None, |state, _, hosted| state.may_start_late(hosted, now));
+        let is_out = |hosted: &Hosted| hosted.starts_out > 0 && hosted.has_outstanding_start(now);
+        if self.workers[worker].runs.values().any(is_out) {
+            self.begin_next(worker, None, |_, _, hosted| is_out(hosted));
         } else {
             self.end_incarnation(worker);
         }
--- a/crates/planner/src/order.rs
+++ b/crates/planner/src/order.rs
@@ -196,10 +196,15 @@
         let name = &target.name;
         let now = self.now;
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
-        if outcome != Err(Failure::Unknown) {
+        let stage = hosted.stage;
+        if outcome == Err(Failure::Unknown) {
+            hosted.unanswered = true;
+            self.touch(run.task.job);
+        } else {
             hosted.starts_out = hosted.starts_out.saturating_sub(1);
         }
-        let Stage::Starting { order: Order::Sent, unsettled } = hosted.stage else {
+        let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
+        let Stage::Starting { order: Order::Sent, unsettled } = stage else {
             // It is being stopped; that settles it.
             return;
         };
--- a/crates/planner/src/pin.rs
+++ b/crates/planner/src/pin.rs
@@ -24,6 +24,7 @@
 
 use crate::fit::Request;
 use crate::host::Hosted;
+use crate::host::Stage;
 use crate::job::Place;
 use crate::job::Task;
 use crate::order::Timer;
@@ -45,9 +46,11 @@
 }
 
 impl Hosted {
-    /// Returns `true` if a start of the run that went unanswered may still be carried out.
+    /// Returns `true` if a start of the run that went unanswered may still be carried out. Of one that an earlier owner
+    /// placed nobody knows, until the worker has listed it.
     pub(crate) fn has_outstanding_start(&self, now: Time) -> bool {
-        self.starts_out > 0 && now < self.last_start + START_EXPIRY
+        let is_out = self.starts_out > 0 || matches!(self.stage, Stage::Inherited);
+        is_out && now < self.last_start + START_EXPIRY
     }
 }
 
@@ -92,8 +95,24 @@
 
     /// Returns what the record of a job keeps of its pins.
     pub(crate) fn outstanding(&self, job: JobId) -> Vec<Outstanding> {
-        let of_job = self.pins.iter().filter(|(task, _)| task.job == job);
-        of_job.map(|(task, pin)| Outstanding::new(*task, pin.worker.clone())).collect()
+        let pins = self.pins.iter().filter(|(task, _)| task.job == job);
+        let pinned = pins.map(|(task, pin)| Outstanding::new(*task, pin.worker.clone()));
+        let unanswered = self.unanswered(job).filter(|start| !self.is_pinned(start.task(job)));
+        pinned.chain(unanswered).collect()
+    }
+
+    /// Returns the starts of runs in their places that went unanswered.
+    fn unanswered(&self, job: JobId) -> impl Iterator<Item = Outstanding> {
+        let steps = self.jobs.get(&job).into_iter().flat_map(move |state| state.steps(job));
+        let tasks =
+            steps.flat_map(|(step, state)| (0..).map(move |at| step.task(at)).zip(&state.tasks));
+        tasks.filter_map(|(id, task)| {
+            let Place::At(worker) = task.place else { return None };
+            let worker = self.workers.get(worker)?;
+            let hosted = worker.runs.get(&Run { task: id, attempt: task.attempt })?;
+            let outstanding = hosted.unanswered && hosted.has_outstanding_start(self.now);
+            outstanding.then(|| Outstanding::new(id, worker.name.clone()))
+        })
     }
 
     /// Pins the tasks that an earlier owner had pinned. Whenever it sent their starts, it was before this ownership.
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -147,7 +147,13 @@
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
         let crashes = job.task(run.task).map_or(0, |task| task.crashed.len());
-        let hosted = Hosted { crashes, ..Hosted::inherited(job.spec(run.task.step), now) };
+        let unanswered = self.pins.contains_key(&run.task);
+        let hosted = Hosted {
+            crashes,
+            unanswered,
+            starts_out: u32::from(unanswered),
+            ..Hosted::inherited(job.spec(run.task.step), now)
+        };
         job.move_task(run.task, Place::At(worker));
         self.workers[worker].host(run, hosted);
     }
--- a/crates/planner/tests/interleavings.rs
+++ b/crates/planner/tests/interleavings.rs
@@ -369,8 +369,31 @@
     ]
 }
 
+/// Two starts of a gang stay out, their worker restarts behind a partition after its owner was killed, and carries them out
+/// there: the next owner has started the gang elsewhere, since no machine was listed that runs the worker.
+fn starts_out_over_owners() -> Vec<Step> {
+    vec![
+        Step::Wait(171),
+        Step::Submit { width: 1, chain: 1, time: 361, kind: 0 },
+        Step::Late(1, 2, 2856),
+        Step::Wait(10),
+        Step::Submit { width: 4, chain: 1, time: 136, kind: 4 },
+        Step::Wait(1086),
+        Step::Cut(1),
+        Step::Wait(351),
+        Step::Wait(191),
+        Step::Wait(171),
+        Step::RestartRack(true, 886),
+        Step::Wait(391),
+        Step::Wait(166),
+        Step::Wait(151),
+        Step::Owners(2, 926),
+    ]
+}
+
 #[parameterized(
     culprits_beside_waves = { culprits_and_waves() },
+    starts_out_unlisted = { starts_out_over_owners() },
     suspects_everywhere = { suspects_on_every_worker() },
 )]
 fn a_case_that_failed_once_keeps_every_promise(steps: Vec<Step>) {
