A job's end is told when it is decided, not only once the store's answer has come

Cause: JobEnded waits for the store's answer. An owner killed between the two says nothing, and the next one finds the end in the store, where the job is loaded no more.

Event 290 (JobEnding) is written when the end is decided, before its write is sent.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -153,6 +153,7 @@
     287 DomainRestored Info "An operator has restored an evacuated failure domain.";
     288 EvacuationInvalid Warning "The text of an evacuation can't be read; its failure domain counts as evacuated.";
     289 ThreadRefused Warning "The system refused a thread; its work is done on the main one, later under load.";
+    290 JobEnding Info "The end of a job is decided and on its way to the store: an owner that dies then doesn't tell that it is there.";
     300 ConfigApplied Info "A revision of the configuration is in force here.";
     301 ConfigIgnored Debug "An older revision of the configuration came and was ignored.";
     302 ConfigFromPeer Info "The configuration was learnt from a peer.";
--- a/crates/planner/src/end.rs
+++ b/crates/planner/src/end.rs
@@ -18,6 +18,7 @@
 use crate::order::Timer;
 use crate::planner::Planner;
 use crate::worker::WorkerId;
+use crate::write::end_text;
 
 /// Pause before a task that failed is tried again, so that one that fails at once doesn't spin.
 const FAILED_PAUSE: Duration = Duration::from_millis(50);
@@ -39,6 +40,7 @@
         }
         self.waiting.remove(&job);
         self.touch(job);
+        self.note(Number::JobEnding, Some(job), None, None, end_text(state));
         for (worker, run) in places {
             self.stop_run(worker, run, Why::Needless);
         }
--- a/crates/planner/src/write.rs
+++ b/crates/planner/src/write.rs
@@ -154,14 +154,7 @@
         self.unpin_job(job);
         self.ended.insert(job, state);
         self.ended_order.push_back((self.now + self.settings.remember, job));
-        let detail = match state {
-            State::Completed => "completed",
-            State::Failed => "failed",
-            State::Cancelled => "cancelled",
-            State::Crashed => "crashed",
-            State::Queued | State::Active => "not ended",
-        };
-        self.note(Number::JobEnded, Some(job), None, None, detail);
+        self.note(Number::JobEnded, Some(job), None, None, end_text(state));
     }
 
     pub(crate) fn forget_ended(&mut self) {
@@ -205,3 +198,13 @@
         }
     }
 }
+
+pub(crate) fn end_text(state: State) -> &'static str {
+    match state {
+        State::Completed => "completed",
+        State::Failed => "failed",
+        State::Cancelled => "cancelled",
+        State::Crashed => "crashed",
+        State::Queued | State::Active => "not ended",
+    }
+}
