A crash counts once, by what explains it; an undated one is doubtful, and failed starts count after the third

A crash is not conclusive if another machine crashed within 200 ms without an explanation. An attempt counts once. What has begun since explains a crash better than a suspect that has worked for a second. After three crashes failed runs count too.

--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use cowslipchute_base::event::Event as Number;
+use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::JobId;
@@ -32,11 +33,12 @@
 use crate::worker::Worker;
 use crate::worker::WorkerId;
 
-/// Crashes in a row after which a job is given up. Two may be due to neighbours; the last isn't.
+/// Crashes in a row after which a job is given up, if the last one is conclusive.
 const CRASHES: usize = 3;
-/// The same where the last crash may have had another cause: the worker may have been dead before the start or have
-/// outlived it for a moment, or the start is an earlier owner's.
-const UNSURE_CRASHES: usize = 4;
+/// Starts of a task that crashes its workers that are allowed after [`CRASHES`].
+const STARTS_MORE: usize = 2;
+/// Crashes of several machines within this span may have one cause.
+const COINCIDENCE: Duration = Duration::from_millis(200);
 /// A worker that is known to have outlived a start for this long may well have crashed by itself.
 pub(crate) const SURE_TIME: Duration = Duration::from_millis(100);
 /// How long a worker that has a task on probation may let a hold wait.
@@ -51,7 +53,38 @@
 /// How long a crash speaks against the machine.
 pub(crate) const MACHINE_MEMORY: Duration = Duration::from_secs(20);
 /// A worker that answered this long before a start which it didn't answer was alive when the start was sent.
-const ALIVE_WITHIN: Duration = Duration::from_millis(300);
+const ALIVE_WITHIN: Duration = Duration::from_millis(100);
+
+/// How far a crash of its worker speaks against a run that may have caused it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evidence {
+    /// Nobody knows when the run began, if it did: an earlier owner placed it, and it was never listed to this one.
+    Doubtful,
+    /// The run isn't the only one that may have caused it, its worker may have outlived its start, or another machine crashed
+    /// at the same moment.
+    Circumstantial,
+    /// Nothing but the run explains it.
+    Conclusive,
+}
+
+impl Evidence {
+    /// Returns how many crashes in a row are enough to give a job up, the last of which speaks so far against it.
+    fn crashes(self) -> usize {
+        match self {
+            Evidence::Conclusive => CRASHES,
+            Evidence::Circumstantial => CRASHES + 1,
+            Evidence::Doubtful => CRASHES + STARTS_MORE,
+        }
+    }
+}
+
+/// The last crash of a machine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Crash {
+    pub(crate) at: Time,
+    /// Whether a run was shown to have caused it.
+    explained: bool,
+}
 
 impl Hosted {
     /// Tells whether its worker may have begun it.
@@ -88,12 +121,30 @@
 }
 
 impl Task {
+    /// Counts a run that ended failed; returns `true` if the task may not be started once more. After [`CRASHES`] such a run
+    /// counts like one that crashed its worker.
+    pub(crate) fn spend_start(&mut self, attempt: id::Attempt) -> bool {
+        if self.crashed.len() >= CRASHES && !self.crashed.contains(&attempt) {
+            self.crashed.push(attempt);
+        }
+        self.crashed.len() >= CRASHES + STARTS_MORE
+    }
+
     /// Tells whether the next crash under it may be the last.
     pub(crate) fn is_on_probation(&self) -> bool {
         is_on_probation(self.crashed.len())
     }
 }
 
+/// Returns when a run was begun at the latest, if that is known: not of one that an earlier owner placed and that was
+/// never listed to this one.
+fn begun(hosted: &Hosted) -> Option<Time> {
+    hosted.ordered.or(match hosted.stage {
+        Stage::Running { since } => Some(since),
+        _ => None,
+    })
+}
+
 fn is_on_probation(crashes: usize) -> bool {
     crashes + 1 >= CRASHES
 }
@@ -102,11 +153,7 @@
     /// Returns for how long it is known to have outlived the start of a run; none at all for one that an earlier
     /// owner placed and that was never listed to this one.
     fn outlived(&self, hosted: &Hosted) -> Duration {
-        let begun = hosted.ordered.or(match hosted.stage {
-            Stage::Running { since } => Some(since),
-            _ => None,
-        });
-        let (Some(answer), Some(begun)) = (self.heard, begun) else {
+        let (Some(answer), Some(begun)) = (self.heard, begun(hosted)) else {
             return Duration::ZERO;
         };
         answer.saturating_sub(begun)
@@ -136,12 +183,29 @@
                 .filter(move |(_, hosted)| hosted.may_have_begun() && self.outlived(hosted) < span)
         };
         let is_suspect = |(_, hosted): &(&Run, &Hosted)| hosted.crashes > 0;
-        let young = if within(START_TIME).next().is_some() { START_TIME } else { CLEARED_AFTER };
-        let suspects = within(CLEARED_AFTER).filter(is_suspect);
+        // What has begun just before explains a crash better than a suspect that had worked for a while. A run of which
+        // nobody knows when it began explains nothing.
+        let is_dated = |(_, hosted): &(&Run, &Hosted)| begun(hosted).is_some();
+        let (young, suspected) = match within(START_TIME).find(is_dated) {
+            Some(_) => (START_TIME, APART_TIME),
+            None => (CLEARED_AFTER, CLEARED_AFTER),
+        };
+        let suspects = within(suspected).filter(is_suspect);
         let fresh = within(young).filter(|row| !is_suspect(row));
         suspects.chain(fresh).map(|(run, _)| *run).collect()
     }
 
+    /// Returns how far its crash speaks against a run, one of those that may have caused it.
+    fn evidence(&self, run: Run, candidates: &[Run], is_coincident: bool) -> Evidence {
+        if begun(&self.runs[&run]).is_none() {
+            Evidence::Doubtful
+        } else if self.points_at_one(candidates) && !is_coincident {
+            Evidence::Conclusive
+        } else {
+            Evidence::Circumstantial
+        }
+    }
+
     /// Tells whether its crash speaks against one job alone: nothing else may have caused it, nor was a suspect of
     /// another job there that isn't cleared; and it was alive when this owner started the run.
     fn points_at_one(&self, candidates: &[Run]) -> bool {
@@ -170,37 +234,56 @@
         }
         self.note_crash(worker);
         let state = &self.workers[worker];
-        if let Some(address) = state.address {
-            let now = self.now;
-            self.crashed_at.retain(|_, at| now < *at + MACHINE_MEMORY);
-            self.crashed_at.insert(address, now);
-        }
         let candidates = state.may_have_crashed();
-        let most = if state.points_at_one(&candidates) { CRASHES } else { UNSURE_CRASHES };
+        let is_coincident = self.is_coincident(state);
+        let evidence: Vec<Evidence> =
+            candidates.iter().map(|&run| state.evidence(run, &candidates, is_coincident)).collect();
+        self.remember_crash(worker, evidence.contains(&Evidence::Conclusive));
         let mut over = Vec::new();
-        for run in candidates {
-            if self.suspect(worker, run) >= most && !over.contains(&run.task.job) {
+        for (run, evidence) in candidates.into_iter().zip(evidence) {
+            if self.suspect(worker, run, evidence) && !over.contains(&run.task.job) {
                 over.push(run.task.job);
             }
         }
         over
     }
 
-    /// Counts a crash against a task; returns how many are.
-    fn suspect(&mut self, worker: WorkerId, run: Run) -> usize {
-        let Some(job) = self.jobs.get_mut(&run.task.job) else { return 0 };
+    /// Returns `true` if a worker's crash may share its cause with that of another machine just before, which no run was
+    /// shown to have caused.
+    fn is_coincident(&self, worker: &Worker) -> bool {
+        self.crashed_at.iter().any(|(address, crash)| {
+            let is_other = worker.address != Some(*address);
+            is_other && !crash.explained && self.now < crash.at + COINCIDENCE
+        })
+    }
+
+    fn remember_crash(&mut self, worker: WorkerId, explained: bool) {
+        let now = self.now;
+        let Some(address) = self.workers[worker].address else { return };
+        self.crashed_at.retain(|_, crash| now < crash.at + MACHINE_MEMORY);
+        self.crashed_at.insert(address, Crash { at: now, explained });
+    }
+
+    /// Counts a crash against a task; returns `true` if its job is to be given up.
+    fn suspect(&mut self, worker: WorkerId, run: Run, evidence: Evidence) -> bool {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else { return false };
         let current = |task: &Task| task.place == Place::At(worker) && task.attempt == run.attempt;
         if job.end.is_some() || !job.task(run.task).is_some_and(current) {
-            return 0;
+            return false;
+        }
+        let task = job.task_mut(run.task);
+        if task.crashed.contains(&run.attempt) {
+            // Counted by an earlier owner, which didn't live to place the task again.
+            return false;
         }
-        let crashed = &mut job.task_mut(run.task).crashed;
-        crashed.push(run.attempt);
-        let count = crashed.len();
+        task.crashed.push(run.attempt);
+        let count = task.crashed.len();
+        let is_enough = count >= evidence.crashes();
         let name = self.workers[worker].name.clone();
         self.touch(run.task.job);
         let detail = format!("{count} of {CRASHES}");
         self.note(Number::TaskSuspected, Some(run.task.job), Some(run), Some(name), detail);
-        count
+        is_enough
     }
 
     /// Gives jobs up whose tasks crash workers.
--- a/crates/planner/src/end.rs
+++ b/crates/planner/src/end.rs
@@ -94,6 +94,7 @@
         }
         let failures = counting.failed.len() as u32;
         let task = job.task_mut(run.task);
+        let spent = how == How::Failed && task.spend_start(run.attempt);
         if how == How::Done && !lasts && gang {
             self.complete_gang(worker, run);
         } else if how == How::Done && !lasts {
@@ -121,7 +122,9 @@
         }
         self.touch(run.task.job);
         let job = &self.jobs[&run.task.job];
-        if !lasts && failures >= job.terms.max_attempts {
+        if spent {
+            self.finish(run.task.job, State::Crashed);
+        } else if !lasts && failures >= job.terms.max_attempts {
             self.finish(run.task.job, State::Failed);
         } else if job.is_done() {
             self.finish(run.task.job, State::Completed);
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -23,6 +23,7 @@
 use crate::action::Note;
 use crate::advice::Question;
 pub use crate::census::Census;
+use crate::crash::Crash;
 use crate::event::Event;
 use crate::interfere::Model;
 use crate::job::Job;
@@ -69,8 +70,8 @@
     pub(crate) names: HashMap<id::Instance, WorkerId>,
     /// How many incarnations have ended or were forgotten in this ownership.
     pub(crate) incarnations_ended: u32,
-    /// When an incarnation at an address last ended without notice, as far as that is remembered.
-    pub(crate) crashed_at: HashMap<SocketAddr, Time>,
+    /// The last crash at each address, as far as that is remembered.
+    pub(crate) crashed_at: HashMap<SocketAddr, Crash>,
     /// Entries of the directory whose service the configuration doesn't name.
     pub(crate) strangers: HashMap<id::Instance, Registration>,
     /// Mean work of each queue's jobs, in core-seconds.
--- a/crates/planner/src/probation.rs
+++ b/crates/planner/src/probation.rs
@@ -86,8 +86,8 @@
     }
 
     fn has_crashed_lately(&self, worker: &Worker) -> bool {
-        let at = worker.address.and_then(|address| self.crashed_at.get(&address));
-        at.is_some_and(|&at| self.now < at + MACHINE_MEMORY)
+        let last = worker.address.and_then(|address| self.crashed_at.get(&address));
+        last.is_some_and(|crash| self.now < crash.at + MACHINE_MEMORY)
     }
 
     /// Returns since when the task of a step on probation has waited that has for the longest, if one waits.
--- a/crates/planner/tests/interleavings.rs
+++ b/crates/planner/tests/interleavings.rs
@@ -369,6 +369,50 @@
     ]
 }
 
+/// A rack restarts and its owner is killed before it has placed the rack's tasks again: the next owner counts the same
+/// crash once more, and a job is given up whose tasks crashed no worker.
+fn crash_counted_by_two_owners() -> Vec<Step> {
+    vec![
+        Step::Wait(716),
+        Step::Submit { width: 3, chain: 1, time: 1201, kind: 1 },
+        Step::Unlisted(true),
+        Step::Wait(361),
+        Step::RestartRack(false, 26),
+        Step::Rebirth(0),
+        Step::Wait(196),
+        Step::Submit { width: 1, chain: 1, time: 1340, kind: 0 },
+        Step::Fail(1),
+        Step::Culprit { width: 2, at: 1, after: 10, kind: 2 },
+        Step::KillOwner,
+        Step::Submit { width: 1, chain: 1, time: 1340, kind: 0 },
+        Step::Submit { width: 4, chain: 1, time: 1340, kind: 0 },
+        Step::Wait(10),
+        Step::Rebirth(2),
+    ]
+}
+
+/// A task on probation has worked for a second when a culprit begins beside it: their worker's crash counts against both,
+/// again and again, and a job is given up whose tasks crashed no worker.
+fn crash_of_a_later_start() -> Vec<Step> {
+    vec![
+        Step::Submit { width: 2, chain: 1, time: 51, kind: 0 },
+        Step::Slow(2),
+        Step::Wait(931),
+        Step::Submit { width: 1, chain: 3, time: 1021, kind: 3 },
+        Step::Culprit { width: 4, at: 1, after: 206, kind: 4 },
+        Step::Submit { width: 1, chain: 1, time: 1390, kind: 3 },
+        Step::Cut(3),
+        Step::Unlisted(true),
+        Step::Late(0, 1, 500),
+        Step::Wait(2956),
+        Step::Culprit { width: 2, at: 1, after: 21, kind: 0 },
+        Step::Wait(86),
+        Step::Owners(4, 1021),
+        Step::Owners(3, 1051),
+        Step::Culprit { width: 3, at: 2, after: 10, kind: 0 },
+    ]
+}
+
 /// Two starts of a gang stay out, their worker restarts behind a partition after its owner was killed, and carries them out
 /// there: the next owner has started the gang elsewhere, since no machine was listed that runs the worker.
 fn starts_out_over_owners() -> Vec<Step> {
@@ -392,6 +436,8 @@
 }
 
 #[parameterized(
+    crash_counted_twice = { crash_counted_by_two_owners() },
+    crash_of_another = { crash_of_a_later_start() },
     culprits_beside_waves = { culprits_and_waves() },
     starts_out_unlisted = { starts_out_over_owners() },
     suspects_everywhere = { suspects_on_every_worker() },
