Planner's world: a machine in maintenance isn't started by a restart that was pending

Cause, by its trace: the world's own. A restart is pending when another incarnation takes the worker's place; that one is sent down for its upkeep, and the pending restart brings it back within the same millisecond. The planner sees the machine up and takes the next one. The platform keeps a machine down for its maintenance, so the case can't occur; the check is as it was.

--- a/crates/planner/tests/world/restarts.rs
+++ b/crates/planner/tests/world/restarts.rs
@@ -43,6 +43,10 @@
         let due: Vec<String> = due.map(|(machine, _)| machine.clone()).collect();
         for machine in due {
             self.restarts.back.remove(&machine);
+            if self.machines.is_off(&machine) {
+                // Its maintenance began after another incarnation had taken its place.
+                continue;
+            }
             let Some(worker) = self.workers.get_mut(&machine).filter(|worker| !worker.up) else {
                 continue;
             };
