A run whose start went unanswered isn't dated by when it was ordered

Cause: a late start was carried out a second after it was ordered and crashed its worker. The worker had answered meanwhile, so it counted as having outlived the run, and the crash wasn't counted against its task.

Fix: until its worker lists it, such a run is undated: it is counted, and as doubtful.

--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -136,13 +136,14 @@
     }
 }
 
-/// Returns when a run was begun at the latest, if that is known: not of one that an earlier owner placed and that was
-/// never listed to this one.
+/// Returns when a run was begun at the latest, if that is known: neither of one whose start went unanswered, which may be
+/// carried out at any time, nor of one that an earlier owner placed, until their worker has listed them.
 fn begun(hosted: &Hosted) -> Option<Time> {
-    hosted.ordered.or(match hosted.stage {
-        Stage::Running { since } => Some(since),
-        _ => None,
-    })
+    match hosted.stage {
+        Stage::Starting { unsettled: true, .. } => None,
+        Stage::Running { since } => Some(hosted.ordered.unwrap_or(since)),
+        _ => hosted.ordered,
+    }
 }
 
 fn is_on_probation(crashes: usize) -> bool {
