Unanswered starts are recorded only for workers that may restart under their names

Found by reading the change: a start without an answer on a worker that doesn't tell when it started was recorded too, and the next owner pinned its task for twelve seconds, though such a worker's next incarnation has another name and refuses the call.

--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/crash.rs
@@ -58,7 +58,8 @@
 /// How far a crash of its worker speaks against a run that may have caused it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Evidence {
-    /// Nobody knows when the run began, if it did: an earlier owner placed it, and it was never listed to this one.
+    /// Nobody knows when the run began, if it did: its worker has never listed it to this owner, and an earlier owner placed
+    /// it or its start went unanswered.
     Doubtful,
     /// The run isn't the only one that may have caused it, its worker may have outlived its start, or another machine crashed
     /// at the same moment.
--- a/crates/planner/src/pin.rs
+++ b/crates/planner/src/pin.rs
@@ -101,7 +101,7 @@
         pinned.chain(unanswered).collect()
     }
 
-    /// Returns the starts of runs in their places that went unanswered.
+    /// Returns the starts of runs in their places that went unanswered, on workers that may be restarted under their names.
     fn unanswered(&self, job: JobId) -> impl Iterator<Item = Outstanding> {
         let steps = self.jobs.get(&job).into_iter().flat_map(move |state| state.steps(job));
         let tasks =
@@ -110,8 +110,8 @@
             let Place::At(worker) = task.place else { return None };
             let worker = self.workers.get(worker)?;
             let hosted = worker.runs.get(&Run { task: id, attempt: task.attempt })?;
-            let outstanding = hosted.unanswered && hosted.has_outstanding_start(self.now);
-            outstanding.then(|| Outstanding::new(id, worker.name.clone()))
+            let is_out = hosted.unanswered && hosted.has_outstanding_start(self.now);
+            (is_out && worker.born.is_some()).then(|| Outstanding::new(id, worker.name.clone()))
         })
     }
 
