--- a/crates/planner/src/gang.rs
+++ b/crates/planner/src/gang.rs
@@ -28,11 +28,7 @@
         starves: bool,
     ) -> bool {
         let Some(state) = self.jobs[&step.job].step(step) else { return false };
-        let ready = state
-            .tasks
-            .iter()
-            .all(|task| task.place == Place::Waiting && task.not_before <= self.now);
-        if !ready {
+        if !state.tasks.iter().all(|task| task.is_ready(self.now)) {
             return false;
         }
         let since = self.probation_since(step);
--- a/crates/planner/src/pin.rs
+++ b/crates/planner/src/pin.rs
@@ -125,10 +125,6 @@
         }
     }
 
-    pub(crate) fn unpin_job(&mut self, job: JobId) {
-        self.pins.retain(|task, _| task.job != job);
-    }
-
     /// Releases the tasks that are pinned to a worker.
     pub(crate) fn unpin_worker(&mut self, worker: WorkerId) {
         let name = &self.workers[worker].name;
--- a/crates/planner/src/write.rs
+++ b/crates/planner/src/write.rs
@@ -151,7 +151,6 @@
             return;
         }
         self.writing.dirty.remove(&job);
-        self.unpin_job(job);
         self.ended.insert(job, state);
         self.ended_order.push_back((self.now + self.settings.remember, job));
         self.note(Number::JobEnded, Some(job), None, None, end_text(state));
