Planner's world: a run that crashes its worker between two looks counts as begun

The watch for idle jobs looks every 50 ms, and a culprit crashes its worker 10 ms after its start: the start was missed, and two waits with a start between them counted as one.

Bounds and what counts as room are as before.

--- a/crates/planner/tests/world/idle.rs
+++ b/crates/planner/tests/world/idle.rs
@@ -1,6 +1,7 @@
 //! How long jobs have nothing at work beside room that is free for them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use cowslipchute_base::amount::Amount;
@@ -24,6 +25,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Watch {
     since: BTreeMap<JobId, Time>,
+    /// Jobs of which a run has begun since the last look: it may have crashed its worker before the next one.
+    began: BTreeSet<JobId>,
     pub longest: Duration,
     pub job: Option<JobId>,
     next_at: Time,
@@ -40,7 +43,16 @@
         self.idle = Some(watch);
     }
 
+    /// Notes that a run of a job has begun.
+    pub(super) fn note_began(&mut self, job: JobId) {
+        if let Some(watch) = &mut self.idle {
+            watch.began.insert(job);
+        }
+    }
+
     fn look_idle(&self, watch: &mut Watch) {
+        let began_meanwhile = std::mem::take(&mut watch.began);
+        watch.since.retain(|job, _| !began_meanwhile.contains(job));
         let idle = if self.is_mostly_free() { self.idle_jobs() } else { Vec::new() };
         let mut since = BTreeMap::new();
         for job in idle {
--- a/crates/planner/tests/world/orders.rs
+++ b/crates/planner/tests/world/orders.rs
@@ -152,6 +152,7 @@
         let Some(event) = carry_out(worker, &action, spec, now) else { return };
         if let Event::Started { run, outcome: Ok(_), .. } = &event {
             self.starts += 1;
+            self.note_began(run.task.job);
             self.check_start(*run);
             if !is_there {
                 self.check_domain(&name, *run);
