Waves: a completed wave is known until its machines are back, so their workers take tasks again

Cause: a worker is marked as being emptied for its maintenance, and the mark goes when a later list shows its machine as up. Where an earlier owner's orders had been carried out and their answers lost, the next owner marks the new incarnations, asks again, is told that all is done, and forgets the wave at once. No list was looked at for it any more, so the marks stayed and the workers were given nothing for as long as this owner lasted.

A completed wave now stays until a list that was asked for later shows its machines, or doesn't hold them any more; it begins nothing.

--- a/crates/planner/src/wave.rs
+++ b/crates/planner/src/wave.rs
@@ -67,11 +67,14 @@
     Down,
 }
 
-/// A wave that isn't completed.
+/// A wave whose machines aren't all back.
 #[derive(Clone, Debug)]
 pub(crate) struct Upkeep {
     wave: Wave,
     since: Time,
+    /// Whether it has been told to be completed: each upkeep has begun. Until a list shows that they are over, it is known
+    /// which workers take nothing for them.
+    completed: bool,
     begun: BTreeSet<Name>,
     phases: BTreeMap<Name, Phase>,
     /// Machines that could not be spared, and when they are tried again.
@@ -144,6 +147,7 @@
         let upkeep = Upkeep {
             wave,
             since: self.now,
+            completed: false,
             begun,
             phases: BTreeMap::new(),
             resting: BTreeMap::new(),
@@ -160,6 +164,7 @@
                 self.see_machine(number, machine, asked);
             }
         }
+        self.drop_completed(&machines);
         self.end_unlisted(&machines, asked);
         self.waves.unlisted.retain(|_, at| *at >= asked);
         self.waves.machines =
@@ -199,6 +204,18 @@
         }
     }
 
+    /// Forgets the waves that are completed and whose machines have been listed since, or are gone for good.
+    fn drop_completed(&mut self, machines: &[Machine]) {
+        let listed: BTreeSet<&Name> = machines.iter().map(|machine| &machine.name).collect();
+        self.waves.open.retain(|_, upkeep| {
+            if upkeep.completed {
+                let lasts = |phase: &Phase| matches!(phase, Phase::Begun(_) | Phase::Down);
+                upkeep.phases.retain(|name, phase| lasts(phase) && listed.contains(name));
+            }
+            !upkeep.completed || !upkeep.phases.is_empty()
+        });
+    }
+
     /// An upkeep was begun, or not.
     pub(crate) fn upkept(&mut self, number: WaveNumber, name: &Name, outcome: Result<(), Failure>) {
         let now = self.now;
@@ -251,6 +268,9 @@
     }
 
     fn run_wave(&mut self, number: WaveNumber) {
+        if self.waves.open.get(&number).is_none_or(|upkeep| upkeep.completed) {
+            return;
+        }
         self.begin_emptying(number);
         let Some(upkeep) = self.waves.open.get(&number) else { return };
         let phases: Vec<(Name, Phase)> =
@@ -270,11 +290,11 @@
                 _ => {}
             }
         }
-        let Some(upkeep) = self.waves.open.get(&number) else { return };
+        let Some(upkeep) = self.waves.open.get_mut(&number) else { return };
         if upkeep.left(&self.waves.machines).next().is_none() {
+            upkeep.completed = true;
             self.note(Number::WaveCompleted, None, None, None, format!("wave {number}"));
             self.keep_wave(number, Progress::Completed);
-            self.waves.open.remove(&number);
         }
     }
 
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -146,6 +146,7 @@
     waiting = { "waiting" },
     wave = { "wave" },
     wave_culprit = { "wave_culprit" },
+    wave_answers_lost = { "wave_answers_lost" },
     wave_crowded = { "wave_crowded" },
     wave_owner_killed = { "wave_owner_killed" },
 )]
