Probation: no wait for a steady machine where there is none

Seen: culprits_beside_waves, a job had nothing at work for 3.3 s beside free room.

Cause: a task on probation waits up to 1.5 s for a machine that hasn't crashed in the last 20 s. After three culprits in a cell of four every machine had, so nothing that it could wait for was there. Trace: crash known at 15.61 s, placed at 17.7 s, with w0, w2 and w3 open and isolated meanwhile.

The wait holds only while a steady machine is open.

--- a/crates/planner/src/probation.rs
+++ b/crates/planner/src/probation.rs
@@ -71,6 +71,7 @@
     /// Returns the workers on which a task that waits for its probation since then can be told from others.
     pub(crate) fn quiet(&self, since: Time, open: &[WorkerId]) -> Vec<WorkerId> {
         let now = self.now;
+        let since = self.steady_since(since, open);
         let is_quiet = |worker: &Worker| {
             worker.suspects == 0
                 && now >= worker.newest + START_TIME
@@ -80,6 +81,12 @@
         open.iter().copied().filter(|&id| is_quiet(&self.workers[id])).collect()
     }
 
+    /// Returns since when a task has waited for a steady machine; for ever where there is none to wait for.
+    fn steady_since(&self, since: Time, open: &[WorkerId]) -> Time {
+        let any_steady = open.iter().any(|&id| !self.has_crashed_lately(&self.workers[id]));
+        if any_steady { since } else { Time::ZERO }
+    }
+
     /// Tells whether a machine is steady enough for a task that has waited for its probation since then.
     fn is_steady(&self, worker: &Worker, since: Time, now: Time) -> bool {
         now >= since + STEADY_WAIT || !self.has_crashed_lately(worker)
@@ -128,6 +135,7 @@
         let request = Request::new(&self.model, step.task(0), spec);
         // Before that a machine which has crashed lately is of no use yet, and may be to others.
         let by = self.now + START_TIME;
+        let since = self.steady_since(since, open);
         let usable = |worker: &Worker| {
             gang::fitting(spec, worker.room()) > 0
                 && self.suits(worker, &request)
