Reclaim: what late jobs yield goes to service tasks that have waited for four seconds

Once a service task has waited four seconds, late jobs make way as well, and it is given the room that they would have taken in the same placing pass, unless a job that can be in time waits for room. In time stays first: room_lost.test passes as it is.

--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -25,6 +25,7 @@
 use crate::passed::PASSED_LOOK;
 use crate::passed::Placement;
 use crate::planner::Planner;
+use crate::reclaim::Reclaim;
 use crate::reservation::Unplaced;
 use crate::sending::SENDING_LOOK;
 use crate::worker::WorkerId;
@@ -62,8 +63,8 @@
     rooms: Rooms,
     /// Steps for which a worker may be kept.
     unplaced: Vec<Unplaced>,
-    /// Services whose lost jobs make way for service tasks ([`crate::reclaim`]).
-    reclaiming: Vec<id::Service>,
+    /// Services whose jobs make way for service tasks ([`crate::reclaim`]).
+    reclaiming: Vec<Reclaim>,
 }
 
 impl Refused {
@@ -101,7 +102,7 @@
         };
         let mut backlog = 0.0;
         for job in self.ranked() {
-            if self.makes_way(job, &pass.reclaiming) {
+            if self.makes_way(job, &mut pass.reclaiming) {
                 continue;
             }
             self.place_job(job, &mut pass);
@@ -110,6 +111,7 @@
                 None => drop(self.waiting.remove(&job)),
             }
         }
+        self.place_returning(&pass.reclaiming, &pass.open, &pass.unplaced);
         for (service, open) in &pass.open {
             let own = |unplaced: &&Unplaced| self.service(unplaced.step.job) == *service;
             let unplaced = pass.unplaced.iter().filter(own).copied().collect();
--- a/crates/planner/src/reclaim.rs
+++ b/crates/planner/src/reclaim.rs
@@ -1,56 +1,177 @@
-//! Room that service tasks get back from short jobs which are lost already.
+//! Room that service tasks get back from short jobs which aren't done in time any more.
 //!
-//! Load pattern: workers are gone for good in a full cell, and what they ran comes back into a backlog. Short jobs that
-//! can't be done any more before they count as lost take the room by turns, each turn as soon as the one before has
-//! ended; a service task, which takes only what stays free ([`crate::idle`]), then waits until the backlog is done, long
-//! after the load has ended. So once a service task that has run before has waited for a moment, lost short jobs are
-//! passed over. Not while most of the cell is free, and not for ever: a task that fits nowhere must not hold them up.
+//! Load pattern: workers are gone for good in a full cell, and what they ran comes back into a backlog. Short jobs of the
+//! backlog take the room by turns, each turn as soon as the one before has ended; a service task, which takes only what
+//! stays free ([`crate::idle`]), then waits until the backlog is done, long after the load has ended. So once a service task
+//! that has run before has waited for a moment, short jobs which are lost are passed over, and once it has waited for longer,
+//! those that are late. Not while most of the cell is free, and not for ever: a task that fits nowhere must not hold them
+//! up. Jobs that can be in time never make way.
 
 use std::time::Duration;
 
 use cowslipchute_base::id;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::StepId;
+use cowslipchute_ports::job::TaskId;
 
+use crate::job::Job;
 use crate::job::Place;
 use crate::job::Task;
 use crate::planner::Planner;
+use crate::reservation::Unplaced;
+use crate::worker::WorkerId;
 
 /// How long a service task waits to come back before lost jobs are passed over: most find room within less.
 const RECLAIM_AFTER: Duration = Duration::from_millis(1000);
-/// How long lost jobs are passed over for a task that still waits. One that fits nowhere holds them up no longer.
+/// How long it waits before late jobs are passed over too: they are still worth something.
+const RECLAIM_LATE_AFTER: Duration = Duration::from_secs(4);
+/// How long jobs are passed over for a task that still waits. One that fits nowhere holds them up no longer.
 const RECLAIM_TIME: Duration = Duration::from_secs(30);
 
+/// Which short jobs of a service make way for its service tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Extent {
+    /// Those that count as lost.
+    Lost,
+    /// Those that are late as well.
+    Late,
+}
+
+/// A service whose short jobs make way in a placing pass.
+#[derive(Clone, Debug)]
+pub(crate) struct Reclaim {
+    service: id::Service,
+    extent: Extent,
+    /// Thousandths of a processor that the jobs which made way have asked for.
+    yielded: u64,
+}
+
 impl Planner {
-    /// Notes the service of a service step that lost jobs are to make way for, once.
-    pub(crate) fn note_reclaiming(&self, step: StepId, reclaiming: &mut Vec<id::Service>) {
+    /// Notes which jobs of a service are to make way for a service step.
+    pub(crate) fn note_reclaiming(&self, step: StepId, reclaiming: &mut Vec<Reclaim>) {
+        let Some(extent) = self.extent(step) else { return };
         let service = self.service(step.job);
-        if !reclaiming.contains(&service) && self.reclaims(step) {
-            reclaiming.push(service);
+        match reclaiming.iter_mut().find(|known| known.service == service) {
+            Some(known) => known.extent = extent.max(known.extent),
+            None => reclaiming.push(Reclaim { service, extent, yielded: 0 }),
         }
     }
 
-    /// Returns `true` if a task of a service step waits to come back and lost jobs are to make way for it.
-    fn reclaims(&self, step: StepId) -> bool {
-        let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
-        let mut tasks = state.into_iter().flat_map(|state| &state.tasks);
-        let returns =
-            |task: &Task| task.place == Place::Waiting && task.attempt > 0 && self.is_turn(task);
-        tasks.any(returns)
+    /// Returns which jobs are to make way for a service step of which a task waits to come back.
+    fn extent(&self, step: StepId) -> Option<Extent> {
+        let state = self.jobs.get(&step.job).and_then(|job| job.step(step))?;
+        state.tasks.iter().filter_map(|task| self.extent_for(task)).max()
     }
 
-    fn is_turn(&self, task: &Task) -> bool {
+    fn extent_for(&self, task: &Task) -> Option<Extent> {
         let waited = self.now.saturating_sub(task.waiting_since);
-        (RECLAIM_AFTER..RECLAIM_AFTER + RECLAIM_TIME).contains(&waited)
+        let returns = task.place == Place::Waiting && task.attempt > 0;
+        if !returns || waited < RECLAIM_AFTER || waited >= RECLAIM_AFTER + RECLAIM_TIME {
+            None
+        } else if waited < RECLAIM_LATE_AFTER {
+            Some(Extent::Lost)
+        } else {
+            Some(Extent::Late)
+        }
     }
 
     /// Returns `true` if a job makes way for service tasks of the same service.
-    pub(crate) fn makes_way(&self, id: JobId, reclaiming: &[id::Service]) -> bool {
-        if reclaiming.is_empty() || !reclaiming.contains(&self.service(id)) {
+    pub(crate) fn makes_way(&self, id: JobId, reclaiming: &mut [Reclaim]) -> bool {
+        if reclaiming.is_empty() {
             return false;
         }
+        let service = self.service(id);
+        let Some(reclaim) = reclaiming.iter_mut().find(|known| known.service == service) else {
+            return false;
+        };
         let job = &self.jobs[&id];
         let mut steps = job.accepted.spec.steps.iter();
-        steps.all(|step| !step.long_running && !step.fills) && self.is_lost(job)
+        let is_short = steps.all(|step| !step.long_running && !step.fills);
+        let makes_way = is_short
+            && match reclaim.extent {
+                Extent::Lost => self.is_lost(job),
+                Extent::Late => self.is_late(job),
+            };
+        if makes_way {
+            reclaim.yielded += waiting_milli(id, job);
+        }
+        makes_way
+    }
+
+    /// Gives service tasks that have waited for long the room which the jobs that made way would have taken, unless a job
+    /// that can be in time waits for it.
+    pub(crate) fn place_returning(
+        &mut self,
+        reclaiming: &[Reclaim],
+        open: &[(id::Service, Vec<WorkerId>)],
+        unplaced: &[Unplaced],
+    ) {
+        for reclaim in reclaiming.iter().filter(|reclaim| reclaim.yielded > 0) {
+            let waits_in_time = |unplaced: &Unplaced| {
+                let job = &self.jobs[&unplaced.step.job];
+                let lasts = job.spec(unplaced.step.step).long_running;
+                self.service(unplaced.step.job) == reclaim.service && !lasts && !self.is_late(job)
+            };
+            if unplaced.iter().any(waits_in_time) {
+                continue;
+            }
+            let workers = open.iter().find(|(service, _)| *service == reclaim.service);
+            let Some((_, workers)) = workers else { continue };
+            self.place_for_yielded(reclaim, workers);
+        }
     }
+
+    fn place_for_yielded(&mut self, reclaim: &Reclaim, workers: &[WorkerId]) {
+        let mut left = reclaim.yielded;
+        for task in self.returning(&reclaim.service) {
+            let accepted = self.jobs[&task.job].accepted.clone();
+            let spec = &accepted.spec.steps[usize::from(task.step)];
+            if left == 0 || !self.sending.allows(self.now) {
+                return;
+            }
+            let Some(worker) = self.choose(task, spec, workers) else { continue };
+            self.intend(task, worker);
+            self.give_up_room(task.step_id());
+            left = left.saturating_sub(spec.demand.cpu_milli.into());
+        }
+    }
+
+    /// Returns the service tasks that late jobs make way for, those first that have waited for longest. Tasks that only some
+    /// workers may run have their own ways.
+    fn returning(&self, service: &id::Service) -> Vec<TaskId> {
+        let mut returning = Vec::new();
+        for job in self.waiting.iter().filter_map(|&id| self.jobs.get(&id).map(|job| (id, job))) {
+            let (id, job) = job;
+            if self.service(id) != *service
+                || self.queue(id).is_some_and(|queue| queue.advice.is_some())
+            {
+                continue;
+            }
+            for (step, state) in job.steps(id) {
+                let spec = job.spec(step.step);
+                if !spec.long_running || spec.gang || spec.data_rack.is_some() || spec.same_rack {
+                    continue;
+                }
+                let ready = (0..).zip(&state.tasks).filter(|(index, task)| {
+                    self.extent_for(task) == Some(Extent::Late)
+                        && task.is_ready(self.now)
+                        && !task.is_on_probation()
+                        && !self.is_pinned(step.task(*index))
+                });
+                returning.extend(ready.map(|(index, task)| (task.waiting_since, step.task(index))));
+            }
+        }
+        returning.sort_unstable();
+        returning.into_iter().map(|(_, task)| task).collect()
+    }
+}
+
+/// Returns what the tasks of a job that wait ask for, in thousandths of a processor.
+fn waiting_milli(id: JobId, job: &Job) -> u64 {
+    let steps = job.waiting_steps(id).into_iter();
+    let milli = steps.map(|step| {
+        let waiting = job.step(step).map_or(0, |state| state.waiting);
+        u64::from(waiting) * u64::from(job.spec(step.step).demand.cpu_milli)
+    });
+    milli.sum()
 }
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -86,6 +86,7 @@
     inherited_deadline = { "inherited_deadline" },
     inherited_pace = { "inherited_pace" },
     large_job_waits = { "large_job_waits" },
+    lasting_after_late = { "lasting_after_late" },
     lasting_after_load = { "lasting_after_load" },
     lasting_back = { "lasting_back" },
     lasting_before_lost = { "lasting_before_lost" },
