Rank: a late job that has begun comes before those that can be in time

Seen: large_job_waits.test, known red: of twenty jobs of eight tasks 7 are served where 11 are the least, in a cell with two fifths more work than room. Cause: such a job comes to the head of the queue when it can just be in time, gathers its room piece by piece and is late before it has all; late, it comes after every job that can be in time, and in a full cell there is always one.

Late jobs that have begun come first now: what is done of them would be lost.

--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/rank.rs
@@ -2,10 +2,10 @@
 //!
 //! Pattern answered: more work than room. Then it matters which jobs are finished in time: a job is worth most while
 //! it can still meet its objective, little until three times that, and almost nothing afterwards. Within a
-//! priority, jobs that last come first and are held to the room that is theirs ([`crate::idle`]); then short jobs,
-//! those that can be in time before those that can't, and among equals whoever came first. Their size doesn't
-//! count: small ones first would finish a few more, and starve the large ones of a full queue. Jobs of tasks that
-//! fill are ordered by what is still gained for each core-second that is left.
+//! priority, jobs that last come first and are held to the room that is theirs ([`crate::idle`]); then short jobs:
+//! those that are late and have begun, those that can be in time, other late ones, and among equals whoever came
+//! first. Their size doesn't count: small ones first would finish a few more, and starve the large ones of a full
+//! queue. Jobs of tasks that fill are ordered by what is still gained for each core-second that is left.
 
 use cowslipchute_base::size::LATE_LIMIT;
 use cowslipchute_ports::job::JobId;
@@ -18,9 +18,9 @@
 /// What a job is still worth between one and three times its objective (the users' sheets: 0.15 of
 /// the worth in time).
 const LATE_WORTH: f64 = 0.15;
-/// What a late short job counts whose work has begun: it comes before others that are late, since what is done
-/// of it would be lost, and after those that can be in time.
-const BEGUN_LATE_WORTH: f64 = 0.5;
+/// What a late short job counts whose work has begun: it comes before those that can be in time, since what is done of it
+/// would be lost. A job of many tasks gathers its room piece by piece, and is often late before it has all.
+const BEGUN_LATE_WORTH: f64 = 1.5;
 /// What a job that is later still is worth here: not nothing, so that it is done in idle time.
 const LOST_WORTH: f64 = 0.02;
 /// Core-seconds below which a job counts no smaller.
