--- a/crates/planner/src/probation.rs
+++ b/crates/planner/src/probation.rs
@@ -81,7 +81,8 @@
         open.iter().copied().filter(|&id| is_quiet(&self.workers[id])).collect()
     }
 
-    /// Returns since when a task has waited for a steady machine; for ever where there is none to wait for.
+    /// Returns since when a task counts as waiting for a steady machine: from the beginning of time, so that its wait is over,
+    /// where none is open.
     fn steady_since(&self, since: Time, open: &[WorkerId]) -> Time {
         let any_steady = open.iter().any(|&id| !self.has_crashed_lately(&self.workers[id]));
         if any_steady { since } else { Time::ZERO }
--- a/crates/planner/src/reclaim.rs
+++ b/crates/planner/src/reclaim.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use cowslipchute_base::id;
+use cowslipchute_base::id::Time;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::StepId;
 use cowslipchute_ports::job::TaskId;
@@ -63,6 +64,7 @@
         state.tasks.iter().filter_map(|task| self.extent_for(task)).max()
     }
 
+    /// Returns which jobs are to make way for a task; none for one that runs or has never run.
     fn extent_for(&self, task: &Task) -> Option<Extent> {
         let waited = self.now.saturating_sub(task.waiting_since);
         let returns = task.place == Place::Waiting && task.attempt > 0;
@@ -75,7 +77,7 @@
         }
     }
 
-    /// Returns `true` if a job makes way for service tasks of the same service.
+    /// Returns `true` if a job makes way for service tasks of the same service, and counts what it yields.
     pub(crate) fn makes_way(&self, id: JobId, reclaiming: &mut [Reclaim]) -> bool {
         if reclaiming.is_empty() {
             return false;
@@ -121,6 +123,7 @@
         }
     }
 
+    /// Places service tasks on as much room as jobs of their service have yielded.
     fn place_for_yielded(&mut self, reclaim: &Reclaim, workers: &[WorkerId]) {
         let mut left = reclaim.yielded;
         for task in self.returning(&reclaim.service) {
@@ -136,34 +139,40 @@
         }
     }
 
-    /// Returns the service tasks that late jobs make way for, those first that have waited for longest. Tasks that only some
-    /// workers may run have their own ways.
+    /// Returns the service tasks that late jobs make way for, those first that have waited for longest.
     fn returning(&self, service: &id::Service) -> Vec<TaskId> {
-        let mut returning = Vec::new();
-        for job in self.waiting.iter().filter_map(|&id| self.jobs.get(&id).map(|job| (id, job))) {
-            let (id, job) = job;
-            if self.service(id) != *service
-                || self.queue(id).is_some_and(|queue| queue.advice.is_some())
-            {
-                continue;
-            }
-            for (step, state) in job.steps(id) {
-                let spec = job.spec(step.step);
-                if !spec.long_running || spec.gang || spec.data_rack.is_some() || spec.same_rack {
-                    continue;
-                }
-                let ready = (0..).zip(&state.tasks).filter(|(index, task)| {
-                    self.extent_for(task) == Some(Extent::Late)
-                        && task.is_ready(self.now)
-                        && !task.is_on_probation()
-                        && !self.is_pinned(step.task(*index))
-                });
-                returning.extend(ready.map(|(index, task)| (task.waiting_since, step.task(index))));
+        let mut returning: Vec<(Time, TaskId)> = Vec::new();
+        for &id in &self.waiting {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let is_advised = self.queue(id).is_some_and(|queue| queue.advice.is_some());
+            if self.service(id) == *service && !is_advised {
+                returning.extend(self.returning_of(id, job));
             }
         }
         returning.sort_unstable();
         returning.into_iter().map(|(_, task)| task).collect()
     }
+
+    /// Returns those of a job, and since when each waits. Gangs and tasks near their data choose their workers by other
+    /// means.
+    fn returning_of(&self, id: JobId, job: &Job) -> Vec<(Time, TaskId)> {
+        let mut returning = Vec::new();
+        for (step, state) in job.steps(id) {
+            let spec = job.spec(step.step);
+            if !spec.long_running || spec.gang || spec.data_rack.is_some() || spec.same_rack {
+                continue;
+            }
+            let tasks = (0..).map(|index| step.task(index)).zip(&state.tasks);
+            let due = tasks.filter(|(id, task)| {
+                self.extent_for(task) == Some(Extent::Late)
+                    && task.is_ready(self.now)
+                    && !task.is_on_probation()
+                    && !self.is_pinned(*id)
+            });
+            returning.extend(due.map(|(id, task)| (task.waiting_since, id)));
+        }
+        returning
+    }
 }
 
 /// Returns what the tasks of a job that wait ask for, in thousandths of a processor.
