Reclaim: late jobs that have begun make way only once the load is over

Cause: the largest jobs are late before they have gathered their room, so they are what makes way for service tasks.

--- a/crates/planner/src/reclaim.rs
+++ b/crates/planner/src/reclaim.rs
@@ -4,7 +4,8 @@
 //! backlog take the room by turns, each turn as soon as the one before has ended; a service task, which takes only what
 //! stays free ([`crate::idle`]), then waits until the backlog is done, long after the load has ended. So once a service task
 //! that has run before has waited for a moment, short jobs which are lost are passed over, and once it has waited for longer,
-//! those that are late. Not while most of the cell is free, and not for ever: a task that fits nowhere must not hold them
+//! those that are late: while the load lasts only if they haven't begun, since the largest are late before they have
+//! gathered their room. Not while most of the cell is free, and not for ever: a task that fits nowhere must not hold them
 //! up. Jobs that can be in time never make way.
 
 use std::time::Duration;
@@ -26,6 +27,9 @@
 const RECLAIM_AFTER: Duration = Duration::from_millis(1000);
 /// How long it waits before late jobs are passed over too: they are still worth something.
 const RECLAIM_LATE_AFTER: Duration = Duration::from_secs(4);
+/// How long no job has come once the load counts as over: far longer than the pause between two jobs of a load that fills a
+/// cell. What is left of it can wait, so late jobs make way then even if they have begun.
+const LOAD_PAUSE: Duration = Duration::from_millis(500);
 /// How long jobs are passed over for a task that still waits. One that fits nowhere holds them up no longer.
 const RECLAIM_TIME: Duration = Duration::from_secs(30);
 
@@ -34,7 +38,9 @@
 enum Extent {
     /// Those that count as lost.
     Lost,
-    /// Those that are late as well.
+    /// Late ones as well that haven't begun.
+    LateUnbegun,
+    /// All late ones.
     Late,
 }
 
@@ -72,8 +78,10 @@
             None
         } else if waited < RECLAIM_LATE_AFTER {
             Some(Extent::Lost)
-        } else {
+        } else if self.reserve.has_paused(self.now, LOAD_PAUSE) {
             Some(Extent::Late)
+        } else {
+            Some(Extent::LateUnbegun)
         }
     }
 
@@ -92,6 +100,7 @@
         let makes_way = is_short
             && match reclaim.extent {
                 Extent::Lost => self.is_lost(job),
+                Extent::LateUnbegun => self.is_lost(job) || (self.is_late(job) && !job.started),
                 Extent::Late => self.is_late(job),
             };
         if makes_way {
@@ -139,7 +148,7 @@
         }
     }
 
-    /// Returns the service tasks that late jobs make way for, those first that have waited for longest.
+    /// Returns the service tasks of a service that late jobs make way for, those first that have waited for longest.
     fn returning(&self, service: &id::Service) -> Vec<TaskId> {
         let mut returning: Vec<(Time, TaskId)> = Vec::new();
         for &id in &self.waiting {
@@ -164,7 +173,7 @@
             }
             let tasks = (0..).map(|index| step.task(index)).zip(&state.tasks);
             let due = tasks.filter(|(id, task)| {
-                self.extent_for(task) == Some(Extent::Late)
+                self.extent_for(task) > Some(Extent::Lost)
                     && task.is_ready(self.now)
                     && !task.is_on_probation()
                     && !self.is_pinned(*id)
--- a/crates/planner/src/reserve.rs
+++ b/crates/planner/src/reserve.rs
@@ -51,6 +51,11 @@
         self.at = now;
     }
 
+    /// Returns `true` if no job has come for so long.
+    pub(crate) fn has_paused(&self, now: Time, span: Duration) -> bool {
+        now >= self.at + span
+    }
+
     /// Returns the thousandths of a processor to keep free of tasks that last, of `capacity`.
     pub(crate) fn milli(&self, now: Time, capacity: f64) -> f64 {
         let need = self.faded(now) / MEMORY.as_secs_f64() * 1e3 * BURST;
