Owner: why an ownership ends, what its turns cost, how far a takeover got

SeatLost gave no reason: a lease that ran out, a fenced write and a store that is away could not be told apart, nor a slow decision from slow sending. New: the reason and what was left of the lease at the end of an ownership; turns of 100 ms or more with their parts and events; one line a second on what the owner did; the end of a takeover; the age of the oldest event as a gauge, histograms of turns and takeovers. No decision changes.

--- a/bin/scheduler/src/clock.rs
+++ b/bin/scheduler/src/clock.rs
@@ -20,6 +20,16 @@
     Duration::from(time)
 }
 
+/// Returns the processor time that this thread has used.
+///
+/// # Panics
+///
+/// Panics if the system lacks this clock, which every Linux since 2.6.12 has.
+pub fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).expect("the system has this clock");
+    Duration::from(time)
+}
+
 /// Returns the time of day, since 1970.
 pub fn wall() -> Duration {
     // A clock before 1970 has not been set yet; zero makes no job due.
--- a/bin/scheduler/src/directory.rs
+++ b/bin/scheduler/src/directory.rs
@@ -16,10 +16,10 @@
 use cowslipchute_platform::directory;
 use cowslipchute_ports::executor::Registration;
 use cowslipchute_ports::kv::Store;
-use tokio::sync::mpsc;
 
 use crate::clock;
 use crate::event;
+use crate::inbox;
 use crate::listing::Listing;
 use crate::log::Log;
 use crate::watcher;
@@ -64,7 +64,7 @@
 /// # Errors
 ///
 /// Returns an error if the system refuses the thread.
-pub fn spawn<S: Store>(store: S, events: mpsc::UnboundedSender<Event>, log: Log) -> io::Result<()> {
+pub fn spawn<S: Store>(store: S, events: inbox::Sender, log: Log) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let thread = std::thread::Builder::new().name(String::from("directory"));
     thread.spawn(move || runtime.block_on(follow(store, events, log)))?;
@@ -72,7 +72,7 @@
 }
 
 /// Follows the directory until the receiver of its events is dropped.
-pub async fn follow<S: Store>(store: S, events: mpsc::UnboundedSender<Event>, log: Log) {
+pub async fn follow<S: Store>(store: S, events: inbox::Sender, log: Log) {
     let mut changes = watcher::spawn(store, directory::PREFIX, None, None, log.clone());
     let mut listing = Listing::default();
     let mut repeats = Filter::default();
@@ -89,8 +89,7 @@
         }
         let now = clock::now();
         for event in pending.drain(..).filter(|event| repeats.should_forward(now, event)) {
-            // The receiver is dropped only when the ownership ends.
-            let _ = events.send(event);
+            events.send(event);
         }
     }
 }
--- a/bin/scheduler/src/election.rs
+++ b/bin/scheduler/src/election.rs
@@ -11,6 +11,7 @@
 use cowslipchute_ports::kv::Store;
 use cowslipchute_tenure::election;
 use cowslipchute_tenure::election::Action;
+use cowslipchute_tenure::election::Cause;
 use cowslipchute_tenure::election::Election;
 use cowslipchute_tenure::election::Event;
 use serde::Deserialize;
@@ -68,7 +69,10 @@
         until: Time,
     },
     /// This process no longer owns the cell.
-    Disown,
+    Disown {
+        /// Why the ownership ended.
+        cause: Cause,
+    },
 }
 
 /// A notice from the rest of the process to the election.
@@ -190,7 +194,7 @@
         let transition = match action {
             Action::Own { epoch, until } => Transition::Own { epoch, until },
             Action::Extend { until } => Transition::Extend { until },
-            Action::Stop => Transition::Disown,
+            Action::Stop { cause } => Transition::Disown { cause },
             call => {
                 self.call(call);
                 return true;
@@ -228,7 +232,7 @@
                     let _ = store.revoke(lease).await;
                     return;
                 }
-                Action::Own { .. } | Action::Extend { .. } | Action::Stop => return,
+                Action::Own { .. } | Action::Extend { .. } | Action::Stop { .. } => return,
             };
             // The receiver is dropped only when the process exits.
             let _ = results.send(event);
--- a/bin/scheduler/src/evacuations.rs
+++ b/bin/scheduler/src/evacuations.rs
@@ -15,9 +15,9 @@
 use cowslipchute_platform::operator;
 use cowslipchute_ports::kv;
 use cowslipchute_ports::kv::Store;
-use tokio::sync::mpsc;
 
 use crate::event;
+use crate::inbox;
 use crate::log::Log;
 use crate::watcher;
 use crate::watcher::Change;
@@ -63,7 +63,7 @@
     }
 
     /// Sends an event to the planner after every change.
-    pub async fn follow<S: Store>(mut self, store: S, events: mpsc::UnboundedSender<Event>) {
+    pub async fn follow<S: Store>(mut self, store: S, events: inbox::Sender) {
         let after = Some(self.revision);
         let prefix = operator::EVACUATIONS;
         let mut changes = watcher::spawn(store, prefix, after, None, self.log.clone());
@@ -71,8 +71,7 @@
             for change in watcher::collect_ready(first, &mut changes) {
                 self.apply(change);
             }
-            // The receiver is dropped only when the ownership ends.
-            let _ = events.send(self.event());
+            events.send(self.event());
         }
     }
 
--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -14,6 +14,7 @@
 use cowslipchute_planner::action::Note;
 use cowslipchute_planner::planner::Census;
 use cowslipchute_ports::job::JobId;
+use prometheus::Gauge;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
@@ -100,6 +101,12 @@
         "Time from the decision on a start until it was sent, which is long if processor time is short.";
     LEASE_MARGIN Histogram "cowslipchute_lease_margin_seconds" []
         "Time left of the owner's lease when it was renewed.";
+    TURN_SECONDS Histogram "cowslipchute_owner_turn_seconds" []
+        "Duration of a turn of the owner, in which it handles events, decides and sends commands.";
+    OWNER_LAG Gauge "cowslipchute_owner_lag_seconds" []
+        "Age of the oldest event that the owner handled in its latest turn: how far it is behind.";
+    TAKEOVER_SECONDS Histogram "cowslipchute_takeover_seconds" []
+        "Time from when this process became the owner of the cell until most listed workers had answered it.";
     LAG Histogram "cowslipchute_loop_lag_seconds" []
         "Delay of the process in waking up from a sleep, which is long if processor time is short.";
     OWNED Gauge "cowslipchute_cell_owned" []
@@ -144,6 +151,9 @@
     job_seconds: HistogramVec,
     start_age: Histogram,
     lease_margin: Histogram,
+    turn_seconds: Histogram,
+    owner_lag: Gauge,
+    takeover_seconds: Histogram,
     lag: Histogram,
     owned: IntGauge,
     jobs: IntGaugeVec,
@@ -177,6 +187,12 @@
     Ok(metric)
 }
 
+fn seconds_gauge(registry: &Registry, family: Family) -> prometheus::Result<Gauge> {
+    let metric = Gauge::new(family.name, family.help)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
 fn histograms(
     registry: &Registry,
     family: Family,
@@ -213,6 +229,9 @@
             job_seconds: histograms(&registry, JOB_SECONDS, JOB_BUCKETS_SECONDS)?,
             start_age: histogram(&registry, START_AGE, CALL_BUCKETS_SECONDS)?,
             lease_margin: histogram(&registry, LEASE_MARGIN, CALL_BUCKETS_SECONDS)?,
+            turn_seconds: histogram(&registry, TURN_SECONDS, CALL_BUCKETS_SECONDS)?,
+            owner_lag: seconds_gauge(&registry, OWNER_LAG)?,
+            takeover_seconds: histogram(&registry, TAKEOVER_SECONDS, JOB_BUCKETS_SECONDS)?,
             lag: histogram(&registry, LAG, CALL_BUCKETS_SECONDS)?,
             owned: gauge(&registry, OWNED)?,
             jobs: gauges(&registry, JOBS)?,
@@ -252,11 +271,27 @@
         self.lease_margin.observe(left.as_secs_f64());
     }
 
+    /// Returns the sum of the times from the decision on a start until it was sent, and their number.
+    pub fn start_ages(&self) -> (f64, u64) {
+        (self.start_age.get_sample_sum(), self.start_age.get_sample_count())
+    }
+
     /// Records the time from the decision on a start until it was sent.
     pub fn start_sent(&self, age: Duration) {
         self.start_age.observe(age.as_secs_f64());
     }
 
+    /// Records the duration of a turn of the owner, and how far the owner was behind.
+    pub fn turn(&self, took: Duration, lag: Duration) {
+        self.turn_seconds.observe(took.as_secs_f64());
+        self.owner_lag.set(lag.as_secs_f64());
+    }
+
+    /// Records a takeover of the cell.
+    pub fn taken_over(&self, took: Duration) {
+        self.takeover_seconds.observe(took.as_secs_f64());
+    }
+
     /// Records how late the process woke up.
     pub fn loop_lag(&self, late: Duration) {
         self.lag.observe(late.as_secs_f64());
@@ -294,6 +329,7 @@
 
     /// Drops the tracked jobs, which another owner continues.
     pub fn ownership_lost(&self) {
+        self.owner_lag.set(0.0);
         lock(&self.tracked).clear();
     }
 
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -6,11 +6,13 @@
 
 use cowslipchute_base::event::Event as LogEvent;
 use cowslipchute_base::id::Revision;
+use cowslipchute_base::id::Time;
 use cowslipchute_planner::action::Action;
 use cowslipchute_planner::action::Change as RecordChange;
 use cowslipchute_planner::action::Note;
 use cowslipchute_planner::event::BatchNumber;
 use cowslipchute_planner::event::Event;
+use cowslipchute_planner::planner::Contacts;
 use cowslipchute_planner::planner::Planner;
 use cowslipchute_ports::executor::Advisor;
 use cowslipchute_ports::executor::Failure;
@@ -26,12 +28,17 @@
 use crate::election::Notice;
 use crate::evacuations::Evacuations;
 use crate::event;
+use crate::inbox;
+use crate::inbox::Queued;
 use crate::keys;
 use crate::log::Log;
 use crate::recovery;
 use crate::retention;
 use crate::rollouts;
 use crate::rollouts::Status;
+use crate::turn::Summary;
+use crate::turn::Turn;
+use crate::turn::millis;
 use crate::watcher;
 use crate::watcher::Change;
 use crate::writer::Fenced;
@@ -41,6 +48,9 @@
 const RECOVERY_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Interval between writes of the estimates; short compared to the time that learning them takes.
 const ESTIMATES_INTERVAL: Duration = Duration::from_secs(2);
+/// Fraction of the workers that may be unanswered when a takeover counts as done: a few are gone and
+/// never answer.
+const MAX_UNANSWERED_FRACTION: f64 = 0.1;
 /// Longest sleep of the planner when nothing is due.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
 
@@ -103,8 +113,9 @@
 pub async fn run<S: Store, F: Fleet, A: Advisor, M: Machines>(
     context: Context<S, F, A, M>,
     epoch: Revision,
-    inbox: (mpsc::UnboundedSender<Event>, mpsc::UnboundedReceiver<Event>),
+    inbox: (inbox::Sender, inbox::Receiver),
 ) {
+    let began = clock::now();
     let cell = loop {
         match recovery::read_cell(&context.store).await {
             Ok(cell) => break cell,
@@ -119,7 +130,7 @@
     let writer = Writer::open(context.store.clone(), epoch, cell.revisions, context.log.clone());
     let estimates = recovery::read_estimates(&context.store, &context.log).await;
     let evacuations = Evacuations::read(&context.store, &context.log).await;
-    let mut initial_events = vec![evacuations.event()];
+    let mut initial_events = vec![Queued::now(evacuations.event())];
     let (sender, receiver) = inbox;
     let (writes, write_receiver) = mpsc::unbounded_channel();
     let mut tasks = JoinSet::new();
@@ -141,13 +152,16 @@
         context.log.clone(),
     );
     follow_directory(&context, &sender, &mut tasks);
-    let owner = Owner { context, epoch, events: sender, writes, rollout_updates, tasks };
-    initial_events.push(Event::OwnershipAcquired {
+    let takeover = Some(Takeover { began, loaded: clock::now() });
+    let summary = Summary::open(clock::now(), &context.log);
+    let owner =
+        Owner { context, epoch, events: sender, writes, rollout_updates, tasks, takeover, summary };
+    initial_events.push(Queued::now(Event::OwnershipAcquired {
         epoch,
         jobs: cell.jobs,
         records: cell.records,
         estimates,
-    });
+    }));
     owner.serve(initial_events, receiver, jobs).await;
 }
 
@@ -155,7 +169,7 @@
 /// thread.
 fn follow_directory<S: Store, F, A, M>(
     context: &Context<S, F, A, M>,
-    events: &mpsc::UnboundedSender<Event>,
+    events: &inbox::Sender,
     tasks: &mut JoinSet<()>,
 ) {
     let (store, log) = (context.directory.clone(), context.log.clone());
@@ -191,7 +205,7 @@
 async fn write_batches<S: Store>(
     writer: Writer<S>,
     mut batches: mpsc::UnboundedReceiver<(BatchNumber, Vec<RecordChange>)>,
-    events: mpsc::UnboundedSender<Event>,
+    events: inbox::Sender,
     notices: mpsc::UnboundedSender<Notice>,
 ) {
     let mut writes = JoinSet::new();
@@ -200,9 +214,9 @@
         let events = events.clone();
         let notices = notices.clone();
         writes.spawn(async move {
-            // The receivers are dropped only when the ownership or the process ends.
+            // The receiver of notices is dropped only when the process exits.
             match writer.write(&changes).await {
-                Ok(()) => drop(events.send(Event::Written { batch })),
+                Ok(()) => events.send(Event::Written { batch }),
                 Err(Fenced) => drop(notices.send(Notice::WriteFenced)),
             }
         });
@@ -213,24 +227,35 @@
 struct Owner<S, F, A, M> {
     context: Context<S, F, A, M>,
     epoch: Revision,
-    events: mpsc::UnboundedSender<Event>,
+    events: inbox::Sender,
     writes: mpsc::UnboundedSender<(BatchNumber, Vec<RecordChange>)>,
     rollout_updates: mpsc::UnboundedSender<rollouts::Update>,
     /// Commands in flight and background tasks; aborted when the ownership ends.
     tasks: JoinSet<()>,
+    /// The takeover in progress.
+    takeover: Option<Takeover>,
+    summary: Summary,
+}
+
+/// A takeover whose workers haven't all answered yet.
+#[derive(Clone, Copy, Debug)]
+struct Takeover {
+    began: Time,
+    /// When the state of the cell had been read.
+    loaded: Time,
 }
 
 impl<S: Store, F: Fleet, A: Advisor, M: Machines> Owner<S, F, A, M> {
     async fn serve(
         mut self,
-        initial_events: Vec<Event>,
-        mut inbox: mpsc::UnboundedReceiver<Event>,
+        initial_events: Vec<Queued>,
+        mut inbox: inbox::Receiver,
         mut jobs: mpsc::Receiver<Change>,
     ) {
         let mut config = self.context.config.clone();
         let mut events = Vec::new();
         if let Some(config) = config.borrow_and_update().clone() {
-            events.push(Event::Config { config });
+            events.push(Queued::now(Event::Config { config }));
         }
         events.extend(initial_events);
         loop {
@@ -247,12 +272,12 @@
                 }
                 Ok(()) = config.changed() => {
                     if let Some(config) = config.borrow_and_update().clone() {
-                        events.push(Event::Config { config });
+                        events.push(Queued::now(Event::Config { config }));
                     }
                 }
                 () = tokio::time::sleep(pause) => {}
             }
-            while let Ok(event) = inbox.try_recv() {
+            while let Some(event) = inbox.try_recv() {
                 events.push(event);
             }
             while self.tasks.try_join_next().is_some() {}
@@ -261,25 +286,54 @@
 
     /// Passes events to the planner and executes its actions; returns the time until more work is
     /// due.
-    fn step(&mut self, events: &mut Vec<Event>) -> Duration {
+    fn step(&mut self, events: &mut Vec<Queued>) -> Duration {
         let mut actions = Vec::new();
-        let pause = {
+        let now = clock::now();
+        let mut turn = Turn::begin(now);
+        let contacts;
+        let (pause, lease_until) = {
             let mut planner = lock(&self.context.planner);
-            let now = clock::now();
             planner.step(now, Event::WallClock { wall: clock::wall() }, &mut actions);
-            for event in events.drain(..) {
-                planner.step(now, event, &mut actions);
+            for queued in events.drain(..) {
+                turn.count(&queued);
+                planner.step(now, queued.event, &mut actions);
             }
+            turn.handled(clock::now());
             planner.advance(now, &mut actions);
-            planner.next_due().map_or(MAX_SLEEP, |due| due.saturating_sub(now)).min(MAX_SLEEP)
+            turn.decided(clock::now());
+            contacts = self.takeover.map(|_| planner.contacts());
+            let pause = planner.next_due().map_or(MAX_SLEEP, |due| due.saturating_sub(now));
+            (pause.min(MAX_SLEEP), planner.lease_until())
         };
+        if let Some(contacts) = contacts {
+            self.watch_takeover(now, contacts);
+        }
         for action in actions {
+            self.summary.count(action.kind());
             self.execute(action);
         }
+        self.summary.add(turn, clock::now(), lease_until, &self.context.log);
         pause
     }
 
-    fn job_changed(&self, change: Change, events: &mut Vec<Event>) {
+    /// Logs the takeover once most workers have answered.
+    fn watch_takeover(&mut self, now: Time, contacts: Contacts) {
+        let Some(takeover) = self.takeover else { return };
+        let unanswered = contacts.unfenced as f64;
+        let answered = (contacts.answering + contacts.silent) as f64;
+        if answered == 0.0 || unanswered > (answered + unanswered) * MAX_UNANSWERED_FRACTION {
+            return;
+        }
+        self.takeover = None;
+        let took = now.saturating_sub(takeover.began);
+        self.context.log.metrics().taken_over(took);
+        event!(self.context.log, LogEvent::TakeoverDone, "epoch" => self.epoch,
+            "read_ms" => millis(takeover.loaded.saturating_sub(takeover.began)),
+            "ms" => millis(took), "answering" => contacts.answering,
+            "unfenced" => contacts.unfenced);
+    }
+
+    fn job_changed(&self, change: Change, events: &mut Vec<Queued>) {
         let entries = match change {
             Change::Snapshot(snapshot) => snapshot.entries,
             Change::Put(entry) => vec![entry],
@@ -288,7 +342,9 @@
         };
         for entry in entries {
             match recovery::decode_job(&entry) {
-                Ok(Some((job, accepted))) => events.push(Event::Job { job, accepted }),
+                Ok(Some((job, accepted))) => {
+                    events.push(Queued::now(Event::Job { job, accepted }));
+                }
                 Ok(None) => {}
                 Err(error) => {
                     event!(self.context.log, LogEvent::ConfigInvalid, "reason" => error.to_string());
@@ -300,7 +356,6 @@
     fn execute(&mut self, action: Action) {
         let fleet = self.context.fleet.clone();
         let events = self.events.clone();
-        // If the channel is closed, the result belongs to an ownership that has ended.
         match action {
             Action::Start { target, start } => {
                 let planner = self.context.planner.clone();
@@ -314,32 +369,32 @@
                         true => fleet.start(&target, start).await,
                         false => Err(Failure::Unsent),
                     };
-                    let _ = events.send(Event::StartResult { target, run, outcome });
+                    events.send(Event::StartResult { target, run, outcome });
                 });
             }
             Action::Stop { target, run } => {
                 self.tasks.spawn(async move {
                     let outcome = fleet.stop(&target, run).await;
-                    let _ = events.send(Event::StopResult { target, run, outcome });
+                    events.send(Event::StopResult { target, run, outcome });
                 });
             }
             Action::Throttle { target, run, percent } => {
                 self.tasks.spawn(async move {
                     let outcome = fleet.set_speed_limit(&target, run, percent).await;
-                    let _ = events.send(Event::ThrottleResult { target, run, percent, outcome });
+                    events.send(Event::ThrottleResult { target, run, percent, outcome });
                 });
             }
             Action::Heartbeat { target, heartbeat } => {
                 self.tasks.spawn(async move {
                     let outcome = fleet.heartbeat(&target, heartbeat).await;
-                    let _ = events.send(Event::HeartbeatResult { target, outcome });
+                    events.send(Event::HeartbeatResult { target, outcome });
                 });
             }
             Action::Advise { step, workers, timeout } => {
                 let advisor = self.context.advisor.clone();
                 self.tasks.spawn(async move {
                     let outcome = advisor.advise(step, workers, timeout).await;
-                    let _ = events.send(Event::AdviceResult { step, outcome });
+                    events.send(Event::AdviceResult { step, outcome });
                 });
             }
             Action::StartMaintenance { rollout, machine } => {
@@ -347,7 +402,7 @@
                 let epoch = self.epoch;
                 self.tasks.spawn(async move {
                     let outcome = machines.start_maintenance(&machine, rollout, epoch).await;
-                    let _ = events.send(Event::MaintenanceResult { rollout, machine, outcome });
+                    events.send(Event::MaintenanceResult { rollout, machine, outcome });
                 });
             }
             Action::SaveRollout { rollout, progress, started } => {
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -7,6 +7,7 @@
 
 use anyhow::Context as _;
 use cowslipchute_base::event::Event;
+use cowslipchute_base::id::Time;
 use cowslipchute_planner::event::Event as PlannerEvent;
 use cowslipchute_planner::planner::Planner;
 use cowslipchute_planner::settings::Settings as PlannerSettings;
@@ -32,12 +33,15 @@
 use crate::election::Transition;
 use crate::event;
 use crate::health::Health;
+use crate::inbox;
 use crate::instrumented::Instrumented;
 use crate::log::Log;
 use crate::owner;
 use crate::owner::Context;
 use crate::rpc;
 use crate::submission;
+use crate::turn::millis;
+use crate::turn::remaining_millis;
 
 /// Fraction of the grace period during which clients are still served: the platform needs two
 /// readiness checks, a second apart, before it routes new connections elsewhere.
@@ -196,8 +200,9 @@
 
 /// The current ownership of the cell.
 struct Ownership {
-    events: mpsc::UnboundedSender<PlannerEvent>,
+    events: inbox::Sender,
     task: JoinHandle<()>,
+    began: Time,
 }
 
 /// Runs the cell while this process owns it.
@@ -206,7 +211,7 @@
     mut transitions: mpsc::UnboundedReceiver<Transition>,
 ) {
     let mut ownership: Option<Ownership> = None;
-    let mut lease_until = cowslipchute_base::id::Time::ZERO;
+    let mut lease_until = Time::ZERO;
     while let Some(transition) = transitions.recv().await {
         match transition {
             Transition::Own { epoch, until } => {
@@ -218,21 +223,27 @@
                 context.log.metrics().lease_renewed(lease_until.saturating_sub(clock::now()));
                 lease_until = until;
                 if let Some(ownership) = &ownership {
-                    // The receiver is dropped only when the ownership ends.
-                    let _ = ownership.events.send(PlannerEvent::LeaseRenewed { until });
+                    ownership.events.send(PlannerEvent::LeaseRenewed { until });
                 }
             }
-            Transition::Disown => {
-                if let Some(ownership) = ownership.take() {
+            Transition::Disown { cause } => {
+                let now = clock::now();
+                let began = ownership.take().map_or(now, |ownership| {
                     ownership.task.abort();
-                }
-                owner::lock(&context.planner).step(
-                    clock::now(),
-                    PlannerEvent::OwnershipLost,
-                    &mut Vec::new(),
-                );
+                    ownership.began
+                });
+                let contacts = {
+                    let mut planner = owner::lock(&context.planner);
+                    let contacts = planner.contacts();
+                    planner.step(now, PlannerEvent::OwnershipLost, &mut Vec::new());
+                    contacts
+                };
                 context.log.metrics().ownership_lost();
-                event!(context.log, Event::SeatLost);
+                event!(context.log, Event::SeatLost, "reason" => cause.text(),
+                    "owned_ms" => millis(now.saturating_sub(began)),
+                    "lease_ms" => remaining_millis(now, lease_until),
+                    "answering" => contacts.answering, "silent" => contacts.silent,
+                    "unfenced" => contacts.unfenced);
             }
         }
     }
@@ -241,11 +252,11 @@
 fn start_ownership(
     context: &Context<Instrumented<HttpStore>, HttpFleet, HttpAdvisor, HttpMachines>,
     epoch: cowslipchute_base::id::Revision,
-    until: cowslipchute_base::id::Time,
+    until: Time,
 ) -> Ownership {
-    let (events, receiver) = mpsc::unbounded_channel();
+    let (events, receiver) = inbox::open();
     // The planner receives this after `OwnershipAcquired`, which `owner::run` passes to it first.
-    let _ = events.send(PlannerEvent::LeaseRenewed { until });
+    events.send(PlannerEvent::LeaseRenewed { until });
     let task = tokio::spawn(owner::run(context.clone(), epoch, (events.clone(), receiver)));
-    Ownership { events, task }
+    Ownership { events, task, began: clock::now() }
 }
--- a/bin/scheduler/src/rollouts.rs
+++ b/bin/scheduler/src/rollouts.rs
@@ -21,6 +21,7 @@
 
 use crate::clock;
 use crate::event;
+use crate::inbox;
 use crate::keys;
 use crate::log::Log;
 use crate::owner;
@@ -56,7 +57,7 @@
 }
 
 /// Reports every rollout that isn't completed to the planner.
-pub async fn follow<S: Store>(store: S, events: mpsc::UnboundedSender<Event>, log: Log) {
+pub async fn follow<S: Store>(store: S, events: inbox::Sender, log: Log) {
     let mut changes = watcher::spawn(store.clone(), operator::ROLLOUTS, None, None, log.clone());
     while let Some(change) = changes.recv().await {
         let entries = match change {
@@ -76,7 +77,7 @@
             let status = read_status(&store, rollout.number, &log).await;
             if status.progress != Progress::Completed {
                 // The receiver is dropped only when the ownership ends.
-                let _ = events.send(Event::Rollout { rollout, started: status.started });
+                events.send(Event::Rollout { rollout, started: status.started });
             }
         }
     }
@@ -118,7 +119,7 @@
 pub async fn list_machines<M: Machines>(
     machines: M,
     planner: SharedPlanner,
-    events: mpsc::UnboundedSender<Event>,
+    events: inbox::Sender,
     log: Log,
 ) {
     let mut failing = false;
@@ -135,7 +136,7 @@
             Ok(machines) => {
                 failing = false;
                 // The receiver is dropped only when the ownership ends.
-                let _ = events.send(Event::Machines { machines, requested_at });
+                events.send(Event::Machines { machines, requested_at });
             }
             Err(error) if !failing => {
                 failing = true;
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -134,7 +134,7 @@
     267 EventsDropped Warning "Lines of this event were dropped to keep the log within its budget.";
     268 RequestRefused Info "A client's request was not served; the result code and the reason are given.";
     270 SeatTaken Info "This process owns the cell from now on.";
-    271 SeatLost Warning "This process no longer owns the cell.";
+    271 SeatLost Warning "This process no longer owns the cell; the reason, how long it owned it, what was left of the lease and how far its takeover got are given.";
     272 SeatLeft Info "This process gave up the cell for a planned stop.";
     273 CellLoaded Info "The records of the cell were read; their number is given.";
     274 EndsRemoved Info "Final states of jobs that are past their retention time were removed from the store.";
@@ -156,6 +156,9 @@
     290 JobEnding Info "The final state of a job is decided and being written to the store; an owner that crashes then doesn't log JobEnded.";
     291 ServiceTaskWaits Info "A service task waits; the reason, since when and the free capacity are given.";
     292 ServiceTaskPlaced Info "A service task that had waited for more than three seconds was assigned to a worker; how long it waited and the way are given.";
+    293 TurnSlow Warning "A turn of the owner took long; its duration, its events by kind, the age of the oldest one and what was left of the lease are given.";
+    294 TakeoverDone Info "Most listed workers have answered the new owner; how long reading the cell and the whole takeover took is given.";
+    295 OwnerLoad Info "What the owner did in this second: its turns, the processor time of its thread, its events and actions by kind, and how late it handled and sent them.";
     300 ConfigApplied Info "A revision of the configuration is in force here.";
     301 ConfigIgnored Debug "An older revision of the configuration arrived and was ignored.";
     302 ConfigFromPeer Info "The configuration was received from a peer.";
--- a/crates/planner/src/action.rs
+++ b/crates/planner/src/action.rs
@@ -122,3 +122,20 @@
     /// Log a decision.
     Note(Note),
 }
+
+impl Action {
+    /// Returns the name of the kind of action, for logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Action::Start { .. } => "start",
+            Action::Stop { .. } => "stop",
+            Action::Throttle { .. } => "throttle",
+            Action::Heartbeat { .. } => "heartbeat",
+            Action::Advise { .. } => "advise",
+            Action::StartMaintenance { .. } => "maintenance",
+            Action::SaveRollout { .. } => "rollout",
+            Action::Write { .. } => "write",
+            Action::Note(_) => "note",
+        }
+    }
+}
--- a/crates/planner/src/census.rs
+++ b/crates/planner/src/census.rs
@@ -14,6 +14,17 @@
     placed: i64,
 }
 
+/// Number of workers by whether they answer the owner.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Contacts {
+    /// Workers that answer.
+    pub answering: i64,
+    /// Workers whose last heartbeat went unanswered.
+    pub silent: i64,
+    /// Workers that haven't answered this owner yet.
+    pub unfenced: i64,
+}
+
 /// Counts of jobs, tasks and workers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Census {
@@ -22,9 +33,7 @@
     service: Tasks,
     best_effort: Tasks,
     short: Tasks,
-    answering: i64,
-    silent: i64,
-    unfenced: i64,
+    contacts: Contacts,
     scores: u64,
     evacuated: Vec<(id::Domain, i64)>,
     /// Service tasks that have waited for long: those that have run before, and new ones.
@@ -49,9 +58,8 @@
 
     /// Returns the number of workers by contact state.
     pub fn workers(&self) -> impl Iterator<Item = (&'static str, i64)> + use<> {
-        let counts =
-            [("answering", self.answering), ("silent", self.silent), ("unfenced", self.unfenced)];
-        counts.into_iter()
+        let Contacts { answering, silent, unfenced } = self.contacts;
+        [("answering", answering), ("silent", silent), ("unfenced", unfenced)].into_iter()
     }
 
     /// Returns the evacuated failure domains, each with the number of runs that are still there.
@@ -83,7 +91,9 @@
     pub fn census(&self) -> Census {
         let evacuated = self.evacuated_runs();
         let returned = self.service_waits.returned;
-        let mut census = Census { scores: self.scores, evacuated, returned, ..Census::default() };
+        let contacts = self.contacts();
+        let mut census =
+            Census { scores: self.scores, evacuated, returned, contacts, ..Census::default() };
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.end.is_none()) {
             *if job.started { &mut census.active } else { &mut census.queued } += 1;
             for (step, state) in job.steps(*id) {
@@ -106,13 +116,19 @@
                 tasks.placed += state.tasks.iter().filter(|task| placed(task.place)).count() as i64;
             }
         }
+        census
+    }
+
+    /// Counts the workers by whether they answer.
+    pub fn contacts(&self) -> Contacts {
+        let mut contacts = Contacts::default();
         for (_, worker) in self.workers.iter() {
             *match worker.contact {
-                Contact::Answering { .. } => &mut census.answering,
-                Contact::Silent { .. } => &mut census.silent,
-                Contact::Unfenced { .. } => &mut census.unfenced,
+                Contact::Answering { .. } => &mut contacts.answering,
+                Contact::Silent { .. } => &mut contacts.silent,
+                Contact::Unfenced { .. } => &mut contacts.unfenced,
             } += 1;
         }
-        census
+        contacts
     }
 }
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -158,3 +158,30 @@
         batch: BatchNumber,
     },
 }
+
+impl Event {
+    /// Returns the name of the kind of event, for logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Event::Tick => "tick",
+            Event::OwnershipAcquired { .. } => "acquired",
+            Event::LeaseRenewed { .. } => "renewed",
+            Event::OwnershipLost => "lost",
+            Event::Config { .. } => "config",
+            Event::Evacuated { .. } => "evacuated",
+            Event::Job { .. } => "job",
+            Event::Listed { .. } => "listed",
+            Event::Unlisted { .. } => "unlisted",
+            Event::HeartbeatResult { .. } => "heartbeat",
+            Event::StartResult { .. } => "start",
+            Event::StopResult { .. } => "stop",
+            Event::ThrottleResult { .. } => "throttle",
+            Event::AdviceResult { .. } => "advice",
+            Event::Rollout { .. } => "rollout",
+            Event::Machines { .. } => "machines",
+            Event::MaintenanceResult { .. } => "maintenance",
+            Event::WallClock { .. } => "clock",
+            Event::Written { .. } => "written",
+        }
+    }
+}
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -24,6 +24,7 @@
 use crate::advice::Query;
 use crate::bypass::Placements;
 pub use crate::census::Census;
+pub use crate::census::Contacts;
 use crate::command::Timer;
 use crate::crash::Crash;
 use crate::event::Event;
@@ -251,6 +252,11 @@
         self.epoch.is_some() && now < self.lease_until
     }
 
+    /// Returns the end of the owner's lease.
+    pub fn lease_until(&self) -> Time {
+        self.lease_until
+    }
+
     /// Returns the state of a job as the store holds it, or `None` if the job isn't known.
     pub fn state(&self, job: JobId) -> Option<State> {
         match self.jobs.get(&job) {
--- a/crates/tenure/src/election.rs
+++ b/crates/tenure/src/election.rs
@@ -105,7 +105,35 @@
         until: Time,
     },
     /// Stop running the cell immediately.
-    Stop,
+    Stop {
+        /// Why the ownership ended.
+        cause: Cause,
+    },
+}
+
+/// Why an ownership ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The store no longer knows the lease.
+    LeaseExpired,
+    /// The key is absent or has changed, so another process may own the cell.
+    KeyChanged,
+    /// A write as the owner was rejected.
+    WriteFenced,
+    /// The process is about to stop.
+    Draining,
+}
+
+impl Cause {
+    /// Returns the text for logs and metrics.
+    pub fn text(self) -> &'static str {
+        match self {
+            Cause::LeaseExpired => "lease expired",
+            Cause::KeyChanged => "key changed",
+            Cause::WriteFenced => "write fenced",
+            Cause::Draining => "draining",
+        }
+    }
 }
 
 /// Settings of an election.
@@ -196,7 +224,7 @@
             Event::Granted { ticket, outcome } => self.granted(now, ticket, outcome, actions),
             Event::Claimed { ticket, outcome } => self.claimed(now, ticket, outcome, actions),
             Event::Renewed { ticket, outcome } => self.renewed(now, ticket, outcome, actions),
-            Event::Refused => self.lose(now, actions),
+            Event::Refused => self.lose(now, Cause::WriteFenced, actions),
             Event::Drain => self.drain(actions),
         }
         self.advance(now, actions);
@@ -229,7 +257,9 @@
             (State::Owning { epoch, .. }, Some(entry)) if entry.revision == epoch => {
                 self.renew_again(now, actions);
             }
-            (State::Owning { epoch, .. }, _) if at > epoch => self.lose(now, actions),
+            (State::Owning { epoch, .. }, _) if at > epoch => {
+                self.lose(now, Cause::KeyChanged, actions);
+            }
             (State::Owning { .. }, _) => {}
             (State::Unsettled { lease, until }, Some(entry))
             | (State::Claiming { lease, until, .. }, Some(entry))
@@ -386,14 +416,14 @@
                 *renew_at = call.at + renew_gap;
                 actions.push(Action::Extend { until: *until });
             }
-            Err(kv::Error::LeaseExpired) => self.lose(now, actions),
+            Err(kv::Error::LeaseExpired) => self.lose(now, Cause::LeaseExpired, actions),
             Err(_) => *renew_at = now + retry,
         }
     }
 
-    fn lose(&mut self, now: Time, actions: &mut Vec<Action>) {
+    fn lose(&mut self, now: Time, cause: Cause, actions: &mut Vec<Action>) {
         if let State::Owning { .. } = self.state {
-            actions.push(Action::Stop);
+            actions.push(Action::Stop { cause });
             // The watch shows whether the key is absent or held by another process; a claim made
             // too early fails its guard.
             self.state = match self.draining {
@@ -409,7 +439,7 @@
         self.draining = true;
         match self.state {
             State::Owning { lease, .. } => {
-                actions.push(Action::Stop);
+                actions.push(Action::Stop { cause: Cause::Draining });
                 actions.push(Action::Revoke { lease });
                 self.state = State::Watching;
             }
--- a/crates/tenure/tests/seat.rs
+++ b/crates/tenure/tests/seat.rs
@@ -137,7 +137,7 @@
                 process.until = until;
                 return;
             }
-            Action::Stop => {
+            Action::Stop { .. } => {
                 process.owns = None;
                 return;
             }
@@ -188,7 +188,7 @@
                 return;
             }
             Action::ReadKey => Event::Seen { at: store.revision, entry: store.key.clone() },
-            Action::Own { .. } | Action::Extend { .. } | Action::Stop => return,
+            Action::Own { .. } | Action::Extend { .. } | Action::Stop { .. } => return,
         };
         let answer = match (line, event) {
             (Connection::Open, event) => event,
