Planner tests: a processor budget in virtual time, and a takeover that never ends

Cause: the world of the planner's tests handled any number of events at once, so that an owner which falls behind could not be tested. With a limited processor, events, commands, responses, scores and the entries of a takeover take virtual time, what arrives meanwhile waits for the next turn, and the lease is renewed between turns, as in the scheduler.

Late answers: the client's timeout polls the answer first, and the runtime serves sockets before timers, so an answer that is there counts however late it is read. A command that waits for its connection is dropped when its timeout has passed by then, and its outcome is unknown.

--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -7,6 +7,10 @@
 //! - `kill`: the owner crashes without releasing the cell.
 //! - `busy ms=N`: the owner sends commands this much later than it decides on them.
 //! - `link rate=N`: bandwidth of owners' links from now on, in bytes per second.
+//! - `processor share=N|full`: owners' share of a core from now on, in thousandths. An owner with a
+//!   limited share is replaced when its lease of 1.2 s runs out, as long as there are candidates.
+//! - `candidates state=down|up`: the owner and all processes that could claim the cell crash, or
+//!   are there again.
 //! - `store state=down|up [delay=MS]`: whether the store responds, and how late.
 //! - `machines state=down|up`: whether the list of machines is available.
 //! - `resize name=w cpu=N [memory=N]`: changes a worker's capacity; its directory entry follows
@@ -68,6 +72,10 @@
 //!   its job was submitted, beside room on workers that are up, listed, not draining, not evacuated
 //!   and reachable; `beside scope=calm [most=MS]`: the same at times without disturbance.
 //! - `idle` and `idle most=MS`: the same for jobs without a running task.
+//! - `lag most=MS`: whether there is an owner, and nothing that it has handled in the last second or
+//!   has yet to handle has waited longer for its turn.
+//! - `owners [most=N]`: whether there were no more owners since the last `owners`.
+//! - `takeover most=MS`: whether the owner took no longer to hear of all workers.
 //! - `at_work id=H least=N`: whether enough tasks of a job run.
 
 mod world;
@@ -179,6 +187,7 @@
     near = { "near" },
     occurrences = { "occurrences" },
     overload_ends = { "overload_ends" },
+    overload_takeover = { "overload_takeover" },
     overwritten = { "overwritten" },
     owner_killed = { "owner_killed" },
     owner_killed_cut = { "owner_killed_cut" },
@@ -290,6 +299,18 @@
             world.link =
                 Some(world::link::Link::open(number(case, "rate").expect("`rate` is given")));
         }
+        "processor" => set_processor(world, case),
+        "candidates" => {
+            let is_up = arg(case, "state") == Some("up");
+            let processor = world.processor.as_mut().expect("the owner's processor is limited");
+            processor.has_candidates = is_up;
+            if !is_up {
+                world.kill_owner();
+            }
+        }
+        "lag" => return lag(world, case),
+        "owners" => return owners(world, case),
+        "takeover" => return takeover(world, case),
         "busy" => world.command_delay = Duration::from_millis(number(case, "ms").unwrap_or(0)),
         "job" => {
             let accepted = parse_job(world, case);
@@ -459,6 +480,48 @@
     format!("overdue: {}; placed again: {}", overdue.join(", "), returned.join(", "))
 }
 
+fn set_processor(world: &mut World, case: &TestCase) {
+    let share = match arg(case, "share").expect("`share` is given") {
+        "full" => None,
+        _ => number::<f64>(case, "share").map(|thousandths| thousandths / 1000.0),
+    };
+    world.set_processor_share(share);
+}
+
+/// Returns whether the owner keeps up with its events.
+fn lag(world: &World, case: &TestCase) -> String {
+    let most = Duration::from_millis(number(case, "most").expect("`most` is given"));
+    let processor = world.processor.as_ref().expect("the owner's processor is limited");
+    let lag = processor.lag(world.now);
+    match world.planner {
+        None => String::from("no owner"),
+        Some(_) if lag <= most => String::from("within"),
+        Some(_) => format!("{} ms", lag.as_millis()),
+    }
+}
+
+/// Returns whether there were no more owners than allowed, and counts anew.
+fn owners(world: &mut World, case: &TestCase) -> String {
+    let processor = world.processor.as_mut().expect("the owner's processor is limited");
+    let owners = std::mem::take(&mut processor.owners);
+    match number::<u32>(case, "most") {
+        None => String::new(),
+        Some(most) if owners <= most => String::from("within"),
+        Some(_) => format!("{owners}"),
+    }
+}
+
+/// Returns whether the owner heard of all workers soon enough.
+fn takeover(world: &World, case: &TestCase) -> String {
+    let most = Duration::from_millis(number(case, "most").expect("`most` is given"));
+    let processor = world.processor.as_ref().expect("the owner's processor is limited");
+    match processor.takeover_time() {
+        Some(time) if time <= most => String::from("within"),
+        Some(time) => format!("{} ms", time.as_millis()),
+        None => format!("not complete after {} ms", world.owned_for().as_millis()),
+    }
+}
+
 fn add_rollout(world: &mut World, case: &TestCase) {
     let names = case.args.get("of").expect("`of` is given");
     let names = names.iter().map(|name| name.as_str().into()).collect();
--- a/crates/planner/tests/world/commands.rs
+++ b/crates/planner/tests/world/commands.rs
@@ -107,10 +107,10 @@
             _ => None,
         };
         let address = target.address;
-        let mut others = self.workers.values();
-        let other_worker =
-            others.any(|worker| registration(worker).address == address && worker.name != name);
         let Some(worker) = self.by_name(&name) else {
+            let mut others = self.workers.values();
+            let other_worker =
+                others.any(|worker| registration(worker).address == address && worker.name != name);
             let refusal = cowslipchute_ports::executor::Refusal::OtherWorker;
             let failure =
                 if other_worker { Failure::Refused(refusal, None) } else { Failure::Unknown };
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -20,6 +20,7 @@
 pub mod link;
 mod machines;
 mod owner;
+pub mod processor;
 mod restarts;
 pub mod service_wait;
 mod stream;
@@ -37,6 +38,7 @@
 use cowslipchute_planner::event::Event;
 use cowslipchute_planner::planner::Planner;
 use cowslipchute_planner::record::Record;
+use cowslipchute_ports::deployment::Config;
 use cowslipchute_ports::executor::Failure;
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
@@ -69,6 +71,8 @@
     Write(u32, u64, Vec<Change>),
     /// An event reaches the owner of a term.
     Event(u32, Event),
+    /// A connection for a command is open, which is given up at the given time.
+    Connection(u32, Action, Time),
     /// A client submits a job.
     Submit(JobId, Accepted),
 }
@@ -80,6 +84,8 @@
     /// Number of the current owner; also its epoch.
     pub term: u32,
     pub owned_at: Time,
+    /// Configuration of the last owner.
+    pub config: Option<Arc<Config>>,
     pub workers: BTreeMap<String, Worker>,
     pub incarnations: u32,
     pub jobs: BTreeMap<JobId, Arc<Accepted>>,
@@ -104,6 +110,8 @@
     pub command_delay: Duration,
     /// The owner's link, if it is narrow.
     pub link: Option<link::Link>,
+    /// The owner's processor, if it is limited.
+    pub processor: Option<processor::Processor>,
     arrivals: BTreeMap<(Time, u64), Arrival>,
     sequence: u64,
     /// Tasks whose end has been acknowledged for good.
@@ -134,6 +142,7 @@
             planner: None,
             term: 0,
             owned_at: Time::ZERO,
+            config: None,
             workers: BTreeMap::new(),
             incarnations: 0,
             jobs: BTreeMap::new(),
@@ -150,6 +159,7 @@
             renewals: true,
             command_delay: Duration::ZERO,
             link: None,
+            processor: None,
             arrivals: BTreeMap::new(),
             sequence: 0,
             acknowledged: BTreeSet::new(),
@@ -210,7 +220,7 @@
             self.advance_restarts();
             self.advance_machines();
             self.advance_evacuations();
-            if self.renewals && self.store_up {
+            if self.renewals && self.store_up && self.processor.is_none() {
                 let queue =
                     self.link.as_ref().map_or(Duration::ZERO, |link| link.queue_delay(self.now));
                 let renewed = Event::LeaseRenewed { until: self.now + LEASE };
@@ -232,6 +242,10 @@
     }
 
     fn advance_planner(&mut self) {
+        if self.processor.is_some() {
+            self.advance_processor();
+            return;
+        }
         let Some(planner) = &mut self.planner else { return };
         let mut actions = Vec::new();
         planner.advance(self.now, &mut actions);
@@ -239,40 +253,45 @@
     }
 
     fn act(&mut self, actions: Vec<Action>) {
-        let term = self.term;
         for action in actions {
-            match action {
-                Action::Note(note) => {
-                    let run = note.run.map(|run| format!(" {}#{}", run.task, run.attempt));
-                    let worker = note.worker.map(|worker| format!(" {worker}"));
-                    let text = format!(
-                        "{:?}{}{} {}",
-                        note.event,
-                        run.unwrap_or_default(),
-                        worker.unwrap_or_default(),
-                        note.detail
-                    );
-                    self.log_lines.push(text.trim_end().to_owned());
-                }
-                Action::Write { batch, changes } => {
-                    let queue = self.transmit(link::write_bytes(&changes));
-                    let at = self.now + queue + self.store_delay / 2;
-                    self.push(at, Arrival::Write(term, batch, changes));
-                }
-                command => {
-                    let is_heartbeat = matches!(command, Action::Heartbeat { .. });
-                    let delay = if is_heartbeat { Duration::ZERO } else { self.command_delay };
-                    let now = self.now;
-                    let queue = self.transmit(link::command_bytes(&command));
-                    if queue > TIMEOUT {
-                        let event = commands::failed(command, Failure::Unknown);
-                        self.push(now + TIMEOUT, Arrival::Event(term, event));
-                    } else {
-                        self.push(
-                            now + queue + delay + ONE_WAY_DELAY,
-                            Arrival::Command(term, command),
-                        );
-                    }
+            if let Action::Note(note) = action {
+                let run = note.run.map(|run| format!(" {}#{}", run.task, run.attempt));
+                let worker = note.worker.map(|worker| format!(" {worker}"));
+                let text = format!(
+                    "{:?}{}{} {}",
+                    note.event,
+                    run.unwrap_or_default(),
+                    worker.unwrap_or_default(),
+                    note.detail
+                );
+                self.log_lines.push(text.trim_end().to_owned());
+            } else if let Some(processor) = &mut self.processor {
+                processor.add(action);
+            } else {
+                self.send(action);
+            }
+        }
+    }
+
+    /// Sends a command or a write of the current owner.
+    fn send(&mut self, action: Action) {
+        let term = self.term;
+        match action {
+            Action::Write { batch, changes } => {
+                let queue = self.transmit(link::write_bytes(&changes));
+                let at = self.now + queue + self.store_delay / 2;
+                self.push(at, Arrival::Write(term, batch, changes));
+            }
+            command => {
+                let is_heartbeat = matches!(command, Action::Heartbeat { .. });
+                let delay = if is_heartbeat { Duration::ZERO } else { self.command_delay };
+                let now = self.now;
+                let queue = self.transmit(link::command_bytes(&command));
+                if queue > TIMEOUT {
+                    let event = commands::failed(command, Failure::Unknown);
+                    self.push(now + TIMEOUT, Arrival::Event(term, event));
+                } else {
+                    self.push(now + queue + delay + ONE_WAY_DELAY, Arrival::Command(term, command));
                 }
             }
         }
@@ -292,10 +311,20 @@
                     return;
                 }
                 let Some(planner) = &mut self.planner else { return };
+                if let Some(processor) = &mut self.processor {
+                    processor.receive(self.now, processor::Input::Event(event));
+                    return;
+                }
                 let mut actions = Vec::new();
                 planner.step(self.now, event, &mut actions);
                 self.act(actions);
             }
+            Arrival::Connection(term, command, timeout_at) => {
+                if let (Some(processor), true) = (&mut self.processor, term == self.term) {
+                    let input = processor::Input::Connection(command, timeout_at);
+                    processor.receive(self.now, input);
+                }
+            }
             Arrival::Write(term, batch, changes) => self.write(term, batch, changes),
             Arrival::Command(term, action) => self.receive(term, action),
             Arrival::Submit(id, accepted) => self.submit(id, accepted),
--- a/crates/planner/tests/world/owner.rs
+++ b/crates/planner/tests/world/owner.rs
@@ -15,6 +15,7 @@
 
 use super::LEASE;
 use super::World;
+use super::processor::Processor;
 use super::workers::registration;
 
 impl World {
@@ -68,32 +69,44 @@
     pub fn take_over(&mut self, config: &Arc<Config>) {
         self.term += 1;
         self.owned_at = self.now;
+        self.config = Some(config.clone());
         let link_bytes_per_second = self.link.as_ref().map(|link| link.rate);
-        let mut planner = Planner::open(Settings { link_bytes_per_second, ..Settings::default() });
+        let planner = Planner::open(Settings { link_bytes_per_second, ..Settings::default() });
+        self.planner = Some(planner);
+        let events = self.takeover_events(config);
+        if let Some(processor) = &mut self.processor {
+            processor.begin(self.now, self.jobs.len() + self.records.len(), events);
+            return;
+        }
         let mut actions = Vec::new();
+        let planner = self.planner.as_mut().expect("it was just opened");
+        for event in events {
+            planner.step(self.now, event, &mut actions);
+        }
+        self.act(actions);
+    }
+
+    /// Returns the events that a new owner begins with.
+    fn takeover_events(&mut self, config: &Arc<Config>) -> Vec<Event> {
         let jobs = self.jobs.iter().map(|(id, job)| (*id, job.clone())).collect();
         let records = self.records.iter().map(|(id, record)| (*id, record.clone())).collect();
         let config = self.with_services(config);
         let evacuated = self.read_evacuations();
-        let events = [
+        let lease_until = match &self.processor {
+            Some(_) => Processor::first_lease_end(self.now),
+            None => self.now + LEASE,
+        };
+        let mut events = vec![
             Event::WallClock { wall: self.now },
             Event::Config { config },
             evacuated,
             Event::OwnershipAcquired { epoch: self.term.into(), jobs, records, estimates: None },
-            Event::LeaseRenewed { until: self.now + LEASE },
+            Event::LeaseRenewed { until: lease_until },
         ];
-        for event in events {
-            planner.step(self.now, event, &mut actions);
-        }
-        for event in self.open_rollouts() {
-            planner.step(self.now, event, &mut actions);
-        }
-        for worker in self.workers.values().filter(|worker| worker.listed) {
-            let registration = registration(worker);
-            planner.step(self.now, Event::Listed { registration }, &mut actions);
-        }
-        self.planner = Some(planner);
-        self.act(actions);
+        events.extend(self.open_rollouts());
+        let listed = self.workers.values().filter(|worker| worker.listed);
+        events.extend(listed.map(|worker| Event::Listed { registration: registration(worker) }));
+        events
     }
 
     /// Returns how long the cell has had its owner.
--- a/crates/planner/tests/world/workers.rs
+++ b/crates/planner/tests/world/workers.rs
@@ -103,7 +103,8 @@
     }
 
     pub(super) fn by_name(&mut self, name: &str) -> Option<&mut Worker> {
-        self.workers.values_mut().find(|worker| &*worker.name == name)
+        let machine = name.split('+').next().unwrap_or_default();
+        self.workers.get_mut(machine).filter(|worker| &*worker.name == name)
     }
 }
 
