Scheduler: the lease is renewed on a thread of its own

Callers saw accepted jobs that never ran (LOST), and a cell without a working owner for 35 s. Cause: renewals were tasks on the thread that decides; one placement pass after a takeover takes longer than the lease of 1.2 s, so an owner that was alive lost the cell to one that was no faster and had a longer takeover before it. Evidence: each of 20 SeatLost lines comes right after a slow turn, with a lease that ran out during it.

The election has a thread and a client of its own and shares the end of the lease with the cell's thread. It stops renewing when that thread makes no progress for five seconds. What a lease bounds after a crash stays.

--- a/bin/scheduler/src/election.rs
+++ b/bin/scheduler/src/election.rs
@@ -1,6 +1,8 @@
 //! Leader election: decides through the store whether this process owns the cell, and reports each
-//! change of the ownership to the rest of the process.
+//! change of the ownership to the rest of the process. It runs on a thread of its own, so that the
+//! lease is renewed however busy the cell is ([`crate::lease`]).
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,6 +25,7 @@
 use crate::clock;
 use crate::health::Health;
 use crate::keys;
+use crate::lease::Lease;
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::precedence::Precedence;
@@ -60,18 +63,13 @@
     Own {
         /// Epoch of the ownership, which is the revision that guards its writes.
         epoch: Revision,
-        /// Earliest end of the lease.
-        until: Time,
-    },
-    /// The lease was extended.
-    Extend {
-        /// Earliest end of the lease.
-        until: Time,
     },
     /// This process no longer owns the cell.
     Disown {
         /// Why the ownership ended.
         cause: Cause,
+        /// Earliest end of the lease that was held until now.
+        lease_until: Time,
     },
 }
 
@@ -93,10 +91,17 @@
     pub notices: mpsc::UnboundedSender<Notice>,
     /// Last known owner of the cell.
     pub holder: watch::Receiver<Option<Holder>>,
+    /// The lease while this process owns the cell.
+    pub lease: Lease,
 }
 
-/// Starts the election of this process.
-pub fn spawn<S: Store>(store: S, holder: Holder, health: Health, log: Log) -> Handle {
+/// Starts the election of this process on a thread of its own, and shows it the progress of the
+/// calling thread. `store` must share no connections with other threads.
+///
+/// # Errors
+///
+/// Returns an error if the system refuses the thread.
+pub fn spawn<S: Store>(store: S, holder: Holder, health: Health, log: Log) -> io::Result<Handle> {
     let precedence = Precedence::open(holder.cpu_share);
     let mark = cowslipchute_planner::record::encode(&holder);
     let settings =
@@ -105,7 +110,8 @@
     let (notices, notice_receiver) = mpsc::unbounded_channel();
     let (holder_sender, holder) = watch::channel(None);
     let (result_sender, results) = mpsc::unbounded_channel();
-    let changes = watcher::spawn(store.clone(), keys::OWNER, None, Some(health), log.clone());
+    let lease = Lease::default();
+    tokio::spawn(lease.clone().pulse(log.metrics().clone()));
     let runner = Runner {
         store,
         owner_value: settings.holder.clone(),
@@ -114,10 +120,13 @@
         transitions: transition_sender,
         holder: holder_sender,
         results: result_sender,
+        lease: lease.clone(),
         metrics: log.metrics().clone(),
     };
-    tokio::spawn(runner.run(changes, notice_receiver, results));
-    Handle { transitions, notices, holder }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let thread = std::thread::Builder::new().name(String::from("lease"));
+    thread.spawn(move || runtime.block_on(runner.run(notice_receiver, results, health, log)))?;
+    Ok(Handle { transitions, notices, holder, lease })
 }
 
 struct Runner<S> {
@@ -128,16 +137,19 @@
     transitions: mpsc::UnboundedSender<Transition>,
     holder: watch::Sender<Option<Holder>>,
     results: mpsc::UnboundedSender<Event>,
+    lease: Lease,
     metrics: Metrics,
 }
 
 impl<S: Store> Runner<S> {
     async fn run(
         mut self,
-        mut changes: mpsc::Receiver<Change>,
         mut notices: mpsc::UnboundedReceiver<Notice>,
         mut results: mpsc::UnboundedReceiver<Event>,
+        health: Health,
+        log: Log,
     ) {
+        let mut changes = watcher::spawn(self.store.clone(), keys::OWNER, None, Some(health), log);
         loop {
             let pause = match self.election.next_due() {
                 Some(due) => due.saturating_sub(clock::now()).min(MAX_SLEEP),
@@ -151,10 +163,7 @@
                     Notice::Drain => Event::Drain,
                 }),
                 Some(result) = results.recv() => Some(result),
-                () = tokio::time::sleep_until(due) => {
-                    self.metrics.loop_lag(due.elapsed());
-                    Some(Event::Tick)
-                }
+                () = tokio::time::sleep_until(due) => Some(Event::Tick),
             };
             let Some(event) = event else { continue };
             let mut actions = Vec::new();
@@ -190,11 +199,27 @@
     }
 
     /// Executes an action; returns `false` if the process is exiting.
-    fn execute(&self, action: Action) -> bool {
+    fn execute(&mut self, action: Action) -> bool {
         let transition = match action {
-            Action::Own { epoch, until } => Transition::Own { epoch, until },
-            Action::Extend { until } => Transition::Extend { until },
-            Action::Stop { cause } => Transition::Disown { cause },
+            Action::Own { epoch, until } => {
+                self.lease.extend(epoch, until);
+                Transition::Own { epoch }
+            }
+            Action::Extend { until } => {
+                self.extend_lease(until);
+                return true;
+            }
+            Action::Stop { cause } => {
+                let lease_until = self.lease.end();
+                Transition::Disown { cause, lease_until }
+            }
+            Action::Renew { ticket, .. } if self.lease.is_stalled(clock::now()) => {
+                let reason = String::from("the cell's thread makes no progress");
+                let outcome = Err(kv::Error::Unavailable(reason));
+                // The receiver is dropped only when the process exits.
+                let _ = self.results.send(Event::Renewed { ticket, outcome });
+                return true;
+            }
             call => {
                 self.call(call);
                 return true;
@@ -203,6 +228,13 @@
         self.transitions.send(transition).is_ok()
     }
 
+    fn extend_lease(&self, until: Time) {
+        let Some(epoch) = self.election.epoch() else { return };
+        if let Some(previous) = self.lease.extend(epoch, until) {
+            self.metrics.lease_renewed(previous.saturating_sub(clock::now()));
+        }
+    }
+
     fn call(&self, action: Action) {
         let store = self.store.clone();
         let results = self.results.clone();
--- a/bin/scheduler/src/lib.rs
+++ b/bin/scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod inbox;
 pub mod instrumented;
 pub mod keys;
+pub mod lease;
 pub mod listing;
 pub mod log;
 pub mod metrics;
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -31,6 +31,7 @@
 use crate::inbox;
 use crate::inbox::Queued;
 use crate::keys;
+use crate::lease::Lease;
 use crate::log::Log;
 use crate::recovery;
 use crate::retention;
@@ -79,6 +80,8 @@
     pub planner: SharedPlanner,
     /// Sends notices to the election.
     pub notices: mpsc::UnboundedSender<Notice>,
+    /// The lease, as the election renews it.
+    pub lease: Lease,
     /// The log.
     pub log: Log,
 }
@@ -95,6 +98,7 @@
             final_state_retention: self.final_state_retention,
             planner: self.planner.clone(),
             notices: self.notices.clone(),
+            lease: self.lease.clone(),
             log: self.log.clone(),
         }
     }
@@ -109,11 +113,10 @@
     planner.lock().expect("the planner has not panicked")
 }
 
-/// Runs the cell until the ownership is lost or `inbox` is closed.
+/// Runs the cell until the task is aborted, when the ownership ends.
 pub async fn run<S: Store, F: Fleet, A: Advisor, M: Machines>(
     context: Context<S, F, A, M>,
     epoch: Revision,
-    inbox: (inbox::Sender, inbox::Receiver),
 ) {
     let began = clock::now();
     let cell = loop {
@@ -131,7 +134,7 @@
     let estimates = recovery::read_estimates(&context.store, &context.log).await;
     let evacuations = Evacuations::read(&context.store, &context.log).await;
     let mut initial_events = vec![Queued::now(evacuations.event())];
-    let (sender, receiver) = inbox;
+    let (sender, receiver) = inbox::open();
     let (writes, write_receiver) = mpsc::unbounded_channel();
     let mut tasks = JoinSet::new();
     tasks.spawn(store_estimates(writer.clone(), context.planner.clone(), context.notices.clone()));
@@ -298,6 +301,9 @@
                 turn.count(&queued);
                 planner.step(now, queued.event, &mut actions);
             }
+            // After the events, since the first ones start the ownership.
+            let until = self.context.lease.until(self.epoch);
+            planner.step(now, Event::LeaseRenewed { until }, &mut actions);
             turn.handled(clock::now());
             planner.advance(now, &mut actions);
             turn.decided(clock::now());
@@ -361,9 +367,12 @@
                 let planner = self.context.planner.clone();
                 let metrics = self.context.log.metrics().clone();
                 let decided_at = clock::now();
+                let lease = self.context.lease.clone();
+                let epoch = self.epoch;
                 self.tasks.spawn(async move {
                     let run = start.run;
-                    let wanted = lock(&planner).is_start_wanted(&target, run);
+                    let wanted = clock::now() < lease.until(epoch)
+                        && lock(&planner).is_start_wanted(&target, run);
                     metrics.start_sent(clock::now().saturating_sub(decided_at));
                     let outcome = match wanted {
                         true => fleet.start(&target, start).await,
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -33,7 +33,6 @@
 use crate::election::Transition;
 use crate::event;
 use crate::health::Health;
-use crate::inbox;
 use crate::instrumented::Instrumented;
 use crate::log::Log;
 use crate::owner;
@@ -56,6 +55,8 @@
 /// Interval at which changes of the workers' directory are batched. A draining worker must get no
 /// new tasks after two seconds, and the platform counts each call.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(350);
+/// Connections of the client that holds the lease: one watches the owner's key, one renews.
+const ELECTION_CONNECTIONS: usize = 2;
 /// Connections of the client that watches the directory.
 const DIRECTORY_CONNECTIONS: usize = 1;
 
@@ -83,7 +84,12 @@
         incarnation: rand::random(),
         cpu_share: settings.limits.cpu_share,
     };
-    let election = election::spawn(store.clone(), holder, health.clone(), log.clone());
+    let election_store = Instrumented::open(
+        HttpStore::open(Client::open(ELECTION_CONNECTIONS), settings.platform.address),
+        log.metrics().clone(),
+        health.clone(),
+    );
+    let election = election::spawn(election_store, holder, health.clone(), log.clone())?;
     let submissions = submission::spawn(store.clone(), log.clone());
     let api = Api::open(
         store.clone(),
@@ -132,6 +138,7 @@
         final_state_retention: final_state_retention(&settings),
         planner,
         notices: election.notices.clone(),
+        lease: election.lease,
         log: log.clone(),
     };
     let ownerships = tokio::spawn(run_ownerships(context, election.transitions));
@@ -200,7 +207,6 @@
 
 /// The current ownership of the cell.
 struct Ownership {
-    events: inbox::Sender,
     task: JoinHandle<()>,
     began: Time,
 }
@@ -211,22 +217,13 @@
     mut transitions: mpsc::UnboundedReceiver<Transition>,
 ) {
     let mut ownership: Option<Ownership> = None;
-    let mut lease_until = Time::ZERO;
     while let Some(transition) = transitions.recv().await {
         match transition {
-            Transition::Own { epoch, until } => {
+            Transition::Own { epoch } => {
                 event!(context.log, Event::SeatTaken, "epoch" => epoch);
-                lease_until = until;
-                ownership = Some(start_ownership(&context, epoch, until));
-            }
-            Transition::Extend { until } => {
-                context.log.metrics().lease_renewed(lease_until.saturating_sub(clock::now()));
-                lease_until = until;
-                if let Some(ownership) = &ownership {
-                    ownership.events.send(PlannerEvent::LeaseRenewed { until });
-                }
+                ownership = Some(start_ownership(&context, epoch));
             }
-            Transition::Disown { cause } => {
+            Transition::Disown { cause, lease_until } => {
                 let now = clock::now();
                 let began = ownership.take().map_or(now, |ownership| {
                     ownership.task.abort();
@@ -252,11 +249,7 @@
 fn start_ownership(
     context: &Context<Instrumented<HttpStore>, HttpFleet, HttpAdvisor, HttpMachines>,
     epoch: cowslipchute_base::id::Revision,
-    until: Time,
 ) -> Ownership {
-    let (events, receiver) = inbox::open();
-    // The planner receives this after `OwnershipAcquired`, which `owner::run` passes to it first.
-    events.send(PlannerEvent::LeaseRenewed { until });
-    let task = tokio::spawn(owner::run(context.clone(), epoch, (events.clone(), receiver)));
-    Ownership { events, task, began: clock::now() }
+    let task = tokio::spawn(owner::run(context.clone(), epoch));
+    Ownership { task, began: clock::now() }
 }
