Planner: a window of starts in flight

A placement pass had no bound: after a takeover or an outage it assigned thousands of tasks at once (4,000 to 9,800 actions in one turn of 0.5 to 1.9 s), and sending them occupied the owner for seconds more. Now 512 starts at most are decided on and not answered; the rest wait in the planner by rank, and the window moves as starts are answered. Steps without service tasks aren't looked at while it is full.

The planner's scenarios print as before.

--- a/crates/planner/src/command.rs
+++ b/crates/planner/src/command.rs
@@ -155,6 +155,7 @@
                 .and_then(|permit| permit.ticket(worker)),
         };
         self.actions.push(Action::Start { target, start });
+        self.start_window.send();
         let state = &mut self.workers[worker];
         state.last_start_sent = self.now;
         if let Some(hosted) = state.runs.get_mut(&run) {
@@ -205,6 +206,7 @@
         run: Run,
         outcome: Result<Timestamp, Failure>,
     ) {
+        self.room_changed |= self.start_window.settle();
         let Some(worker) = self.record_answer(target, outcome) else { return };
         let name = &target.name;
         let now = self.now;
--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/job.rs
@@ -380,6 +380,11 @@
         waiting.map(|(step, _)| step).collect()
     }
 
+    /// Returns `true` if a step consists of service tasks.
+    pub(crate) fn has_service_step(&self) -> bool {
+        self.accepted.spec.steps.iter().any(|step| step.long_running)
+    }
+
     /// Returns `true` if an open step has a waiting task.
     pub(crate) fn has_waiting(&self) -> bool {
         let mut steps = self.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -57,6 +57,7 @@
 mod room;
 mod service_wait;
 pub mod settings;
+mod start_window;
 mod takeover;
 mod throttle;
 mod way;
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -71,6 +71,7 @@
 impl Planner {
     pub(crate) fn place(&mut self) {
         self.service_waits.begin_pass();
+        self.start_window.begin_pass();
         let open = self.open_workers();
         let mostly_free = self.is_mostly_free(&open);
         let places_best_effort = self.now >= self.best_effort_due;
@@ -96,7 +97,10 @@
             if self.yields(job, &mut pass.reclaiming) {
                 continue;
             }
-            self.place_job(job, &mut pass);
+            // Service steps are looked at in each pass, since their waits are followed.
+            if self.start_window.admit() || self.jobs[&job].has_service_step() {
+                self.place_job(job, &mut pass);
+            }
             match self.jobs.get(&job).filter(|job| job.has_waiting()) {
                 Some(job) => backlog += job.waiting_best_effort_work(),
                 None => drop(self.waiting.remove(&job)),
@@ -350,6 +354,9 @@
         self.scores += open.len() as u64;
         let mut candidates = self.candidates(&request, open);
         for (index, urgency) in tasks {
+            if !self.start_window.admit() {
+                return outcome.refused(Gate::StartWindow);
+            }
             let is_rate_limited = !self.start_limiter.allows(self.now);
             if is_rate_limited
                 && !(self.is_starving(step) && self.start_limiter.allows_starved(self.now))
@@ -438,6 +445,7 @@
         self.mark_dirty(task.job);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         self.start_limiter.charge(job.accepted.spec.payload.len());
+        self.start_window.plan();
         if job.spec(task.step).long_running {
             self.quota.take(job.spec(task.step));
         }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -43,6 +43,7 @@
 use crate::service_wait::Overrides;
 use crate::service_wait::Waits;
 use crate::settings::Settings;
+use crate::start_window::Window;
 use crate::worker::Worker;
 use crate::worker::WorkerId;
 use crate::write::Writes;
@@ -113,6 +114,8 @@
     pub(crate) best_effort_backlog: f64,
     /// Rate limiter of starts.
     pub(crate) start_limiter: Limiter,
+    /// Window of starts in flight.
+    pub(crate) start_window: Window,
     /// When best-effort tasks are placed next.
     pub(crate) best_effort_due: Time,
     /// Tasks that may be started on one worker only ([`crate::pin`]).
@@ -168,6 +171,7 @@
             interference: Model::default(),
             periodicity: Periodicity::default(),
             best_effort_backlog: 0.0,
+            start_window: Window::default(),
             best_effort_due: Time::ZERO,
             pins: BTreeMap::new(),
             placements: Placements::default(),
--- a/crates/planner/src/service_wait.rs
+++ b/crates/planner/src/service_wait.rs
@@ -60,6 +60,8 @@
     Covered(Amount),
     /// The rate limit on starts.
     RateLimit,
+    /// The window of starts in flight.
+    StartWindow,
     /// The reserve for short tasks, and what was left of the capacity that it allows.
     Reserve(Spare),
     /// No worker on which a crash can be attributed.
@@ -155,6 +157,7 @@
     Rack,
     Covered(Amount),
     RateLimit,
+    StartWindow,
     Reserve(Spare, Lack),
     Probation,
     GangMembers,
@@ -183,6 +186,7 @@
                 write!(f, "covered by a refused demand of {} millicores", demand.cpu_milli)
             }
             Reason::RateLimit => f.write_str("rate limit"),
+            Reason::StartWindow => f.write_str("starts in flight"),
             Reason::Reserve(spare, lack) => write!(
                 f,
                 "reserve ({lack}, {:.0} millicores beyond it, {} slots through all windows)",
@@ -436,6 +440,7 @@
             _ if decision.permitted == 0 => Reason::Advice,
             _ if decision.outcome.on_probation.contains(&id.index) => Reason::Probation,
             Some(Gate::RateLimit) => Reason::RateLimit,
+            Some(Gate::StartWindow) => Reason::StartWindow,
             Some(Gate::Reserve(spare)) => Reason::Reserve(spare, self.quota_lack(spec, task)),
             Some(Gate::Probation) => Reason::Probation,
             Some(Gate::GangMembers) => Reason::GangMembers,
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -86,6 +86,7 @@
         self.isolation_priority = None;
         self.quota = Default::default();
         self.scores = 0;
+        self.start_window = Default::default();
         self.recent_overrides = Default::default();
         self.service_waits = Default::default();
         self.timers.clear();
