Planner: an owner that is behind spends less on what is worth the least

Callers saw too little served of the class of short jobs (SHORT). Cause: an owner short of processor time handles what there is in rounds, and a worker's capacity is idle for several of them between a task's end and the next start; half of its commands are heartbeats that bring nothing. The process measures how old events are when they are handled and how long a pass takes, and the planner, while that is above normal, pauses between a report and the next heartbeat unless a short task is about to end or something can't wait, lets colocated workers delay their reports by as much, gives passes an eighth of the time, and leaves out speed changes of one step.

--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -10,6 +10,7 @@
 use cowslipchute_planner::action::Action;
 use cowslipchute_planner::action::Change as RecordChange;
 use cowslipchute_planner::action::Note;
+use cowslipchute_planner::backpressure::Load;
 use cowslipchute_planner::event::BatchNumber;
 use cowslipchute_planner::event::Event;
 use cowslipchute_planner::planner::Contacts;
@@ -52,6 +53,8 @@
 /// Fraction of the workers that may be unanswered when a takeover counts as done: a few are gone and
 /// never answer.
 const MAX_UNANSWERED_FRACTION: f64 = 0.1;
+/// Weight of one turn in the averages of the owner's load.
+const LOAD_WEIGHT: f64 = 0.2;
 /// Longest sleep of the planner when nothing is due.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
 
@@ -157,8 +160,17 @@
     follow_directory(&context, &sender, &mut tasks);
     let takeover = Some(Takeover { began, loaded: clock::now() });
     let summary = Summary::open(clock::now(), &context.log);
-    let owner =
-        Owner { context, epoch, events: sender, writes, rollout_updates, tasks, takeover, summary };
+    let owner = Owner {
+        context,
+        epoch,
+        events: sender,
+        writes,
+        rollout_updates,
+        tasks,
+        takeover,
+        summary,
+        load: Load::default(),
+    };
     initial_events.push(Queued::now(Event::OwnershipAcquired {
         epoch,
         jobs: cell.jobs,
@@ -238,6 +250,8 @@
     /// The takeover in progress.
     takeover: Option<Takeover>,
     summary: Summary,
+    /// How far this owner is behind.
+    load: Load,
 }
 
 /// A takeover whose workers haven't all answered yet.
@@ -305,8 +319,14 @@
             let until = self.context.lease.until(self.epoch);
             planner.step(now, Event::LeaseRenewed { until }, &mut actions);
             turn.handled(clock::now());
+            planner.set_load(self.load);
+            let passes = planner.passes();
             planner.advance(now, &mut actions);
             turn.decided(clock::now());
+            self.load.lag = smooth(self.load.lag, turn.lag());
+            if planner.passes() > passes {
+                self.load.pass_time = smooth(self.load.pass_time, turn.deciding());
+            }
             contacts = self.takeover.map(|_| planner.contacts());
             let pause = planner.next_due().map_or(MAX_SLEEP, |due| due.saturating_sub(now));
             (pause.min(MAX_SLEEP), planner.lease_until())
@@ -430,6 +450,11 @@
     }
 }
 
+/// Returns a moving average after one more value.
+fn smooth(average: Duration, value: Duration) -> Duration {
+    average.mul_f64(1.0 - LOAD_WEIGHT) + value.mul_f64(LOAD_WEIGHT)
+}
+
 fn log_note(log: &Log, note: Note) {
     log.event(note.event, |logger| {
         let job = note.job.map(|job| format!("{job:016x}"));
--- a/bin/scheduler/src/turn.rs
+++ b/bin/scheduler/src/turn.rs
@@ -78,6 +78,11 @@
         self.decided = now;
     }
 
+    /// Returns how long the planner took to decide.
+    pub fn deciding(&self) -> Duration {
+        self.decided.saturating_sub(self.handled)
+    }
+
     /// Returns the age of the oldest event when the turn began.
     pub fn lag(&self) -> Duration {
         self.oldest.map_or(Duration::ZERO, |oldest| self.began.saturating_sub(oldest))
@@ -127,7 +132,7 @@
     pub fn add(&mut self, turn: Turn, now: Time, lease_until: Time, log: &Log) {
         let took = now.saturating_sub(turn.began);
         let handling = turn.handled.saturating_sub(turn.began);
-        let deciding = turn.decided.saturating_sub(turn.handled);
+        let deciding = turn.deciding();
         log.metrics().turn(took, turn.lag());
         self.turns += 1;
         self.handling += handling;
--- a/crates/planner/src/heartbeat.rs
+++ b/crates/planner/src/heartbeat.rs
@@ -74,7 +74,7 @@
             PROBATION_HEARTBEAT_WAIT
         } else if worker.suspects > 0 || (worker.has_latency_critical() && worker.has_best_effort())
         {
-            self.settings.colocated_heartbeat_wait
+            self.settings.colocated_heartbeat_wait + self.load.pause()
         } else {
             self.settings.heartbeat_wait
         }
@@ -114,10 +114,12 @@
             Ok(report) => {
                 self.handle_report(worker, sent, report);
                 let Some(state) = self.workers.get(worker) else { return };
-                let has_unacknowledged = !state.unacknowledged.is_empty();
-                let delay =
-                    if has_unacknowledged { ACKNOWLEDGE_RETRY_DELAY } else { Duration::ZERO };
-                self.schedule_heartbeat(worker, self.now + delay);
+                let next = self.next_heartbeat(state, self.now);
+                let at = match state.unacknowledged.is_empty() {
+                    true => next,
+                    false => next.max(self.now + ACKNOWLEDGE_RETRY_DELAY),
+                };
+                self.schedule_heartbeat(worker, at);
             }
             Err(Failure::Refused(Refusal::OtherWorker, _)) => self.end_incarnation(worker),
             Err(_) => {
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod action;
 mod admission;
 mod advice;
+pub mod backpressure;
 mod bypass;
 mod candidate;
 mod census;
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -72,6 +72,7 @@
     pub(crate) fn place(&mut self) {
         self.service_waits.begin_pass();
         self.start_window.begin_pass();
+        self.passes += 1;
         let open = self.open_workers();
         let mostly_free = self.is_mostly_free(&open);
         let places_best_effort = self.now >= self.best_effort_due;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -22,6 +22,7 @@
 use crate::action::Action;
 use crate::action::Note;
 use crate::advice::Query;
+use crate::backpressure::Load;
 use crate::bypass::Placements;
 pub use crate::census::Census;
 pub use crate::census::Contacts;
@@ -116,6 +117,12 @@
     pub(crate) start_limiter: Limiter,
     /// Window of starts in flight.
     pub(crate) start_window: Window,
+    /// How far the owner is behind.
+    pub(crate) load: Load,
+    /// When the next placement pass may begin.
+    pub(crate) next_pass_at: Time,
+    /// Number of placement passes during this ownership.
+    pub(crate) passes: u64,
     /// When best-effort tasks are placed next.
     pub(crate) best_effort_due: Time,
     /// Tasks that may be started on one worker only ([`crate::pin`]).
@@ -172,6 +179,9 @@
             periodicity: Periodicity::default(),
             best_effort_backlog: 0.0,
             start_window: Window::default(),
+            load: Load::default(),
+            next_pass_at: Time::ZERO,
+            passes: 0,
             best_effort_due: Time::ZERO,
             pins: BTreeMap::new(),
             placements: Placements::default(),
@@ -256,6 +266,11 @@
         self.epoch.is_some() && now < self.lease_until
     }
 
+    /// Returns the number of placement passes since the ownership began.
+    pub fn passes(&self) -> u64 {
+        self.passes
+    }
+
     /// Returns the end of the owner's lease.
     pub fn lease_until(&self) -> Time {
         self.lease_until
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -86,6 +86,8 @@
         self.isolation_priority = None;
         self.quota = Default::default();
         self.scores = 0;
+        self.passes = 0;
+        self.next_pass_at = id::Time::ZERO;
         self.start_window = Default::default();
         self.recent_overrides = Default::default();
         self.service_waits = Default::default();
--- a/crates/planner/src/throttle.rs
+++ b/crates/planner/src/throttle.rs
@@ -126,6 +126,10 @@
 
     fn set_speed_limit(&mut self, worker: WorkerId, run: Run, limit: u8) {
         let now = self.now;
+        let current = self.workers[worker].runs.get(&run).map(|hosted| hosted.speed_limit);
+        if current.is_none_or(|current| self.skips_speed_change(current, limit)) {
+            return;
+        }
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         hosted.speed_limit = limit;
         if limit >= MIN_USEFUL_SPEED {
--- a/crates/planner/src/write.rs
+++ b/crates/planner/src/write.rs
@@ -19,6 +19,7 @@
 use crate::job::Job;
 use crate::planner::Planner;
 use crate::record::Record;
+use crate::worker::Contact;
 use crate::worker::Heartbeat;
 use crate::worker::Worker;
 use crate::worker::WorkerId;
@@ -73,9 +74,11 @@
 
     pub(crate) fn write_due(&self) -> Option<Time> {
         let has_dirty_jobs = self.writes.dirty.iter().any(|job| !self.writes.busy.contains(job));
-        let has_work = self.room_changed || has_dirty_jobs;
-        (has_work && self.writes.in_flight.len() < MAX_IN_FLIGHT)
-            .then_some(self.writes.next_write_at)
+        let write_at = self.writes.next_write_at;
+        let pass_at = write_at.max(self.next_pass_at);
+        let due = [has_dirty_jobs.then_some(write_at), self.room_changed.then_some(pass_at)];
+        let due = due.into_iter().flatten().min();
+        due.filter(|_| self.writes.in_flight.len() < MAX_IN_FLIGHT)
     }
 
     /// Runs a placement pass if needed, and writes the changed jobs that aren't part of a write in
@@ -84,8 +87,9 @@
         if self.writes.in_flight.len() >= MAX_IN_FLIGHT || self.now < self.writes.next_write_at {
             return;
         }
-        if self.room_changed {
+        if self.room_changed && self.now >= self.next_pass_at {
             self.room_changed = false;
+            self.next_pass_at = self.now + self.pass_interval();
             self.place();
         }
         let busy = &self.writes.busy;
@@ -194,9 +198,11 @@
         for worker in reporting {
             self.advance_acknowledged(worker);
             let state = &self.workers[worker];
-            let is_delayed = matches!(state.heartbeat, Heartbeat::Due(at) if at > self.now);
-            if is_delayed && state.answers() && state.unacknowledged.is_empty() {
-                self.schedule_heartbeat(worker, self.now);
+            let Heartbeat::Due(at) = state.heartbeat else { continue };
+            let Contact::Answering { at: reported_at } = state.contact else { continue };
+            let next = self.next_heartbeat(state, reported_at);
+            if next < at && state.unacknowledged.is_empty() {
+                self.schedule_heartbeat(worker, next);
             }
         }
     }
--- a/crates/planner/tests/world/processor.rs
+++ b/crates/planner/tests/world/processor.rs
@@ -12,6 +12,7 @@
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 use cowslipchute_planner::action::Action;
+use cowslipchute_planner::backpressure::Load;
 use cowslipchute_planner::event::Event;
 use cowslipchute_ports::executor::Failure;
 
@@ -93,6 +94,8 @@
     renewal_due: Time,
     /// End of the lease as far as the owner knows.
     known_until: Time,
+    /// How far the owner is behind, as its process measures it.
+    load: Load,
     /// Workers that the current owner has heard of.
     heard: BTreeSet<id::Instance>,
     takeover_time: Option<Duration>,
@@ -114,6 +117,7 @@
             lease_until: Time::ZERO,
             renewal_due: Time::ZERO,
             known_until: Time::ZERO,
+            load: Load::default(),
             heard: BTreeSet::new(),
             takeover_time: None,
         }
@@ -174,6 +178,7 @@
 
     fn record_lag(&mut self, now: Time) {
         let lag = self.inbox.front().map_or(Duration::ZERO, |(at, _)| now - *at);
+        self.load.lag = smooth(self.load.lag, lag);
         if !self.inbox.is_empty() {
             self.lags.push_back((now, lag));
         }
@@ -302,9 +307,16 @@
             planner.step(now, event, &mut actions);
         }
         planner.step(now, Event::LeaseRenewed { until: processor.known_until }, &mut actions);
+        planner.set_load(processor.load);
+        let passes = planner.passes();
         planner.advance(now, &mut actions);
         let scores = planner.census().scores().saturating_sub(scores);
-        processor.charge(SCORE_COST * u32::try_from(scores).unwrap_or(u32::MAX));
+        let cost = SCORE_COST * u32::try_from(scores).unwrap_or(u32::MAX);
+        processor.charge(cost);
+        if planner.passes() > passes {
+            let pass_time = cost.div_f64(processor.share);
+            processor.load.pass_time = smooth(processor.load.pass_time, pass_time);
+        }
         connected_commands.into_iter().for_each(|command| processor.add(command));
         self.act(actions);
         true
@@ -354,6 +366,11 @@
     }
 }
 
+/// Returns a moving average after one more value, as the owner's process computes it.
+fn smooth(average: Duration, value: Duration) -> Duration {
+    average.mul_f64(0.8) + value.mul_f64(0.2)
+}
+
 /// Returns the processor time of reading and handling an input.
 fn input_cost(input: &Input) -> Duration {
     match input {
