Measure: what decisions and takeovers cost an owner

`cowslipchute-measure decisions` runs the shipped planner in virtual time on cells of 1,100 and 3,000 workers with 1,000 and 2,000 open jobs (13 tasks of 0.64 s on 6.4 cores, 40 best-effort tasks of 2.7 s on 3.5 cores, services of 24 tasks, two service tasks of 11 cores a worker), full and partly free, and prints processor time by kind of call, then a takeover until every worker has answered. Durations of runs and of answers vary. No logic changes; the planner counts its passes.

Time of an advance with a pass includes writes and timers. A speed limit computation isn't timed apart: it is part of a heartbeat result.

## 1100 workers, partly free: 2 s, waiting [("lasting", 0), ("filling", 0), ("short", 195)] | advance with a pass | 55 | 366.4 | 1.2 | 20.2 | | advance without a pass | 325 | 7.1 | 0.1 | 2.3 | | heartbeat result | 1066 | 3.7 | 0.0 | 4.0 | | heartbeat result with ends | 2112 | 5.2 | 0.0 | 10.9 | | start result | 1482 | 0.8 | 0.0 | 1.1 | | all | | | | 41.4 | Actions: {"heartbeat": 3204, "start": 1560, "write": 55} Notes: {"JobEnded": 135, "JobEnding": 136, "JobKnown": 135, "RunEnded": 2159, "RunStarted": 1482} ## 1100 workers, 1000 open jobs, full: 2 s, waiting [("lasting", 0), ("filling", 11890), ("short", 3430)] | advance with a pass | 58 | 9437.4 | 21.6 | 547.4 | | advance without a pass | 342 | 41.6 | 0.5 | 14.2 | | heartbeat result | 1783 | 12.3 | 0.1 | 22.0 | | heartbeat result with ends | 6463 | 11.5 | 0.1 | 74.1 | | start result | 6337 | 1.2 | 0.0 | 7.5 | | all | | | | 679.7 | Actions: {"heartbeat": 8188, "start": 6337, "write": 58} Notes: {"JobEnded": 320, "JobEnding": 321, "JobKnown": 320, "RunEnded": 6548, "RunStarted": 6337, "StepPassed": 132, "StepWaits": 296} ## 1100 workers, 1000 open jobs, full: takeover of 1000 jobs, 561 records: 65ms | advance with a pass | 3 | 3773.2 | 4.9 | 11.3 | | advance without a pass | 11 | 169.9 | 0.4 | 1.9 | | decoding jobs | 1 | 699.7 | 0.7 | 0.7 | | decoding records | 1 | 2492.1 | 2.5 | 2.5 | | heartbeat result | 863 | 19.2 | 0.2 | 16.6 | | heartbeat result with ends | 312 | 18.1 | 0.1 | 5.7 | | ownership acquired | 1 | 13021.7 | 13.0 | 13.0 | | start result | 224 | 1.2 | 0.0 | 0.3 | | throttle result | 4098 | 1.2 | 0.0 | 5.0 | | worker listed | 1100 | 4.1 | 0.0 | 4.5 | | all | | | | 61.7 | Actions: {"heartbeat": 2103, "start": 224, "throttle": 4166, "write": 2} Notes: {"JobEnded": 3, "JobEnding": 9, "JobKnown": 3, "RunEnded": 339, "RunPaced": 4098, "RunStarted": 224, "StepWaits": 660, "WorkerFenced": 1100} ## 1100 workers, 2000 open jobs, full: 2 s, waiting [("lasting", 0), ("filling", 32082), ("short", 9971)] | advance with a pass | 58 | 6558.0 | 16.2 | 380.4 | | advance without a pass | 342 | 29.2 | 0.5 | 10.0 | | heartbeat result | 1789 | 8.3 | 0.1 | 14.9 | | heartbeat result with ends | 6401 | 8.3 | 0.1 | 53.1 | | start result | 6234 | 0.9 | 0.1 | 5.5 | | all | | | | 475.1 | Actions: {"heartbeat": 8098, "start": 6234, "write": 58} Notes: {"JobEnded": 325, "JobEnding": 328, "JobKnown": 325, "RunEnded": 6480, "RunStarted": 6234, "StepPassed": 629, "StepWaits": 309} ## 1100 workers, 2000 open jobs, full: takeover of 2000 jobs, 563 records: 65ms | advance with a pass | 3 | 5099.3 | 8.9 | 15.3 | | advance without a pass | 11 | 128.9 | 0.3 | 1.4 | | decoding jobs | 1 | 1380.7 | 1.4 | 1.4 | | decoding records | 1 | 2489.7 | 2.5 | 2.5 | | heartbeat result | 846 | 14.4 | 0.1 | 12.2 | | heartbeat result with ends | 318 | 13.9 | 0.1 | 4.4 | | ownership acquired | 1 | 13562.4 | 13.6 | 13.6 | | start result | 230 | 1.0 | 0.0 | 0.2 | | throttle result | 4058 | 1.1 | 0.0 | 4.3 | | worker listed | 1100 | 3.5 | 0.1 | 3.8 | | all | | | | 59.4 | Actions: {"heartbeat": 2104, "start": 230, "throttle": 4133, "write": 2} Notes: {"JobEnded": 4, "JobEnding": 13, "JobKnown": 4, "RunEnded": 348, "RunPaced": 4058, "RunStarted": 230, "StepWaits": 1665, "WorkerFenced": 1100} ## 3000 workers, partly free: 2 s, waiting [("lasting", 0), ("filling", 0), ("short", 273)] | advance with a pass | 57 | 1284.9 | 4.5 | 73.2 | | advance without a pass | 340 | 19.4 | 0.3 | 6.6 | | heartbeat result | 2830 | 3.6 | 0.1 | 10.3 | | heartbeat result with ends | 5563 | 5.1 | 0.0 | 28.4 | | start result | 4381 | 0.8 | 0.0 | 3.7 | | all | | | | 131.3 | Actions: {"heartbeat": 8390, "start": 4381, "write": 57} Notes: {"JobEnded": 358, "JobEnding": 361, "JobKnown": 358, "RunEnded": 5682, "RunStarted": 4381} ## 3000 workers, 1000 open jobs, full: 2 s, waiting [("lasting", 0), ("filling", 755), ("short", 1182)] | advance with a pass | 57 | 23418.0 | 103.4 | 1334.8 | | advance without a pass | 343 | 90.4 | 4.8 | 31.0 | | heartbeat result | 5880 | 10.7 | 0.0 | 62.8 | | heartbeat result with ends | 12281 | 11.4 | 0.1 | 140.6 | | start result | 20203 | 1.2 | 0.2 | 25.0 | | throttle result | 23 | 5.0 | 0.0 | 0.1 | | all | | | | 1626.0 | Actions: {"heartbeat": 18049, "start": 20027, "throttle": 23, "write": 57} Notes: {"JobEnded": 848, "JobEnding": 849, "JobKnown": 848, "RunEnded": 12352, "RunPaced": 23, "RunStarted": 20203, "StepWaits": 773} ## 3000 workers, 1000 open jobs, full: takeover of 1000 jobs, 902 records: 65ms | advance with a pass | 3 | 6663.1 | 10.3 | 20.0 | | advance without a pass | 11 | 666.0 | 1.3 | 7.3 | | decoding jobs | 1 | 773.2 | 0.8 | 0.8 | | decoding records | 1 | 5860.5 | 5.9 | 5.9 | | heartbeat result | 2528 | 28.4 | 0.4 | 71.7 | | heartbeat result with ends | 673 | 24.7 | 0.2 | 16.7 | | ownership acquired | 1 | 33289.5 | 33.3 | 33.3 | | start result | 275 | 1.8 | 0.0 | 0.5 | | throttle result | 11715 | 1.4 | 0.2 | 16.1 | | worker listed | 3000 | 4.5 | 0.0 | 13.4 | | all | | | | 186.2 | Actions: {"heartbeat": 5796, "start": 275, "throttle": 11994, "write": 2} Notes: {"JobEnded": 2, "JobEnding": 32, "JobKnown": 2, "RunEnded": 714, "RunPaced": 11715, "RunStarted": 275, "StepWaits": 111, "WorkerFenced": 3000} ## 3000 workers, 2000 open jobs, full: 2 s, waiting [("lasting", 0), ("filling", 16929), ("short", 4990)] | advance with a pass | 57 | 54048.3 | 104.0 | 3080.8 | | advance without a pass | 343 | 96.7 | 3.2 | 33.2 | | heartbeat result | 5410 | 9.4 | 0.1 | 50.8 | | heartbeat result with ends | 15573 | 10.0 | 0.1 | 155.8 | | start result | 16222 | 1.3 | 0.1 | 21.0 | | all | | | | 3374.2 | Actions: {"heartbeat": 20913, "start": 16073, "write": 57} Notes: {"JobEnded": 754, "JobEnding": 755, "JobKnown": 754, "RunEnded": 15737, "RunStarted": 16222, "StepPassed": 11, "StepWaits": 998} ## 3000 workers, 2000 open jobs, full: takeover of 2000 jobs, 1490 records: 65ms | advance with a pass | 3 | 11414.5 | 17.9 | 34.2 | | advance without a pass | 11 | 685.2 | 1.4 | 7.5 | | decoding jobs | 1 | 1664.9 | 1.7 | 1.7 | | decoding records | 1 | 7720.2 | 7.7 | 7.7 | | heartbeat result | 2487 | 29.8 | 0.2 | 74.0 | | heartbeat result with ends | 721 | 27.4 | 0.2 | 19.8 | | ownership acquired | 1 | 43240.7 | 43.2 | 43.2 | | start result | 320 | 1.9 | 0.0 | 0.6 | | throttle result | 11707 | 1.6 | 0.1 | 18.5 | | worker listed | 3000 | 4.9 | 0.0 | 14.6 | | all | | | | 222.9 | Actions: {"heartbeat": 5796, "start": 320, "throttle": 11961, "write": 2} Notes: {"JobEnded": 18, "JobEnding": 55, "JobKnown": 18, "RunEnded": 770, "RunPaced": 11707, "RunStarted": 320, "StepWaits": 1050, "WorkerFenced": 3000}

What they show: in a full cell placement passes are 80 to 91 % of the planner's time, 29 passes a second, as many as the interval of 35 ms allows, since each heartbeat result sets `room_changed` while any job waits. perf (-F 500, all sizes together): half of all samples are in Planner::place, nearly all of those in first_free_worker and estimate_wait of reservation.rs, which look at every run of every worker for each worker that is reserved. A takeover decides 62 ms (1,100 workers, 1,000 jobs) to 223 ms (3,000, 2,000), sends 1,100 first heartbeats at once and 4,166 to 11,994 speed limits, since the confirmed limit of an inherited run is unknown, and logs 660 to 1,665 StepWaits.

--- a/bin/measure/src/lib.rs
+++ b/bin/measure/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod capacity;
 pub mod cpu_time;
+pub mod decisions;
 pub mod event_queue;
 pub mod loopback;
 pub mod memory;
--- a/bin/measure/src/main.rs
+++ b/bin/measure/src/main.rs
@@ -3,6 +3,7 @@
 use anyhow::Context as _;
 use bpaf::Bpaf;
 use cowslipchute_measure::capacity;
+use cowslipchute_measure::decisions;
 use cowslipchute_measure::loopback;
 use cowslipchute_measure::loopback::drive;
 use cowslipchute_measure::passes;
@@ -33,6 +34,9 @@
     /// What an owner's turns cost by the size of its cell
     #[bpaf(command)]
     Passes,
+    /// What each kind of decision and a takeover cost an owner
+    #[bpaf(command)]
+    Decisions,
     /// Load over loopback against the running entry and its backend server, in turns
     #[bpaf(command)]
     Entry {
@@ -94,6 +98,10 @@
             print!("{}", passes::report::markdown());
             Ok(())
         }
+        Command::Decisions => {
+            print!("{}", decisions::report::markdown());
+            Ok(())
+        }
         Command::Entry { entry, direct, pid, seconds, connections, rate } => {
             print_entry(&drive::Plan { entry, direct, pid, seconds, connections, rate })
         }
--- a/crates/planner/src/census.rs
+++ b/crates/planner/src/census.rs
@@ -79,6 +79,11 @@
 }
 
 impl Planner {
+    /// Returns the number of placement passes.
+    pub fn passes(&self) -> u64 {
+        self.passes
+    }
+
     /// Counts the jobs, tasks and workers of the cell.
     pub fn census(&self) -> Census {
         let evacuated = self.evacuated_runs();
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -70,6 +70,7 @@
 
 impl Planner {
     pub(crate) fn place(&mut self) {
+        self.passes += 1;
         self.service_waits.begin_pass();
         let open = self.open_workers();
         let mostly_free = self.is_mostly_free(&open);
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -120,6 +120,8 @@
     pub(crate) placements: Placements,
     /// Number of worker scores computed for waiting steps during this ownership.
     pub(crate) scores: u64,
+    /// Number of placement passes.
+    pub(crate) passes: u64,
     /// Maintenance rollouts.
     pub(crate) rollouts: Rollouts,
     /// Timers by due time.
@@ -171,6 +173,7 @@
             pins: BTreeMap::new(),
             placements: Placements::default(),
             scores: 0,
+            passes: 0,
             rollouts: Rollouts::default(),
             timers: BTreeSet::new(),
             room_changed: false,
