--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -121,8 +121,6 @@
     pub(crate) load: Load,
     /// When the next placement pass may begin.
     pub(crate) next_pass_at: Time,
-    /// Number of placement passes during this ownership.
-    pub(crate) passes: u64,
     /// When best-effort tasks are placed next.
     pub(crate) best_effort_due: Time,
     /// Tasks that may be started on one worker only ([`crate::pin`]).
@@ -131,6 +129,8 @@
     pub(crate) placements: Placements,
     /// Number of worker scores computed for waiting steps during this ownership.
     pub(crate) scores: u64,
+    /// Number of placement passes.
+    pub(crate) passes: u64,
     /// Maintenance rollouts.
     pub(crate) rollouts: Rollouts,
     /// Timers by due time.
@@ -181,11 +181,11 @@
             start_window: Window::default(),
             load: Load::default(),
             next_pass_at: Time::ZERO,
-            passes: 0,
             best_effort_due: Time::ZERO,
             pins: BTreeMap::new(),
             placements: Placements::default(),
             scores: 0,
+            passes: 0,
             rollouts: Rollouts::default(),
             timers: BTreeSet::new(),
             room_changed: false,
@@ -266,11 +266,6 @@
         self.epoch.is_some() && now < self.lease_until
     }
 
-    /// Returns the number of placement passes since the ownership began.
-    pub fn passes(&self) -> u64 {
-        self.passes
-    }
-
     /// Returns the end of the owner's lease.
     pub fn lease_until(&self) -> Time {
         self.lease_until
