--- a/crates/planner/src/backpressure.rs
+++ b/crates/planner/src/backpressure.rs
@@ -60,7 +60,7 @@
     }
 
     /// Returns `true` if the owner is behind.
-    fn is_behind(self) -> bool {
+    pub(crate) fn is_behind(self) -> bool {
         !self.excess_lag().is_zero()
     }
 }
--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/rank.rs
@@ -109,7 +109,11 @@
         let value = if steps.iter().all(|step| step.long_running) {
             f64::INFINITY
         } else if steps.iter().any(|step| step.best_effort) {
-            self.prospect(job).weight() * self.value_density(job)
+            let density = match self.load.is_behind() {
+                true => self.progress_density(job),
+                false => self.value_density(job),
+            };
+            self.prospect(job).weight() * density
         } else {
             match self.prospect(job) {
                 Prospect::Late if job.started => STARTED_LATE_VALUE,
@@ -119,6 +123,15 @@
         Rank { priority: job.policy.priority, value, arrival: job.arrival }
     }
 
+    /// Returns the density of a job of mean size with the same progress. An owner that is behind
+    /// starts fewer tasks than there is capacity for, and the job with the least density would never
+    /// begin.
+    fn progress_density(&self, job: &Job) -> f64 {
+        let work = job.work.max(MIN_WORK);
+        let mean = self.mean_work(&job.accepted.queue).unwrap_or(work).max(MIN_WORK);
+        work / (mean * job.remaining_work().max(MIN_WORK))
+    }
+
     /// Returns a job's value relative to its queue's mean, per remaining core-second.
     fn value_density(&self, job: &Job) -> f64 {
         let work = job.work.max(MIN_WORK);
