Planner tests: owners that are slowed, flooded, or gone for a while

The first version of overload_takeover failed at its premise: a processor that was limited under a running owner charged it for the scores and connections of the time before. It begins with these counted now, and each scenario checks that the owner keeps up, with processor time to spare, before the trigger.

New: utilization (share of their processor time that owners use), and the scenarios overload_slowed, overload_burst, overload_power and overload_power_mixed.

Ruled out: 800 running tasks instead of 400, which fail alike and take 25 s in a debug build.

--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -75,6 +75,8 @@
 //! - `lag most=MS`: whether there is an owner, and nothing that it has handled in the last second or
 //!   has yet to handle has waited longer for its turn.
 //! - `owners [most=N]`: whether there were no more owners since the last `owners`.
+//! - `utilization [most=N]`: whether owners used no more than this percentage of their processor
+//!   time since the last `utilization`.
 //! - `takeover most=MS`: whether the owner took no longer to hear of all workers.
 //! - `at_work id=H least=N`: whether enough tasks of a job run.
 
@@ -186,7 +188,11 @@
     narrow_link = { "narrow_link" },
     near = { "near" },
     occurrences = { "occurrences" },
+    overload_burst = { "overload_burst" },
     overload_ends = { "overload_ends" },
+    overload_power = { "overload_power" },
+    overload_power_mixed = { "overload_power_mixed" },
+    overload_slowed = { "overload_slowed" },
     overload_takeover = { "overload_takeover" },
     overwritten = { "overwritten" },
     owner_killed = { "owner_killed" },
@@ -310,6 +316,7 @@
         }
         "lag" => return lag(world, case),
         "owners" => return owners(world, case),
+        "utilization" => return utilization(world, case),
         "takeover" => return takeover(world, case),
         "busy" => world.command_delay = Duration::from_millis(number(case, "ms").unwrap_or(0)),
         "job" => {
@@ -511,6 +518,17 @@
     }
 }
 
+/// Returns whether owners had processor time to spare, and measures anew.
+fn utilization(world: &mut World, case: &TestCase) -> String {
+    let processor = world.processor.as_mut().expect("the owner's processor is limited");
+    let used = processor.take_utilization();
+    match number::<f64>(case, "most") {
+        None => String::new(),
+        Some(most) if used <= most => String::from("within"),
+        Some(_) => format!("{used:.0} percent"),
+    }
+}
+
 /// Returns whether the owner heard of all workers soon enough.
 fn takeover(world: &World, case: &TestCase) -> String {
     let most = Duration::from_millis(number(case, "most").expect("`most` is given"));
--- a/crates/planner/tests/world/processor.rs
+++ b/crates/planner/tests/world/processor.rs
@@ -80,8 +80,13 @@
     pub has_candidates: bool,
     /// Number of owners since it was last reset.
     pub owners: u32,
+    /// Processor time that owners had and that they didn't need, since it was last reset.
+    pub granted: Duration,
+    pub unused: Duration,
     /// Processor time that is left of what has passed.
     credit: Duration,
+    /// Worker scores that the current owner has computed.
+    scores: u64,
     work: VecDeque<(Duration, Work)>,
     inbox: VecDeque<(Time, Input)>,
     /// Jobs and records that the takeover has yet to read.
@@ -103,7 +108,10 @@
             share,
             has_candidates: true,
             owners: 0,
+            granted: Duration::ZERO,
+            unused: Duration::ZERO,
             credit: Duration::ZERO,
+            scores: 0,
             work: VecDeque::new(),
             inbox: VecDeque::new(),
             unread_entries: 0,
@@ -122,6 +130,8 @@
         *self = Processor {
             has_candidates: self.has_candidates,
             owners: self.owners + 1,
+            granted: self.granted,
+            unused: self.unused,
             inbox: events.into_iter().map(|event| (now, Input::Event(event))).collect(),
             unread_entries: entries,
             last_turn: now,
@@ -153,6 +163,13 @@
         handled.max(waiting)
     }
 
+    /// Returns which part of their processor time owners used since this was last asked, in percent.
+    pub fn take_utilization(&mut self) -> f64 {
+        let granted = std::mem::take(&mut self.granted);
+        let unused = std::mem::take(&mut self.unused);
+        100.0 * (1.0 - unused.as_secs_f64() / granted.as_secs_f64())
+    }
+
     /// Returns how long the owner took to hear of all workers, or `None` if it hasn't yet.
     pub fn takeover_time(&self) -> Option<Duration> {
         self.takeover_time
@@ -186,8 +203,15 @@
             (None, processor) => *processor = None,
             (Some(share), Some(processor)) => processor.share = share,
             (Some(share), None) => {
-                let lease_until = Processor::first_lease_end(self.now);
-                self.processor = Some(Processor { lease_until, ..Processor::open(share) });
+                // What the current owner has done before costs nothing any more.
+                let connections = self.workers.values().map(|worker| worker.name.clone());
+                let planner = self.planner.as_ref();
+                self.processor = Some(Processor {
+                    lease_until: Processor::first_lease_end(self.now),
+                    connections: connections.collect(),
+                    scores: planner.map_or(0, |planner| planner.census().scores()),
+                    ..Processor::open(share)
+                });
             }
         }
     }
@@ -196,7 +220,9 @@
     pub(super) fn advance_processor(&mut self) {
         self.replace_owner();
         if let Some(processor) = &mut self.processor {
-            processor.credit += TICK.mul_f64(processor.share);
+            let credit = TICK.mul_f64(processor.share);
+            processor.credit += credit;
+            processor.granted += credit;
         }
         while self.planner.is_some() && self.advance_work() {}
         self.watch_takeover();
@@ -219,7 +245,7 @@
     /// Drops processor time that the owner doesn't use.
     fn sleep(&mut self) -> bool {
         if let Some(processor) = &mut self.processor {
-            processor.credit = Duration::ZERO;
+            processor.unused += std::mem::take(&mut processor.credit);
         }
         false
     }
@@ -285,7 +311,6 @@
         processor.last_turn = now;
         processor.record_lag(now);
         processor.charge(TURN_COST);
-        let scores = planner.census().scores();
         let mut actions = Vec::new();
         let mut connected_commands = Vec::new();
         for (_, input) in std::mem::take(&mut processor.inbox) {
@@ -305,8 +330,9 @@
             planner.step(now, event, &mut actions);
         }
         planner.advance(now, &mut actions);
-        let scores = planner.census().scores().saturating_sub(scores);
-        processor.charge(SCORE_COST * u32::try_from(scores).unwrap_or(u32::MAX));
+        let scores = planner.census().scores();
+        let added = scores.saturating_sub(std::mem::replace(&mut processor.scores, scores));
+        processor.charge(SCORE_COST * u32::try_from(added).unwrap_or(u32::MAX));
         connected_commands.into_iter().for_each(|command| processor.add(command));
         self.act(actions);
         true
