--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -306,14 +306,7 @@
                 Some(world::link::Link::open(number(case, "rate").expect("`rate` is given")));
         }
         "processor" => set_processor(world, case),
-        "candidates" => {
-            let is_up = arg(case, "state") == Some("up");
-            let processor = world.processor.as_mut().expect("the owner's processor is limited");
-            processor.has_candidates = is_up;
-            if !is_up {
-                world.kill_owner();
-            }
-        }
+        "candidates" => world.set_candidates(arg(case, "state") == Some("up")),
         "lag" => return lag(world, case),
         "owners" => return owners(world, case),
         "utilization" => return utilization(world, case),
--- a/crates/planner/tests/world/processor.rs
+++ b/crates/planner/tests/world/processor.rs
@@ -77,7 +77,7 @@
     /// Share of a core.
     pub share: f64,
     /// Whether a process could claim the cell.
-    pub has_candidates: bool,
+    has_candidates: bool,
     /// Number of owners since it was last reset.
     pub owners: u32,
     /// Processor time that owners had and that they didn't need, since it was last reset.
@@ -216,10 +216,19 @@
         }
     }
 
+    /// Sets whether there are processes that could own the cell; if not, the owner crashes too.
+    pub fn set_candidates(&mut self, available: bool) {
+        let processor = self.processor.as_mut().expect("the owner's processor is limited");
+        processor.has_candidates = available;
+        if !available {
+            self.kill_owner();
+        }
+    }
+
     /// Advances the owner by a tick of processor time.
     pub(super) fn advance_processor(&mut self) {
         self.replace_owner();
-        if let Some(processor) = &mut self.processor {
+        if let (Some(processor), Some(_)) = (&mut self.processor, &self.planner) {
             let credit = TICK.mul_f64(processor.share);
             processor.credit += credit;
             processor.granted += credit;
