--- a/crates/planner/src/backpressure.rs
+++ b/crates/planner/src/backpressure.rs
@@ -31,10 +31,15 @@
 /// Time before the expected end of a short task at which its worker gets the next heartbeat, since
 /// estimates are rough.
 const END_MARGIN: Duration = Duration::from_millis(100);
-/// Interval between two placement passes as a multiple of the duration of one.
-const PASS_INTERVAL_FACTOR: u32 = 8;
-/// Longest interval between two placement passes that their duration asks for.
-const MAX_PASS_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval between two placement passes as a multiple of the duration of one, up to
+/// [`BRIEF_PASS_INTERVAL`].
+const BRIEF_PASS_FACTOR: u32 = 8;
+/// Interval up to which short passes take a small fraction of the time. Beyond it, tasks that have
+/// just arrived would wait for long.
+const BRIEF_PASS_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval between two placement passes as a multiple of the duration of one, for long passes: the
+/// larger part of the time is left for everything else.
+const LONG_PASS_FACTOR: u32 = 3;
 /// Change of a speed limit, in percent, that is left out while the owner is behind.
 const MIN_SPEED_CHANGE: u8 = 20;
 
@@ -69,6 +74,7 @@
     /// Records how far the owner is behind.
     pub fn set_load(&mut self, load: Load) {
         self.load = load;
+        self.start_window.resize(load.lag);
     }
 
     /// Returns the time of the next heartbeat to a worker that has just reported.
@@ -97,7 +103,9 @@
 
     /// Returns the shortest interval between two placement passes.
     pub(crate) fn pass_interval(&self) -> Duration {
-        (self.load.pass_time * PASS_INTERVAL_FACTOR).min(MAX_PASS_INTERVAL)
+        let pass_time = self.load.pass_time;
+        let brief = (pass_time * BRIEF_PASS_FACTOR).min(BRIEF_PASS_INTERVAL);
+        brief.max(pass_time * LONG_PASS_FACTOR)
     }
 
     /// Returns `true` if a change of a speed limit isn't worth a command now.
--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/rank.rs
@@ -21,6 +21,9 @@
 /// finished work would be lost. A job of many tasks gets its capacity piece by piece and is often
 /// late before it has all.
 const STARTED_LATE_VALUE: f64 = 1.5;
+/// The same while the owner is behind. Starts are short then rather than capacity: late jobs that go
+/// first would make all later ones late too, for as long as jobs arrive.
+const BEHIND_LATE_VALUE: f64 = 0.9;
 /// Value of a job that counts as lost. It isn't 0, so that such jobs run in idle time.
 const LOST_VALUE: f64 = 0.02;
 /// Minimum work of a job in core-seconds; smaller jobs count as this.
@@ -116,6 +119,7 @@
             self.prospect(job).weight() * density
         } else {
             match self.prospect(job) {
+                Prospect::Late if job.started && self.load.is_behind() => BEHIND_LATE_VALUE,
                 Prospect::Late if job.started => STARTED_LATE_VALUE,
                 prospect => prospect.weight(),
             }
