--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -10,6 +10,7 @@
 use cowslipchute_planner::action::Action;
 use cowslipchute_planner::action::Change as RecordChange;
 use cowslipchute_planner::action::Note;
+use cowslipchute_planner::backpressure::Load;
 use cowslipchute_planner::event::BatchNumber;
 use cowslipchute_planner::event::Event;
 use cowslipchute_planner::planner::Contacts;
@@ -31,11 +32,14 @@
 use crate::inbox;
 use crate::inbox::Queued;
 use crate::keys;
+use crate::lease::Lease;
 use crate::log::Log;
 use crate::recovery;
 use crate::retention;
 use crate::rollouts;
 use crate::rollouts::Status;
+use crate::store_thread;
+use crate::store_thread::StoreThread;
 use crate::turn::Summary;
 use crate::turn::Turn;
 use crate::turn::millis;
@@ -51,6 +55,8 @@
 /// Fraction of the workers that may be unanswered when a takeover counts as done: a few are gone and
 /// never answer.
 const MAX_UNANSWERED_FRACTION: f64 = 0.1;
+/// Weight of one turn in the averages of the owner's load.
+const LOAD_WEIGHT: f64 = 0.2;
 /// Longest sleep of the planner when nothing is due.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
 
@@ -59,7 +65,8 @@
 
 /// Dependencies of an ownership.
 pub struct Context<S, F, A, M> {
-    /// The store.
+    /// Client of the store for the ownership's reads, watches and writes. It shares no connections
+    /// with other threads, since it is used on a thread of its own.
     pub store: S,
     /// Client of the store for watching the workers' directory. Each worker writes there every
     /// second or two, so changes are batched for longer. It shares no connections with `store`,
@@ -79,6 +86,8 @@
     pub planner: SharedPlanner,
     /// Sends notices to the election.
     pub notices: mpsc::UnboundedSender<Notice>,
+    /// The lease, as the election renews it.
+    pub lease: Lease,
     /// The log.
     pub log: Log,
 }
@@ -95,6 +104,7 @@
             final_state_retention: self.final_state_retention,
             planner: self.planner.clone(),
             notices: self.notices.clone(),
+            lease: self.lease.clone(),
             log: self.log.clone(),
         }
     }
@@ -109,60 +119,98 @@
     planner.lock().expect("the planner has not panicked")
 }
 
-/// Runs the cell until the ownership is lost or `inbox` is closed.
+/// Runs the cell until the task is aborted, when the ownership ends.
 pub async fn run<S: Store, F: Fleet, A: Advisor, M: Machines>(
     context: Context<S, F, A, M>,
     epoch: Revision,
-    inbox: (inbox::Sender, inbox::Receiver),
 ) {
     let began = clock::now();
-    let cell = loop {
-        match recovery::read_cell(&context.store).await {
-            Ok(cell) => break cell,
-            Err(error) => {
-                event!(context.log, LogEvent::StoreLost, "reason" => error.to_string());
-                tokio::time::sleep(RECOVERY_RETRY_DELAY).await;
-            }
-        }
-    };
+    let store_thread = store_thread::open(&context.log);
+    let cell = read_cell(&context).await;
     event!(context.log, LogEvent::CellLoaded, "epoch" => epoch, "jobs" => cell.jobs.len(),
         "records" => cell.records.len(), "revision" => cell.revision);
     let writer = Writer::open(context.store.clone(), epoch, cell.revisions, context.log.clone());
     let estimates = recovery::read_estimates(&context.store, &context.log).await;
     let evacuations = Evacuations::read(&context.store, &context.log).await;
     let mut initial_events = vec![Queued::now(evacuations.event())];
-    let (sender, receiver) = inbox;
+    let (sender, receiver) = inbox::open();
     let (writes, write_receiver) = mpsc::unbounded_channel();
-    let mut tasks = JoinSet::new();
-    tasks.spawn(store_estimates(writer.clone(), context.planner.clone(), context.notices.clone()));
     let (store, log) = (context.store.clone(), context.log.clone());
-    tasks.spawn(retention::run(store.clone(), epoch, context.final_state_retention, log.clone()));
-    tasks.spawn(evacuations.follow(store.clone(), sender.clone()));
+    let notices = &context.notices;
     let (rollout_updates, update_receiver) = mpsc::unbounded_channel();
-    tasks.spawn(rollouts::follow(store.clone(), sender.clone(), log.clone()));
-    tasks.spawn(rollouts::write_statuses(store, epoch, update_receiver, log.clone()));
+    let retention = context.final_state_retention;
+    let mut tasks = JoinSet::new();
+    let calls = store_thread.runtime();
+    tasks
+        .spawn_on(store_estimates(writer.clone(), context.planner.clone(), notices.clone()), calls);
+    tasks.spawn_on(retention::run(store.clone(), epoch, retention, log.clone()), calls);
+    tasks.spawn_on(evacuations.follow(store.clone(), sender.clone()), calls);
+    tasks.spawn_on(rollouts::follow(store.clone(), sender.clone(), log.clone()), calls);
+    tasks.spawn_on(
+        rollouts::write_statuses(store.clone(), epoch, update_receiver, log.clone()),
+        calls,
+    );
+    tasks.spawn_on(write_batches(writer, write_receiver, sender.clone(), notices.clone()), calls);
+    tasks.spawn_on(follow_jobs(store, cell.revision, sender.clone(), log.clone()), calls);
     let machines = context.machines.clone();
     tasks.spawn(rollouts::list_machines(machines, context.planner.clone(), sender.clone(), log));
-    tasks.spawn(write_batches(writer, write_receiver, sender.clone(), context.notices.clone()));
-    let jobs = watcher::spawn(
-        context.store.clone(),
-        keys::JOBS,
-        Some(cell.revision),
-        None,
-        context.log.clone(),
-    );
     follow_directory(&context, &sender, &mut tasks);
     let takeover = Some(Takeover { began, loaded: clock::now() });
     let summary = Summary::open(clock::now(), &context.log);
-    let owner =
-        Owner { context, epoch, events: sender, writes, rollout_updates, tasks, takeover, summary };
+    let owner = Owner {
+        context,
+        epoch,
+        events: sender,
+        writes,
+        rollout_updates,
+        tasks,
+        _store_thread: store_thread,
+        takeover,
+        summary,
+        load: Load::default(),
+    };
     initial_events.push(Queued::now(Event::OwnershipAcquired {
         epoch,
         jobs: cell.jobs,
         records: cell.records,
         estimates,
     }));
-    owner.serve(initial_events, receiver, jobs).await;
+    owner.serve(initial_events, receiver).await;
+}
+
+/// Reads the state of the cell, retrying until the store answers.
+async fn read_cell<S: Store, F, A, M>(context: &Context<S, F, A, M>) -> recovery::Cell {
+    loop {
+        match recovery::read_cell(&context.store).await {
+            Ok(cell) => return cell,
+            Err(error) => {
+                event!(context.log, LogEvent::StoreLost, "reason" => error.to_string());
+                tokio::time::sleep(RECOVERY_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Sends the jobs that are stored or changed after a revision.
+async fn follow_jobs<S: Store>(store: S, after: Revision, events: inbox::Sender, log: Log) {
+    let mut changes = watcher::spawn(store, keys::JOBS, Some(after), None, log.clone());
+    while let Some(change) = changes.recv().await {
+        let entries = match change {
+            Change::Snapshot(snapshot) => snapshot.entries,
+            Change::Put(entry) => vec![entry],
+            // Only scheduler processes remove jobs, once they have ended.
+            Change::Deleted { .. } => continue,
+        };
+        for entry in entries {
+            match recovery::decode_job(&entry) {
+                Ok(Some((job, accepted))) => events.send(Event::Job { job, accepted }),
+                Ok(None) => {}
+                Err(error) => {
+                    event!(log, LogEvent::ConfigInvalid, "reason" => error.to_string());
+                }
+            }
+        }
+    }
 }
 
 /// Follows the workers' directory on a separate thread, or on this one if the system refuses a
@@ -232,9 +280,13 @@
     rollout_updates: mpsc::UnboundedSender<rollouts::Update>,
     /// Commands in flight and background tasks; aborted when the ownership ends.
     tasks: JoinSet<()>,
+    /// Runs the calls to the store; ends with the ownership.
+    _store_thread: StoreThread,
     /// The takeover in progress.
     takeover: Option<Takeover>,
     summary: Summary,
+    /// How far this owner is behind.
+    load: Load,
 }
 
 /// A takeover whose workers haven't all answered yet.
@@ -246,12 +298,7 @@
 }
 
 impl<S: Store, F: Fleet, A: Advisor, M: Machines> Owner<S, F, A, M> {
-    async fn serve(
-        mut self,
-        initial_events: Vec<Queued>,
-        mut inbox: inbox::Receiver,
-        mut jobs: mpsc::Receiver<Change>,
-    ) {
+    async fn serve(mut self, initial_events: Vec<Queued>, mut inbox: inbox::Receiver) {
         let mut config = self.context.config.clone();
         let mut events = Vec::new();
         if let Some(config) = config.borrow_and_update().clone() {
@@ -265,11 +312,6 @@
                     Some(event) => events.push(event),
                     None => return,
                 },
-                Some(change) = jobs.recv() => {
-                    for change in watcher::collect_ready(change, &mut jobs) {
-                        self.job_changed(change, &mut events);
-                    }
-                }
                 Ok(()) = config.changed() => {
                     if let Some(config) = config.borrow_and_update().clone() {
                         events.push(Queued::now(Event::Config { config }));
@@ -298,9 +340,18 @@
                 turn.count(&queued);
                 planner.step(now, queued.event, &mut actions);
             }
+            // After the events, since the first ones start the ownership.
+            let until = self.context.lease.until(self.epoch);
+            planner.step(now, Event::LeaseRenewed { until }, &mut actions);
             turn.handled(clock::now());
+            planner.set_load(self.load);
+            let passes = planner.passes();
             planner.advance(now, &mut actions);
             turn.decided(clock::now());
+            self.load.lag = smooth(self.load.lag, turn.lag());
+            if planner.passes() > passes {
+                self.load.pass_time = smooth(self.load.pass_time, turn.deciding());
+            }
             contacts = self.takeover.map(|_| planner.contacts());
             let pause = planner.next_due().map_or(MAX_SLEEP, |due| due.saturating_sub(now));
             (pause.min(MAX_SLEEP), planner.lease_until())
@@ -333,26 +384,6 @@
             "unfenced" => contacts.unfenced);
     }
 
-    fn job_changed(&self, change: Change, events: &mut Vec<Queued>) {
-        let entries = match change {
-            Change::Snapshot(snapshot) => snapshot.entries,
-            Change::Put(entry) => vec![entry],
-            // Only scheduler processes remove jobs, once they have ended.
-            Change::Deleted { .. } => return,
-        };
-        for entry in entries {
-            match recovery::decode_job(&entry) {
-                Ok(Some((job, accepted))) => {
-                    events.push(Queued::now(Event::Job { job, accepted }));
-                }
-                Ok(None) => {}
-                Err(error) => {
-                    event!(self.context.log, LogEvent::ConfigInvalid, "reason" => error.to_string());
-                }
-            }
-        }
-    }
-
     fn execute(&mut self, action: Action) {
         let fleet = self.context.fleet.clone();
         let events = self.events.clone();
@@ -361,9 +392,12 @@
                 let planner = self.context.planner.clone();
                 let metrics = self.context.log.metrics().clone();
                 let decided_at = clock::now();
+                let lease = self.context.lease.clone();
+                let epoch = self.epoch;
                 self.tasks.spawn(async move {
                     let run = start.run;
-                    let wanted = lock(&planner).is_start_wanted(&target, run);
+                    let wanted = clock::now() < lease.until(epoch)
+                        && lock(&planner).is_start_wanted(&target, run);
                     metrics.start_sent(clock::now().saturating_sub(decided_at));
                     let outcome = match wanted {
                         true => fleet.start(&target, start).await,
@@ -421,6 +455,11 @@
     }
 }
 
+/// Returns a moving average after one more value.
+fn smooth(average: Duration, value: Duration) -> Duration {
+    average.mul_f64(1.0 - LOAD_WEIGHT) + value.mul_f64(LOAD_WEIGHT)
+}
+
 fn log_note(log: &Log, note: Note) {
     log.event(note.event, |logger| {
         let job = note.job.map(|job| format!("{job:016x}"));
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod action;
 mod admission;
 mod advice;
+pub mod backpressure;
 mod bypass;
 mod candidate;
 mod census;
@@ -57,6 +58,7 @@
 mod room;
 mod service_wait;
 pub mod settings;
+mod start_window;
 mod takeover;
 mod throttle;
 mod way;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -22,6 +22,7 @@
 use crate::action::Action;
 use crate::action::Note;
 use crate::advice::Query;
+use crate::backpressure::Load;
 use crate::bypass::Placements;
 pub use crate::census::Census;
 pub use crate::census::Contacts;
@@ -43,6 +44,7 @@
 use crate::service_wait::Overrides;
 use crate::service_wait::Waits;
 use crate::settings::Settings;
+use crate::start_window::Window;
 use crate::worker::Worker;
 use crate::worker::WorkerId;
 use crate::write::Writes;
@@ -113,6 +115,12 @@
     pub(crate) best_effort_backlog: f64,
     /// Rate limiter of starts.
     pub(crate) start_limiter: Limiter,
+    /// Window of starts in flight.
+    pub(crate) start_window: Window,
+    /// How far the owner is behind.
+    pub(crate) load: Load,
+    /// When the next placement pass may begin.
+    pub(crate) next_pass_at: Time,
     /// When best-effort tasks are placed next.
     pub(crate) best_effort_due: Time,
     /// Tasks that may be started on one worker only ([`crate::pin`]).
@@ -121,6 +129,8 @@
     pub(crate) placements: Placements,
     /// Number of worker scores computed for waiting steps during this ownership.
     pub(crate) scores: u64,
+    /// Number of placement passes.
+    pub(crate) passes: u64,
     /// Maintenance rollouts.
     pub(crate) rollouts: Rollouts,
     /// Timers by due time.
@@ -168,10 +178,14 @@
             interference: Model::default(),
             periodicity: Periodicity::default(),
             best_effort_backlog: 0.0,
+            start_window: Window::default(),
+            load: Load::default(),
+            next_pass_at: Time::ZERO,
             best_effort_due: Time::ZERO,
             pins: BTreeMap::new(),
             placements: Placements::default(),
             scores: 0,
+            passes: 0,
             rollouts: Rollouts::default(),
             timers: BTreeSet::new(),
             room_changed: false,
--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/rank.rs
@@ -21,6 +21,9 @@
 /// finished work would be lost. A job of many tasks gets its capacity piece by piece and is often
 /// late before it has all.
 const STARTED_LATE_VALUE: f64 = 1.5;
+/// The same while the owner is behind. Starts are short then rather than capacity: late jobs that go
+/// first would make all later ones late too, for as long as jobs arrive.
+const BEHIND_LATE_VALUE: f64 = 0.9;
 /// Value of a job that counts as lost. It isn't 0, so that such jobs run in idle time.
 const LOST_VALUE: f64 = 0.02;
 /// Minimum work of a job in core-seconds; smaller jobs count as this.
@@ -109,9 +112,14 @@
         let value = if steps.iter().all(|step| step.long_running) {
             f64::INFINITY
         } else if steps.iter().any(|step| step.best_effort) {
-            self.prospect(job).weight() * self.value_density(job)
+            let density = match self.load.is_behind() {
+                true => self.progress_density(job),
+                false => self.value_density(job),
+            };
+            self.prospect(job).weight() * density
         } else {
             match self.prospect(job) {
+                Prospect::Late if job.started && self.load.is_behind() => BEHIND_LATE_VALUE,
                 Prospect::Late if job.started => STARTED_LATE_VALUE,
                 prospect => prospect.weight(),
             }
@@ -119,6 +127,15 @@
         Rank { priority: job.policy.priority, value, arrival: job.arrival }
     }
 
+    /// Returns the density of a job of mean size with the same progress. An owner that is behind
+    /// starts fewer tasks than there is capacity for, and the job with the least density would never
+    /// begin.
+    fn progress_density(&self, job: &Job) -> f64 {
+        let work = job.work.max(MIN_WORK);
+        let mean = self.mean_work(&job.accepted.queue).unwrap_or(work).max(MIN_WORK);
+        work / (mean * job.remaining_work().max(MIN_WORK))
+    }
+
     /// Returns a job's value relative to its queue's mean, per remaining core-second.
     fn value_density(&self, job: &Job) -> f64 {
         let work = job.work.max(MIN_WORK);
--- a/crates/planner/tests/world/processor.rs
+++ b/crates/planner/tests/world/processor.rs
@@ -2,8 +2,8 @@
 //! waits.
 //!
 //! The owner works as its process does: a turn handles every event that is there and then sends
-//! every command that was decided on, on one thread, which also renews the lease between turns. An
-//! owner whose lease has expired is replaced by one with an equal processor.
+//! every command that was decided on, on one thread. Another thread renews the lease. An owner whose
+//! lease has expired is replaced by one with an equal processor.
 
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -12,6 +12,7 @@
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 use cowslipchute_planner::action::Action;
+use cowslipchute_planner::backpressure::Load;
 use cowslipchute_planner::event::Event;
 use cowslipchute_ports::executor::Failure;
 
@@ -68,7 +69,6 @@
     Compute,
     Connect(Action),
     Send(Action),
-    Renew,
 }
 
 /// The processor of the current owner, and what is known about the owners.
@@ -77,11 +77,16 @@
     /// Share of a core.
     pub share: f64,
     /// Whether a process could claim the cell.
-    pub has_candidates: bool,
+    has_candidates: bool,
     /// Number of owners since it was last reset.
     pub owners: u32,
+    /// Processor time that owners had and that they didn't need, since it was last reset.
+    pub granted: Duration,
+    pub unused: Duration,
     /// Processor time that is left of what has passed.
     credit: Duration,
+    /// Worker scores that the current owner has computed.
+    scores: u64,
     work: VecDeque<(Duration, Work)>,
     inbox: VecDeque<(Time, Input)>,
     /// Jobs and records that the takeover has yet to read.
@@ -92,6 +97,10 @@
     lags: VecDeque<(Time, Duration)>,
     lease_until: Time,
     renewal_due: Time,
+    /// End of the lease as far as the owner knows.
+    known_until: Time,
+    /// How far the owner is behind, as its process measures it.
+    load: Load,
     /// Workers that the current owner has heard of.
     heard: BTreeSet<id::Instance>,
     takeover_time: Option<Duration>,
@@ -103,7 +112,10 @@
             share,
             has_candidates: true,
             owners: 0,
+            granted: Duration::ZERO,
+            unused: Duration::ZERO,
             credit: Duration::ZERO,
+            scores: 0,
             work: VecDeque::new(),
             inbox: VecDeque::new(),
             unread_entries: 0,
@@ -112,6 +124,8 @@
             lags: VecDeque::new(),
             lease_until: Time::ZERO,
             renewal_due: Time::ZERO,
+            known_until: Time::ZERO,
+            load: Load::default(),
             heard: BTreeSet::new(),
             takeover_time: None,
         }
@@ -122,11 +136,14 @@
         *self = Processor {
             has_candidates: self.has_candidates,
             owners: self.owners + 1,
+            granted: self.granted,
+            unused: self.unused,
             inbox: events.into_iter().map(|event| (now, Input::Event(event))).collect(),
             unread_entries: entries,
             last_turn: now,
             lease_until: now + LEASE_TTL,
             renewal_due: now + RENEWAL_INTERVAL,
+            known_until: now + LEASE_TTL,
             ..Processor::open(self.share)
         };
     }
@@ -153,6 +170,13 @@
         handled.max(waiting)
     }
 
+    /// Returns which part of their processor time owners used since this was last asked, in percent.
+    pub fn take_utilization(&mut self) -> f64 {
+        let granted = std::mem::take(&mut self.granted);
+        let unused = std::mem::take(&mut self.unused);
+        100.0 * (1.0 - unused.as_secs_f64() / granted.as_secs_f64())
+    }
+
     /// Returns how long the owner took to hear of all workers, or `None` if it hasn't yet.
     pub fn takeover_time(&self) -> Option<Duration> {
         self.takeover_time
@@ -170,8 +194,10 @@
     }
 
     fn record_lag(&mut self, now: Time) {
-        if let Some((at, _)) = self.inbox.front() {
-            self.lags.push_back((now, now - *at));
+        let lag = self.inbox.front().map_or(Duration::ZERO, |(at, _)| now - *at);
+        self.load.lag = smooth(self.load.lag, lag);
+        if !self.inbox.is_empty() {
+            self.lags.push_back((now, lag));
         }
         while self.lags.front().is_some_and(|(at, _)| *at + LAG_WINDOW < now) {
             self.lags.pop_front();
@@ -186,18 +212,37 @@
             (None, processor) => *processor = None,
             (Some(share), Some(processor)) => processor.share = share,
             (Some(share), None) => {
-                let lease_until = Processor::first_lease_end(self.now);
-                self.processor = Some(Processor { lease_until, ..Processor::open(share) });
+                // What the current owner has done before costs nothing any more.
+                let connections = self.workers.values().map(|worker| worker.name.clone());
+                let planner = self.planner.as_ref();
+                self.processor = Some(Processor {
+                    lease_until: Processor::first_lease_end(self.now),
+                    connections: connections.collect(),
+                    scores: planner.map_or(0, |planner| planner.census().scores()),
+                    ..Processor::open(share)
+                });
             }
         }
     }
 
+    /// Sets whether there are processes that could own the cell; if not, the owner crashes too.
+    pub fn set_candidates(&mut self, available: bool) {
+        let processor = self.processor.as_mut().expect("the owner's processor is limited");
+        processor.has_candidates = available;
+        if !available {
+            self.kill_owner();
+        }
+    }
+
     /// Advances the owner by a tick of processor time.
     pub(super) fn advance_processor(&mut self) {
         self.replace_owner();
-        if let Some(processor) = &mut self.processor {
-            processor.credit += TICK.mul_f64(processor.share);
+        if let (Some(processor), Some(_)) = (&mut self.processor, &self.planner) {
+            let credit = TICK.mul_f64(processor.share);
+            processor.credit += credit;
+            processor.granted += credit;
         }
+        self.renew_lease();
         while self.planner.is_some() && self.advance_work() {}
         self.watch_takeover();
     }
@@ -209,9 +254,8 @@
             Some(Work::Compute) => true,
             Some(Work::Connect(action)) => self.connect(action),
             Some(Work::Send(action)) => self.send_or_connect(action),
-            Some(Work::Renew) => self.send_renewal(),
             None if !processor.work.is_empty() => false,
-            None if self.renew_lease() || self.read_page() || self.take_turn() => true,
+            None if self.read_page() || self.take_turn() => true,
             None => self.sleep(),
         }
     }
@@ -219,7 +263,7 @@
     /// Drops processor time that the owner doesn't use.
     fn sleep(&mut self) -> bool {
         if let Some(processor) = &mut self.processor {
-            processor.credit = Duration::ZERO;
+            processor.unused += std::mem::take(&mut processor.credit);
         }
         false
     }
@@ -238,25 +282,18 @@
         }
     }
 
-    /// Renews the lease if that is due: between turns, on the thread of the turns.
-    fn renew_lease(&mut self) -> bool {
-        let (now, enabled) = (self.now, self.renewals && self.store_up);
-        let Some(processor) = &mut self.processor else { return false };
+    /// Renews the lease if that is due, on a thread of its own, which takes turns with the other.
+    fn renew_lease(&mut self) {
+        let (now, delay) = (self.now, self.store_delay);
+        let enabled = self.renewals && self.store_up && self.planner.is_some();
+        let Some(processor) = &mut self.processor else { return };
         if !enabled || now < processor.renewal_due {
-            return false;
+            return;
         }
         processor.renewal_due = now + RENEWAL_INTERVAL;
-        processor.work.push_back((RENEWAL_COST, Work::Renew));
-        true
-    }
-
-    fn send_renewal(&mut self) -> bool {
-        let (now, term, delay) = (self.now, self.term, self.store_delay);
-        let Some(processor) = &mut self.processor else { return false };
+        processor.credit = processor.credit.saturating_sub(RENEWAL_COST);
         processor.lease_until = now + delay / 2 + LEASE_TTL;
-        let renewed = Event::LeaseRenewed { until: now + LEASE_TTL };
-        self.push(now + delay, Arrival::Event(term, renewed));
-        true
+        processor.known_until = now + LEASE_TTL;
     }
 
     /// Reads a page of what the takeover has yet to read.
@@ -285,7 +322,6 @@
         processor.last_turn = now;
         processor.record_lag(now);
         processor.charge(TURN_COST);
-        let scores = planner.census().scores();
         let mut actions = Vec::new();
         let mut connected_commands = Vec::new();
         for (_, input) in std::mem::take(&mut processor.inbox) {
@@ -304,9 +340,18 @@
             }
             planner.step(now, event, &mut actions);
         }
+        planner.step(now, Event::LeaseRenewed { until: processor.known_until }, &mut actions);
+        planner.set_load(processor.load);
+        let passes = planner.passes();
         planner.advance(now, &mut actions);
-        let scores = planner.census().scores().saturating_sub(scores);
-        processor.charge(SCORE_COST * u32::try_from(scores).unwrap_or(u32::MAX));
+        let scores = planner.census().scores();
+        let added = scores.saturating_sub(std::mem::replace(&mut processor.scores, scores));
+        let cost = SCORE_COST * u32::try_from(added).unwrap_or(u32::MAX);
+        processor.charge(cost);
+        if planner.passes() > passes {
+            let pass_time = cost.div_f64(processor.share);
+            processor.load.pass_time = smooth(processor.load.pass_time, pass_time);
+        }
         connected_commands.into_iter().for_each(|command| processor.add(command));
         self.act(actions);
         true
@@ -356,6 +401,11 @@
     }
 }
 
+/// Returns a moving average after one more value, as the owner's process computes it.
+fn smooth(average: Duration, value: Duration) -> Duration {
+    average.mul_f64(0.8) + value.mul_f64(0.2)
+}
+
 /// Returns the processor time of reading and handling an input.
 fn input_cost(input: &Input) -> Duration {
     match input {
@@ -365,8 +415,7 @@
             | Event::StopResult { .. }
             | Event::ThrottleResult { .. }
             | Event::AdviceResult { .. }
-            | Event::Written { .. }
-            | Event::LeaseRenewed { .. },
+            | Event::Written { .. },
         ) => RESPONSE_COST + EVENT_COST,
         Input::Event(Event::OwnershipAcquired { jobs, records, .. }) => {
             RESTORE_COST * (jobs.len() + records.len()) as u32
