--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod port;
 pub mod process;
 pub mod proxy;
+pub mod share;
 pub mod site;
 pub mod soak;
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -8,6 +8,9 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use nix::sys::signal;
@@ -15,14 +18,73 @@
 use nix::unistd::Pid;
 
 use crate::await_until;
+use crate::share;
+use crate::share::Share;
+
+/// Ticks of the system's account of processor time in a second.
+const TICKS: u32 = 100;
+/// Where a line of that account has a process's own time and the system's on its behalf, behind the name in brackets.
+const OWN_TIME: usize = 11;
+const SYSTEM_TIME: usize = 12;
 
 /// A running process; dropping the handle kills it and waits for its end.
 #[derive(Debug)]
 pub struct Process {
-    child: Child,
+    held: Arc<Held>,
+    share: Option<Share>,
     log: PathBuf,
 }
 
+/// A child and what keeps it from running.
+#[derive(Debug)]
+pub(crate) struct Held(Mutex<State>);
+
+#[derive(Debug)]
+struct State {
+    child: Child,
+    /// Its id may be another process's by now.
+    has_ended: bool,
+    is_frozen: bool,
+    is_paused: bool,
+}
+
+impl State {
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        signal::kill(pid, signal).expect("a child that was not waited for can be signalled");
+    }
+
+    fn try_wait(&mut self) -> io::Result<Option<ExitStatus>> {
+        let status = self.child.try_wait()?;
+        self.has_ended |= status.is_some();
+        Ok(status)
+    }
+}
+
+impl Held {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().expect("no holder of the process has panicked")
+    }
+
+    /// Pauses the process.
+    pub(crate) fn pause(&self) {
+        let mut state = self.lock();
+        state.is_paused = true;
+        if !state.has_ended {
+            state.signal(Signal::SIGSTOP);
+        }
+    }
+
+    /// Resumes a paused process unless it is frozen as well.
+    pub(crate) fn resume(&self) {
+        let mut state = self.lock();
+        state.is_paused = false;
+        if !state.has_ended && !state.is_frozen {
+            state.signal(Signal::SIGCONT);
+        }
+    }
+}
+
 /// Returns the directory that holds the binaries built beside this program.
 pub fn binaries() -> PathBuf {
     let program = std::env::current_exe().expect("a program knows its own path");
@@ -53,12 +115,13 @@
             .stderr(output)
             .spawn()
             .map_err(|error| io::Error::new(error.kind(), format!("{binary}: {error}")))?;
-        Ok(Process { child, log })
+        let state = State { child, has_ended: false, is_frozen: false, is_paused: false };
+        Ok(Process { held: Arc::new(Held(Mutex::new(state))), share: None, log })
     }
 
     /// Returns the process id.
     pub fn id(&self) -> u32 {
-        self.child.id()
+        self.held.lock().child.id()
     }
 
     /// Returns what the process has logged so far.
@@ -68,7 +131,7 @@
 
     /// Asks for a graceful stop.
     pub fn terminate(&self) {
-        self.signal(Signal::SIGTERM);
+        self.held.lock().signal(Signal::SIGTERM);
     }
 
     /// Asks for a graceful stop unless the process has ended already.
@@ -81,24 +144,48 @@
     /// Tells whether the process has not ended yet. One that has is waited for, which gives its id
     /// back, so it must not be signalled afterwards.
     pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+        matches!(self.held.lock().try_wait(), Ok(None))
     }
 
     /// Stops the process from running, without its knowledge.
     pub fn freeze(&self) {
-        self.signal(Signal::SIGSTOP);
+        let mut state = self.held.lock();
+        state.is_frozen = true;
+        state.signal(Signal::SIGSTOP);
     }
 
-    /// Lets a frozen process run on.
+    /// Lets a frozen process run on, once its share does.
     pub fn thaw(&self) {
-        self.signal(Signal::SIGCONT);
+        let mut state = self.held.lock();
+        state.is_frozen = false;
+        if !state.is_paused {
+            state.signal(Signal::SIGCONT);
+        }
+    }
+
+    /// Sets the part of each [`share::PERIOD`] in which the process runs.
+    pub fn set_share(&mut self, part: f64) {
+        if part < share::WHOLE || self.share.is_some() {
+            let held = &self.held;
+            self.share.get_or_insert_with(|| share::spawn(held.clone())).set(part);
+        }
+    }
+
+    /// Returns the processor time that the process has used so far, unless the system doesn't tell.
+    pub fn processor_time(&self) -> Option<Duration> {
+        let line = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).ok()?;
+        let fields: Vec<&str> = line.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks = |index: usize| fields.get(index)?.parse::<u32>().ok();
+        Some(Duration::from_secs(1) * (ticks(OWN_TIME)? + ticks(SYSTEM_TIME)?) / TICKS)
     }
 
     /// Ends the process at once, with no chance to tidy up.
     pub fn kill(&mut self) {
+        let mut state = self.held.lock();
         // A process that has already ended is what the caller wants.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let _ = state.child.kill();
+        let _ = state.child.wait();
+        state.has_ended = true;
     }
 
     /// Waits until the process has ended by itself.
@@ -108,14 +195,9 @@
     /// Panics when it is still there after `limit`.
     pub fn ended(&mut self, limit: Duration) -> ExitStatus {
         await_until::some("the process ends", limit, || {
-            self.child.try_wait().expect("a child of ours")
+            self.held.lock().try_wait().expect("a child of ours")
         })
     }
-
-    fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(self.child.id() as i32);
-        signal::kill(pid, signal).expect("a child that was not waited for can be signalled");
-    }
 }
 
 impl Drop for Process {
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -1,5 +1,7 @@
 //! The scheduler's processes on a stand-in of the users' platform, each behind proxies of its own.
 
+mod caller;
+
 use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
@@ -16,8 +18,6 @@
 use cowslipchute_ports::job::Step;
 use cowslipchute_standin::site;
 use cowslipchute_standin::site::Site;
-use reqwest::Client;
-use reqwest::Response;
 use reqwest::StatusCode;
 use serde_json::Value;
 use serde_json::json;
@@ -29,6 +29,8 @@
 use crate::proxy;
 use crate::proxy::Proxy;
 
+pub use caller::Caller;
+
 /// Host under which clients address the queues.
 const HOST: &str = "desk.example";
 /// What each worker has.
@@ -64,7 +66,8 @@
     pub members: BTreeMap<String, Member>,
     /// Between all of our processes and each worker.
     pub workers: BTreeMap<String, Proxy>,
-    client: Client,
+    /// A client of all members.
+    pub caller: Caller,
     directory: PathBuf,
     /// Whether the directory stays, with the logs of all processes.
     keeps_logs: bool,
@@ -91,13 +94,13 @@
         let directory = format!("{name}-{}-{number}", std::process::id());
         let directory = std::env::temp_dir().join(directory);
         fs::create_dir_all(&directory)?;
-        let client = Client::builder().timeout(CLIENT_TIME).no_proxy().build()?;
         let site = site::open().await?;
+        let caller = Caller::open(site.clone())?;
         let mut deployment = Deployment {
             site,
             members: BTreeMap::new(),
             workers: BTreeMap::new(),
-            client,
+            caller,
             directory,
             keeps_logs: false,
         };
@@ -139,6 +142,7 @@
         let member =
             Member { process: None, clients, readiness, metrics, store, settings, starts: 0 };
         self.members.insert(name.to_owned(), member);
+        self.caller.add_member(name, clients);
         self.start(name)
     }
 
@@ -176,7 +180,7 @@
     /// Hands a job in at a member that refuses it; after how many seconds it may come back.
     pub async fn refused(&self, member: &str, id: JobId, spec: &Spec) -> Option<u64> {
         let path = format!("/q/{id:016x}");
-        let answer = self.send(member, &path, body(spec).to_string()).await?;
+        let answer = self.caller.send(member, &path, body(spec).to_string()).await?;
         let refused = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
         let pause = answer.headers().get("retry-after").filter(|_| refused)?;
         pause.to_str().ok()?.parse().ok()
@@ -186,7 +190,7 @@
     pub async fn await_owner_known(&self, member: &str) {
         let url = format!("http://{}/q/", self.members[member].clients);
         await_until::some_async("the member knows the owner", LIMIT, || async {
-            let answer = self.client.get(&url).header("Host", HOST).send().await.ok()?;
+            let answer = self.caller.client().get(&url).header("Host", HOST).send().await.ok()?;
             (answer.status() == StatusCode::OK).then_some(())
         })
         .await;
@@ -195,7 +199,7 @@
     /// Asks a member, as the platform does, whether it wants new clients.
     pub async fn is_ready(&self, member: &str) -> bool {
         let url = format!("http://{}/v1/readyz", self.members[member].readiness);
-        let answer = self.client.get(&url).send().await;
+        let answer = self.caller.client().get(&url).send().await;
         answer.is_ok_and(|answer| answer.status() == StatusCode::OK)
     }
 
@@ -209,39 +213,28 @@
 
     /// Hands a job in at a member; the status, or nothing without an answer.
     pub async fn submit(&self, member: &str, id: JobId, spec: &Spec) -> Option<StatusCode> {
-        self.site.lock().jobs.insert(id, spec.clone());
-        self.post(member, &format!("/q/{id:016x}"), body(spec).to_string()).await
+        self.caller.submit(member, id, spec).await
     }
 
     /// Sends a body to a path of a member.
     pub async fn post(&self, member: &str, path: &str, body: String) -> Option<StatusCode> {
-        Some(self.send(member, path, body).await?.status())
-    }
-
-    async fn send(&self, member: &str, path: &str, body: String) -> Option<Response> {
-        let url = format!("http://{}{path}", self.members.get(member)?.clients);
-        self.client.post(url).header("Host", HOST).body(body).send().await.ok()
+        Some(self.caller.send(member, path, body).await?.status())
     }
 
     /// Asks a member for a job's state; the status and the state, or nothing without an answer.
     pub async fn state(&self, member: &str, id: JobId) -> Option<(StatusCode, String)> {
-        let url = format!("http://{}/q/{id:016x}", self.members.get(member)?.clients);
-        let answer = self.client.get(url).header("Host", HOST).send().await.ok()?;
-        let status = answer.status();
-        let body: Value = answer.json().await.unwrap_or_default();
-        Some((status, body["state"].as_str().unwrap_or_default().to_owned()))
+        self.caller.state(member, id).await
     }
 
     /// Cancels a job at a member.
     pub async fn cancel(&self, member: &str, id: JobId) -> Option<StatusCode> {
-        let url = format!("http://{}/q/{id:016x}", self.members.get(member)?.clients);
-        Some(self.client.delete(url).header("Host", HOST).send().await.ok()?.status())
+        self.caller.cancel(member, id).await
     }
 
     /// Reads a series of a member's metrics; nothing if it isn't there.
     pub async fn metric(&self, member: &str, series: &str) -> Option<f64> {
         let url = format!("http://{}/metrics", self.members.get(member)?.metrics);
-        let text = self.client.get(url).send().await.ok()?.text().await.ok()?;
+        let text = self.caller.client().get(url).send().await.ok()?.text().await.ok()?;
         let line = text.lines().find(|line| line.starts_with(series))?;
         line.rsplit_once(' ')?.1.parse().ok()
     }
--- a/crates/e2e/src/soak.rs
+++ b/crates/e2e/src/soak.rs
@@ -6,6 +6,7 @@
 
 mod evacuations;
 mod fault;
+pub mod overload;
 mod restarts;
 mod services;
 
@@ -96,6 +97,28 @@
     shown: String,
 }
 
+impl Known {
+    fn open(spec: &Spec, crashes: bool) -> Known {
+        Known {
+            spec: spec.clone(),
+            accepted: false,
+            unclear: false,
+            cancelled: false,
+            crashes,
+            shown: String::new(),
+        }
+    }
+
+    /// Takes in a member's answer to the job.
+    fn answer(&mut self, status: Option<StatusCode>) {
+        match status {
+            Some(status) if status.is_success() => self.accepted = true,
+            Some(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {}
+            _ => self.unclear = true,
+        }
+    }
+}
+
 struct Soak {
     plan: Plan,
     random: SmallRng,
@@ -122,22 +145,7 @@
 ///
 /// When a process can't be started.
 pub async fn run(plan: Plan) -> Result<Report> {
-    let name = format!("soak-{}", plan.seed);
-    let deployment = Deployment::open(&name, plan.members, plan.workers).await?;
-    let mut soak = Soak {
-        plan,
-        random: SmallRng::seed_from_u64(plan.seed),
-        drawn: SmallRng::seed_from_u64(!plan.seed),
-        restarts: SmallRng::seed_from_u64(plan.seed.rotate_left(32)),
-        evacuations: SmallRng::seed_from_u64(plan.seed.rotate_left(16)),
-        services: SmallRng::seed_from_u64(!plan.seed.rotate_left(32)),
-        service_jobs: Vec::new(),
-        hidden_until: Instant::now(),
-        deployment,
-        jobs: BTreeMap::new(),
-        faults: Vec::new(),
-        report: Report::default(),
-    };
+    let mut soak = Soak::open(plan).await?;
     if plan.has_service_tasks {
         soak.submit_services().await;
     }
@@ -155,6 +163,25 @@
 }
 
 impl Soak {
+    async fn open(plan: Plan) -> Result<Soak> {
+        let name = format!("soak-{}", plan.seed);
+        let deployment = Deployment::open(&name, plan.members, plan.workers).await?;
+        Ok(Soak {
+            plan,
+            random: SmallRng::seed_from_u64(plan.seed),
+            drawn: SmallRng::seed_from_u64(!plan.seed),
+            restarts: SmallRng::seed_from_u64(plan.seed.rotate_left(32)),
+            evacuations: SmallRng::seed_from_u64(plan.seed.rotate_left(16)),
+            services: SmallRng::seed_from_u64(!plan.seed.rotate_left(32)),
+            service_jobs: Vec::new(),
+            hidden_until: Instant::now(),
+            deployment,
+            jobs: BTreeMap::new(),
+            faults: Vec::new(),
+            report: Report::default(),
+        })
+    }
+
     async fn play(&mut self) -> Result<()> {
         let start = Instant::now();
         let mut next_fault = start + self.pause(FAULT_PAUSE);
@@ -221,14 +248,7 @@
 
     async fn hand_in(&mut self, id: JobId, spec: Spec, crashes: bool) {
         let count = spec.steps[0].count;
-        let mut known = Known {
-            spec: spec.clone(),
-            accepted: false,
-            unclear: false,
-            cancelled: false,
-            crashes,
-            shown: String::new(),
-        };
+        let mut known = Known::open(&spec, crashes);
         if known.crashes {
             let index = self.drawn.random_range(0..count);
             let task = TaskId { job: id, occurrence: 0, step: 0, index };
@@ -238,11 +258,7 @@
         // A client asks again under the same number, at any member, while nothing is clear.
         for _ in 0..3 {
             let member = self.member();
-            match self.deployment.submit(&member, id, &spec).await {
-                Some(status) if status.is_success() => known.accepted = true,
-                Some(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {}
-                _ => known.unclear = true,
-            }
+            known.answer(self.deployment.submit(&member, id, &spec).await);
             if known.accepted {
                 break;
             }
@@ -273,7 +289,13 @@
     }
 
     async fn look_at(&mut self, member: &str, id: JobId) {
-        let Some((status, state)) = self.deployment.state(member, id).await else { return };
+        if let Some((status, state)) = self.deployment.state(member, id).await {
+            self.check_state(id, status, state);
+        }
+    }
+
+    /// Checks the state in which a job is shown.
+    fn check_state(&mut self, id: JobId, status: StatusCode, state: String) {
         let Some(known) = self.jobs.get_mut(&id) else { return };
         if status == StatusCode::GONE {
             self.report.broken.push(format!("{id:016x} was taken in and isn't known"));
@@ -323,12 +345,7 @@
                 return;
             }
             if start.elapsed() > END {
-                for id in open {
-                    let shown = self.jobs[&id].shown.clone();
-                    let text = format!("{id:016x} was taken in and never ended: {shown}");
-                    self.report.broken.push(text);
-                }
-                return;
+                return self.report_open(&open);
             }
             for id in open {
                 let member = self.member();
@@ -338,6 +355,14 @@
         }
     }
 
+    fn report_open(&mut self, open: &[JobId]) {
+        for id in open {
+            let shown = self.jobs[id].shown.clone();
+            let text = format!("{id:016x} was taken in and never ended: {shown}");
+            self.report.broken.push(text);
+        }
+    }
+
     fn close(mut self) -> Report {
         let state = self.deployment.site.lock();
         self.report.broken.extend(state.violations.iter().cloned());
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -8,6 +8,7 @@
 pub mod crashes;
 pub mod evacuations;
 mod machines;
+pub mod owners;
 pub mod services;
 pub mod serving;
 pub mod store;
@@ -37,6 +38,7 @@
 
 use crashes::Crashes;
 use evacuations::Evacuations;
+use owners::Owners;
 use services::Services;
 use store::Store;
 use worker::Worker;
@@ -83,6 +85,8 @@
     pub lists_machines: bool,
     /// Service tasks that wait.
     pub services: Services,
+    /// Who owned the cell.
+    pub owners: Owners,
     /// Violated guarantees.
     pub violations: Vec<String>,
 }
@@ -113,6 +117,7 @@
         }
         self.advance_crashes(now);
         self.advance_restarts(now);
+        self.watch_owners(now);
         self.watch_services(now);
     }
 
@@ -253,6 +258,7 @@
         evacuations: Evacuations::default(),
         lists_machines: false,
         services: Services::default(),
+        owners: Owners::default(),
         violations: Vec::new(),
     };
     let state = Arc::new(Mutex::new(state));
--- a/crates/standin/src/site/services.rs
+++ b/crates/standin/src/site/services.rs
@@ -14,6 +14,7 @@
 use cowslipchute_ports::job::TaskId;
 
 use super::State;
+use super::owners;
 use super::worker::Worker;
 
 /// Field of a step that bounds its tasks on one worker, as the platform's clients write it.
@@ -31,8 +32,6 @@
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
 /// After a longer pause between two samples, what happened in between is unknown.
 const MAX_GAP: Duration = Duration::from_millis(250);
-/// The key of the store that names the owner.
-const OWNER_KEY: &str = "cell/owner";
 
 /// What doesn't change while the site is calm.
 #[derive(Debug, Default)]
@@ -124,7 +123,7 @@
         let worker = |worker: &Worker| (worker.name.clone(), worker.start_time_ms, worker.up);
         let workers = self.workers.iter().map(|(machine, known)| (machine.clone(), worker(known)));
         Situation {
-            owner: self.store.created(OWNER_KEY),
+            owner: self.store.created(owners::KEY),
             evacuated: self.evacuations.domains().cloned().collect(),
             workers: workers.collect(),
         }
--- a/crates/standin/src/site/workers.rs
+++ b/crates/standin/src/site/workers.rs
@@ -230,6 +230,9 @@
     }
     if outcome.is_ok() {
         state.started.insert(run.task.job);
+        if timing == Timing::Prompt {
+            state.owners.start(command.fencing_token, now);
+        }
         if state.acknowledged.contains(&run.task) {
             state
                 .violations
