--- a/crates/e2e/src/bin/soak.rs
+++ b/crates/e2e/src/bin/soak.rs
@@ -51,6 +51,9 @@
 const OVERLOAD_WORKERS: usize = 100;
 /// Time for which starts are checked in a soak of overload, before and after the triggers.
 const CHECKED: Duration = Duration::from_secs(4);
+/// By then after the triggers of a soak of overload the cell keeps up again, and for so long it is watched if it doesn't.
+const SETTLED: Duration = Duration::from_secs(10);
+const WATCHED: Duration = Duration::from_secs(20);
 
 #[tokio::main]
 async fn main() -> anyhow::Result<ExitCode> {
@@ -108,7 +111,9 @@
         rate: settings.rate,
         burst: settings.burst,
         rounds: settings.rounds,
+        settled: SETTLED,
         checked: CHECKED,
+        watched: WATCHED,
     };
     let report = overload::run(plan).await?;
     println!("seed {seed}: {report}");
--- a/crates/e2e/src/soak/overload.rs
+++ b/crates/e2e/src/soak/overload.rs
@@ -23,12 +23,10 @@
 
 /// By then a job that is handed in is started, unless a trigger is active.
 const START_LIMIT: Duration = Duration::from_millis(3300);
-/// By then a cell without a trigger keeps up again.
-const SETTLED: Duration = Duration::from_secs(5);
-/// Time for which the processes have all the power they want in the beginning.
-const WARM: Duration = Duration::from_secs(2);
-/// Time from the last trigger on, in which it ends.
-const TRIGGERS_END: Duration = Duration::from_secs(4);
+/// Time for which the processes have whole cores in the beginning.
+const WARM: Duration = Duration::from_secs(1);
+/// Time after that until starts are checked.
+const STEADY: Duration = Duration::from_secs(2);
 /// Changes of the owner beside those that the faults ask for.
 const EXTRA_CHANGES: usize = 1;
 /// Pause between two looks at the starts.
@@ -51,8 +49,12 @@
     pub burst: usize,
     /// Times that all triggers are played.
     pub rounds: usize,
+    /// By then after the triggers the cell keeps up again. It has to work off what has waited meanwhile.
+    pub settled: Duration,
     /// Time for which starts are checked, before the triggers and after them.
     pub checked: Duration,
+    /// Time for which a cell that doesn't keep up by then is watched, to tell whether it ever does.
+    pub watched: Duration,
 }
 
 /// What an owner did while starts were checked.
@@ -73,6 +75,9 @@
     pub before: Check,
     /// After them.
     pub after: Check,
+    /// Time from the end of the triggers until the last job was handed in that wasn't started in time, so that the cell
+    /// kept up again from then on.
+    pub recovery: Duration,
     /// Ownerships, each with the time until its first start.
     pub owners: Vec<Option<Duration>>,
     /// Faults that hit an owner.
@@ -96,12 +101,13 @@
         let owners: Vec<String> = self.owners.iter().map(owner).collect();
         write!(
             out,
-            "{} jobs, {} taken in, {} refused; before: {}; after: {}; {} faults hit an owner, ownerships by seconds to their first start: {}; lag {} ms; {} broken",
+            "{} jobs, {} taken in, {} refused; before: {}; after: {}; late until {:.1} s after the triggers; {} faults hit an owner, ownerships by seconds to their first start: {}; lag {} ms; {} broken",
             self.soak.jobs,
             self.soak.accepted,
             self.soak.refused,
             self.before,
             self.after,
+            self.recovery.as_secs_f64(),
             self.hits,
             owners.join(" "),
             self.lag.as_millis(),
@@ -144,16 +150,24 @@
     };
     overload.step_for(WARM).await?;
     overload.power.base = plan.share;
-    overload.step_for(SETTLED).await?;
+    overload.step_for(STEADY).await?;
     let before = overload.check("before").await?;
     for _ in 0..plan.rounds {
         overload.play_triggers().await?;
     }
-    overload.step_for(TRIGGERS_END + SETTLED).await?;
+    while !overload.power.is_steady() {
+        overload.step_for(STEP).await?;
+    }
+    let calm = Instant::now();
+    overload.step_for(plan.settled).await?;
     overload.check_takeover();
     let after = overload.check("after").await?;
+    if after.waits.late(START_LIMIT) > 0 {
+        overload.step_for(plan.watched).await?;
+    }
+    let recovery = overload.load.last_late(START_LIMIT).saturating_duration_since(calm);
     overload.finish().await?;
-    Ok(overload.close(before, after))
+    Ok(overload.close(before, after, recovery))
 }
 
 impl Overload {
@@ -185,10 +199,12 @@
         self.step_for(self.plan.checked).await?;
         let end = Instant::now();
         let used = self.used(owner, end - start);
-        self.step_for(START_LIMIT).await?;
+        while end.elapsed() < START_LIMIT && self.load.has_unstarted(start, end) {
+            self.step_for(STEP).await?;
+        }
         let waits = self.load.waits(start, end, Instant::now());
-        if waits.late(START_LIMIT) > 0 || waits.is_empty() {
-            let late = waits.late(START_LIMIT);
+        let late = waits.late(START_LIMIT);
+        if late > 0 || waits.is_empty() {
             let text = format!(
                 "{late} of the jobs handed in {when} the triggers weren't started in time: {waits}"
             );
@@ -229,7 +245,7 @@
         Ok(())
     }
 
-    fn close(mut self, before: Check, after: Check) -> Report {
+    fn close(mut self, before: Check, after: Check, recovery: Duration) -> Report {
         let ownerships = self.soak.deployment.site.lock().owners.all.clone();
         let changes = ownerships.len().saturating_sub(1);
         if changes > self.hits + EXTRA_CHANGES {
@@ -243,6 +259,7 @@
             soak: self.soak.close(),
             before,
             after,
+            recovery,
             owners: ownerships.iter().map(first).collect(),
             hits: self.hits,
             lag: self.lag,
--- a/crates/e2e/src/soak/overload/load.rs
+++ b/crates/e2e/src/soak/overload/load.rs
@@ -75,6 +75,7 @@
 /// The clients that are waiting for an answer and the jobs that are waiting for their first start.
 #[derive(Debug)]
 pub(super) struct Load {
+    opened: Instant,
     next: Instant,
     calls: JoinSet<(JobId, Known)>,
     unstarted: BTreeMap<JobId, Instant>,
@@ -84,8 +85,10 @@
 
 impl Load {
     pub(super) fn open() -> Load {
+        let opened = Instant::now();
         Load {
-            next: Instant::now(),
+            opened,
+            next: opened,
             calls: JoinSet::new(),
             unstarted: BTreeMap::new(),
             started: Vec::new(),
@@ -114,6 +117,18 @@
         Waits { waits, unstarted: unstarted.count() }
     }
 
+    /// Returns `true` if a job that was handed in during a time hasn't started.
+    pub(super) fn has_unstarted(&self, start: Instant, end: Instant) -> bool {
+        self.unstarted.values().any(|at| (start..end).contains(at))
+    }
+
+    /// Returns when the last job was handed in that waited for longer than a limit, or the opening time without any.
+    pub(super) fn last_late(&self, limit: Duration) -> Instant {
+        let started = self.started.iter().filter(|(_, wait)| *wait > limit).map(|(at, _)| *at);
+        let unstarted = self.unstarted.values().copied().filter(|at| at.elapsed() > limit);
+        started.chain(unstarted).max().unwrap_or(self.opened)
+    }
+
     /// Waits until each client has its answer and each job that was taken in has come to its end.
     pub(super) async fn finish(&mut self, soak: &mut Soak) {
         while let Some(ended) = self.calls.join_next().await {
--- a/crates/e2e/src/soak/overload/power.rs
+++ b/crates/e2e/src/soak/overload/power.rs
@@ -65,6 +65,11 @@
         Ok(())
     }
 
+    /// Returns `true` while no limit holds and no process is down.
+    pub(super) fn is_steady(&self) -> bool {
+        self.limits.is_empty() && self.down.is_empty()
+    }
+
     fn part(&self, name: &str, is_owner: bool) -> f64 {
         let holds = |target: &Target| match target {
             Target::One(one) => one == name,
--- a/crates/e2e/src/soak/overload/trigger.rs
+++ b/crates/e2e/src/soak/overload/trigger.rs
@@ -18,7 +18,7 @@
 /// How long a killed process is down, in milliseconds.
 const DOWN_MILLIS: std::ops::Range<u64> = 200..1500;
 /// Pause after a trigger, in milliseconds.
-const PAUSE_MILLIS: std::ops::Range<u64> = 500..2500;
+const PAUSE_MILLIS: std::ops::Range<u64> = 300..1500;
 
 #[derive(Clone, Copy, Debug)]
 enum Trigger {
