--- a/crates/e2e/src/bin/soak.rs
+++ b/crates/e2e/src/bin/soak.rs
@@ -33,16 +33,16 @@
     #[bpaf(long("overload"))]
     has_overload: bool,
     /// Share of a core that each process has, in an overload
-    #[bpaf(long("share"), argument("PART"), fallback(0.2), display_fallback)]
+    #[bpaf(long("share"), argument("PART"), fallback(0.1), display_fallback)]
     share: f64,
     /// Jobs a second, in an overload
-    #[bpaf(long("rate"), argument("NUMBER"), fallback(20.0), display_fallback)]
+    #[bpaf(long("rate"), argument("NUMBER"), fallback(60.0), display_fallback)]
     rate: f64,
     /// Jobs of a burst, in an overload
-    #[bpaf(long("burst"), argument("NUMBER"), fallback(200), display_fallback)]
+    #[bpaf(long("burst"), argument("NUMBER"), fallback(120), display_fallback)]
     burst: usize,
     /// Times that all triggers are played, in an overload
-    #[bpaf(long("rounds"), argument("NUMBER"), fallback(1), display_fallback)]
+    #[bpaf(long("rounds"), argument("NUMBER"), fallback(2), display_fallback)]
     rounds: usize,
 }
 
--- a/crates/e2e/src/soak/overload.rs
+++ b/crates/e2e/src/soak/overload.rs
@@ -8,10 +8,12 @@
 mod trigger;
 
 use std::fmt;
+use std::ops::Range;
 use std::time::Duration;
 use std::time::Instant;
 
 use anyhow::Result;
+use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 
@@ -29,6 +31,8 @@
 const STEADY: Duration = Duration::from_secs(2);
 /// Changes of the owner beside those that the faults ask for.
 const EXTRA_CHANGES: usize = 1;
+/// How much less, and more, of a core than planned each process may have.
+const SHARES: Range<f64> = 0.9..1.1;
 /// Pause between two looks at the starts.
 const STEP: Duration = Duration::from_millis(10);
 
@@ -41,7 +45,7 @@
     pub members: usize,
     /// Workers.
     pub workers: usize,
-    /// Share of a core that each process has.
+    /// Share of a core that each process has, from which the drawn one differs a little.
     pub share: f64,
     /// Jobs that are handed in each second.
     pub rate: f64,
@@ -71,6 +75,8 @@
 pub struct Report {
     /// What it found beside that, all broken promises among it.
     pub soak: super::Report,
+    /// Share of a core that each process had.
+    pub share: f64,
     /// Before the triggers.
     pub before: Check,
     /// After them.
@@ -101,7 +107,8 @@
         let owners: Vec<String> = self.owners.iter().map(owner).collect();
         write!(
             out,
-            "{} jobs, {} taken in, {} refused; before: {}; after: {}; late until {:.1} s after the triggers; {} faults hit an owner, ownerships by seconds to their first start: {}; lag {} ms; {} broken",
+            "share {:.3}, {} jobs, {} taken in, {} refused; before: {}; after: {}; late until {:.1} s after the triggers; {} faults hit an owner, ownerships by seconds to their first start: {}; lag {} ms; {} broken",
+            self.share,
             self.soak.jobs,
             self.soak.accepted,
             self.soak.refused,
@@ -118,6 +125,7 @@
 
 struct Overload {
     plan: Plan,
+    share: f64,
     soak: Soak,
     random: SmallRng,
     power: Power,
@@ -139,17 +147,20 @@
         workers: plan.workers,
         has_service_tasks: false,
     };
+    let mut random = SmallRng::seed_from_u64(plan.seed.rotate_left(48));
+    let share = plan.share * random.random_range(SHARES);
     let mut overload = Overload {
         plan,
+        share,
         soak: Soak::open(base).await?,
-        random: SmallRng::seed_from_u64(plan.seed.rotate_left(48)),
+        random,
         power: Power::default(),
         load: Load::open(),
         hits: 0,
         lag: Duration::ZERO,
     };
     overload.step_for(WARM).await?;
-    overload.power.base = plan.share;
+    overload.power.base = share;
     overload.step_for(STEADY).await?;
     let before = overload.check("before").await?;
     for _ in 0..plan.rounds {
@@ -223,7 +234,7 @@
     fn used(&self, before: Option<(u32, Duration)>, elapsed: Duration) -> Option<f64> {
         let (before, after) = (before?, self.owner_time()?);
         let used = after.1.checked_sub(before.1).filter(|_| after.0 == before.0)?;
-        Some(used.as_secs_f64() / elapsed.as_secs_f64() / self.plan.share)
+        Some(used.as_secs_f64() / elapsed.as_secs_f64() / self.share)
     }
 
     /// Checks that the newest owner has begun to start tasks.
@@ -257,6 +268,7 @@
         };
         Report {
             soak: self.soak.close(),
+            share: self.share,
             before,
             after,
             recovery,
