--- a/crates/e2e/src/bin/soak.rs
+++ b/crates/e2e/src/bin/soak.rs
@@ -26,7 +26,7 @@
     /// Our processes
     #[bpaf(long("members"), argument("NUMBER"), fallback(4), display_fallback)]
     members: usize,
-    /// Workers; 4, or 100 for a soak of overload
+    /// Workers; 4, or 300 for a soak of overload
     #[bpaf(long("workers"), argument("NUMBER"), optional)]
     workers: Option<usize>,
     /// Plays overload: processes with a share of a core, at the limit of what they carry
@@ -36,10 +36,10 @@
     #[bpaf(long("share"), argument("PART"), fallback(0.1), display_fallback)]
     share: f64,
     /// Jobs a second, in an overload
-    #[bpaf(long("rate"), argument("NUMBER"), fallback(40.0), display_fallback)]
+    #[bpaf(long("rate"), argument("NUMBER"), fallback(50.0), display_fallback)]
     rate: f64,
     /// Jobs of a burst, in an overload
-    #[bpaf(long("burst"), argument("NUMBER"), fallback(80), display_fallback)]
+    #[bpaf(long("burst"), argument("NUMBER"), fallback(100), display_fallback)]
     burst: usize,
     /// Times that all triggers are played, in an overload
     #[bpaf(long("rounds"), argument("NUMBER"), fallback(2), display_fallback)]
@@ -51,7 +51,7 @@
 
 /// Workers of a soak without and with overload.
 const WORKERS: usize = 4;
-const OVERLOAD_WORKERS: usize = 100;
+const OVERLOAD_WORKERS: usize = 300;
 /// Time for which starts are checked in a soak of overload, before and after the triggers.
 const CHECKED: Duration = Duration::from_secs(4);
 /// By then after the triggers of a soak of overload the cell keeps up again.
