Planner: a new owner sends no speed limit to runs that use all they ask for

A run that uses nine tenths of its CPU isn't limited and needs none; inherited_pace, where runs are limited, prints as before.

takeover_limits, on the code before: a RunPaced line for each of the 20 runs.

--- a/crates/planner/src/heartbeat.rs
+++ b/crates/planner/src/heartbeat.rs
@@ -285,6 +285,7 @@
             hosted.progressed_at = now;
         }
         hosted.measurement = running.measurement;
+        hosted.infer_full_speed();
         if !was_running {
             self.mark_started(running.run.task.job);
         }
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/host.rs
@@ -13,6 +13,8 @@
 
 /// Speed limit of a run that isn't throttled, in percent.
 pub(crate) const FULL_SPEED: u8 = 100;
+/// Fraction of its CPU that a run without a speed limit uses at least.
+const FULL_USE_FRACTION: f64 = 0.9;
 
 /// Why a run is stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -190,6 +192,17 @@
             && !self.throttle_in_flight
     }
 
+    /// Takes a best-effort run whose speed limit is unknown for unlimited if it uses nearly all the
+    /// CPU that it asks for. After a takeover thousands of runs need no command then.
+    pub(crate) fn infer_full_speed(&mut self) {
+        let is_unknown = self.confirmed_speed_limit.is_none() && !self.throttle_in_flight;
+        let used = f64::from(self.measurement);
+        let is_full = used >= f64::from(self.demand.cpu_milli) * FULL_USE_FRACTION;
+        if self.best_effort && is_unknown && is_full {
+            self.confirmed_speed_limit = Some(FULL_SPEED);
+        }
+    }
+
     /// Records that the worker has listed the run. If its start was sent only once, it has been
     /// carried out and is no longer in flight, whether or not it was answered.
     pub(crate) fn settle_listed_start(&mut self) {
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -241,6 +241,7 @@
     stray_room = { "stray_room" },
     swing = { "swing" },
     swing_foretold = { "swing_foretold" },
+    takeover_limits = { "takeover_limits" },
     unlike = { "unlike" },
     waiting = { "waiting" },
     wave = { "wave" },
