Planner: the window counts assignments, and nothing waits for it without bound

The window counts a start from its assignment until its answer; the two jobs that have starved for the longest time get a start beyond it in each pass; passes are 0.5 s apart at most.

By reading, also found there: reports of workers with a violated target are not delayed further, ends of stopped runs are heard of at once, and a start brings a paused heartbeat forward.

--- a/crates/planner/src/backpressure.rs
+++ b/crates/planner/src/backpressure.rs
@@ -18,7 +18,10 @@
 use crate::host::Hosted;
 use crate::host::Stage;
 use crate::planner::Planner;
+use crate::worker::Contact;
+use crate::worker::Heartbeat;
 use crate::worker::Worker;
+use crate::worker::WorkerId;
 
 /// Lag that an owner has in normal operation, a few rounds of its work.
 const NORMAL_LAG: Duration = Duration::from_millis(8);
@@ -40,6 +43,9 @@
 /// Interval between two placement passes as a multiple of the duration of one, for long passes: the
 /// larger part of the time is left for everything else.
 const LONG_PASS_FACTOR: u32 = 3;
+/// Longest interval between two placement passes: a job may have nothing running beside free
+/// capacity for three seconds.
+const MAX_PASS_INTERVAL: Duration = Duration::from_millis(500);
 /// Change of a speed limit, in percent, that is left out while the owner is behind.
 const MIN_SPEED_CHANGE: u8 = 20;
 
@@ -60,7 +66,7 @@
 
     /// Returns the pause between a report and the next heartbeat to the same worker. A worker may
     /// delay its response by as much more.
-    pub(crate) fn pause(self) -> Duration {
+    fn pause(self) -> Duration {
         (self.excess_lag() * PAUSE_PER_LAG).min(MAX_PAUSE)
     }
 
@@ -79,8 +85,8 @@
 
     /// Returns the time of the next heartbeat to a worker that has just reported.
     pub(crate) fn next_heartbeat(&self, worker: &Worker, reported_at: Time) -> Time {
-        let pause = self.load.pause();
-        if pause.is_zero() || needs_prompt_reports(worker) {
+        let pause = self.report_pause(worker);
+        if pause.is_zero() {
             return self.now;
         }
         let ends = worker.runs.values().filter_map(|hosted| self.short_end(hosted));
@@ -88,15 +94,32 @@
         due.max(self.now)
     }
 
-    /// Returns when the end of a short task is expected, less a margin.
-    fn short_end(&self, hosted: &Hosted) -> Option<Time> {
-        if hosted.best_effort || hosted.long_running {
-            return None;
+    /// Returns by how much a worker's reports may be delayed because the owner is behind.
+    pub(crate) fn report_pause(&self, worker: &Worker) -> Duration {
+        if needs_prompt_reports(worker) { Duration::ZERO } else { self.load.pause() }
+    }
+
+    /// Brings a paused heartbeat forward if the end of a run is expected before it.
+    pub(crate) fn expedite_heartbeat(&mut self, worker: WorkerId) {
+        let Some(state) = self.workers.get(worker) else { return };
+        let Heartbeat::Due(at) = state.heartbeat else { return };
+        let Contact::Answering { at: reported_at } = state.contact else { return };
+        let next = self.next_heartbeat(state, reported_at);
+        if next < at && state.unacknowledged.is_empty() {
+            self.schedule_heartbeat(worker, next);
         }
+    }
+
+    /// Returns when the end of a short task, or of one that is being stopped, is expected, less a
+    /// margin.
+    fn short_end(&self, hosted: &Hosted) -> Option<Time> {
+        let is_short = !hosted.best_effort && !hosted.long_running;
         let end = match hosted.stage {
+            Stage::Stopping { .. } => self.now,
+            _ if !is_short => return None,
             Stage::Running { since } => since + hosted.estimate,
             Stage::Intended { .. } | Stage::Starting { .. } => self.now + hosted.estimate,
-            Stage::Stopping { .. } | Stage::Inherited => self.now,
+            Stage::Inherited => self.now,
         };
         Some(end.saturating_sub(END_MARGIN))
     }
@@ -105,7 +128,7 @@
     pub(crate) fn pass_interval(&self) -> Duration {
         let pass_time = self.load.pass_time;
         let brief = (pass_time * BRIEF_PASS_FACTOR).min(BRIEF_PASS_INTERVAL);
-        brief.max(pass_time * LONG_PASS_FACTOR)
+        brief.max(pass_time * LONG_PASS_FACTOR).min(MAX_PASS_INTERVAL)
     }
 
     /// Returns `true` if a change of a speed limit isn't worth a command now.
--- a/crates/planner/src/command.rs
+++ b/crates/planner/src/command.rs
@@ -155,7 +155,6 @@
                 .and_then(|permit| permit.ticket(worker)),
         };
         self.actions.push(Action::Start { target, start });
-        self.start_window.send();
         let state = &mut self.workers[worker];
         state.last_start_sent = self.now;
         if let Some(hosted) = state.runs.get_mut(&run) {
@@ -206,7 +205,7 @@
         run: Run,
         outcome: Result<Timestamp, Failure>,
     ) {
-        self.room_changed |= self.start_window.settle();
+        self.room_changed |= self.start_window.take_refused();
         let Some(worker) = self.record_answer(target, outcome) else { return };
         let name = &target.name;
         let now = self.now;
@@ -235,6 +234,7 @@
                     self.workers[worker].end_maintenance_if_outlived(first_sent);
                 }
                 self.mark_started(run.task.job);
+                self.expedite_heartbeat(worker);
                 self.note(
                     LogEvent::RunStarted,
                     Some(run.task.job),
--- a/crates/planner/src/heartbeat.rs
+++ b/crates/planner/src/heartbeat.rs
@@ -74,7 +74,7 @@
             PROBATION_HEARTBEAT_WAIT
         } else if worker.suspects > 0 || (worker.has_latency_critical() && worker.has_best_effort())
         {
-            self.settings.colocated_heartbeat_wait + self.load.pause()
+            self.settings.colocated_heartbeat_wait + self.report_pause(worker)
         } else {
             self.settings.heartbeat_wait
         }
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -6,6 +6,7 @@
 
 use cowslipchute_base::event::Event as LogEvent;
 use cowslipchute_base::id;
+use cowslipchute_base::id::Time;
 use cowslipchute_ports::deployment::Queue;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::JobId;
@@ -72,7 +73,7 @@
     pub(crate) fn place(&mut self) {
         self.passes += 1;
         self.service_waits.begin_pass();
-        self.start_window.begin_pass();
+        self.begin_start_window();
         let open = self.open_workers();
         let mostly_free = self.is_mostly_free(&open);
         let places_best_effort = self.now >= self.best_effort_due;
@@ -99,7 +100,7 @@
                 continue;
             }
             // Service steps are looked at in each pass, since their waits are followed.
-            if self.start_window.admit() || self.jobs[&job].has_service_step() {
+            if self.start_window.admits(job) || self.jobs[&job].has_service_step() {
                 self.place_job(job, &mut pass);
             }
             match self.jobs.get(&job).filter(|job| job.has_waiting()) {
@@ -290,6 +291,19 @@
             .is_some_and(|since| self.now >= since + STARVATION_DELAY)
     }
 
+    /// Returns since when the oldest task has waited of a job that has had nothing running for a
+    /// while, or of a service step with a task that has waited for as long.
+    pub(crate) fn starving_since(&self, id: JobId) -> Option<Time> {
+        let job = &self.jobs[&id];
+        let steps = job.waiting_steps(id).into_iter();
+        let starving =
+            steps.filter(|&step| job.spec(step.step).long_running || self.is_starving(step));
+        let tasks = starving.filter_map(|step| job.step(step)).flat_map(|state| &state.tasks);
+        let waiting = tasks.filter(|task| task.place == Place::Waiting);
+        let since = waiting.map(|task| task.waiting_since).min()?;
+        (self.now >= since + STARVATION_DELAY).then_some(since)
+    }
+
     /// Places one task of a step that found no worker where its work is worth the cost, on the
     /// worker where it costs the least.
     fn place_starving(&mut self, step: StepId, spec: &Step, open: &[WorkerId]) {
@@ -355,7 +369,7 @@
         self.scores += open.len() as u64;
         let mut candidates = self.candidates(&request, open);
         for (index, urgency) in tasks {
-            if !self.start_window.admit() {
+            if !self.start_window.admits(step.job) {
                 return outcome.refused(Gate::StartWindow);
             }
             let is_rate_limited = !self.start_limiter.allows(self.now);
@@ -446,7 +460,6 @@
         self.mark_dirty(task.job);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         self.start_limiter.charge(job.accepted.spec.payload.len());
-        self.start_window.plan();
         if job.spec(task.step).long_running {
             self.quota.take(job.spec(task.step));
         }
@@ -473,6 +486,7 @@
         self.workers[worker].add_run(run, hosted);
         self.workers[worker].isolated_for.take_if(|isolation| isolation.step == task.step_id());
         self.writes.add_intent(worker, run);
+        self.start_window.push(worker, run);
         if is_short {
             self.record_short_start(worker, run);
         }
--- a/crates/planner/src/write.rs
+++ b/crates/planner/src/write.rs
@@ -19,8 +19,6 @@
 use crate::job::Job;
 use crate::planner::Planner;
 use crate::record::Record;
-use crate::worker::Contact;
-use crate::worker::Heartbeat;
 use crate::worker::Worker;
 use crate::worker::WorkerId;
 
@@ -197,13 +195,7 @@
             .collect();
         for worker in reporting {
             self.advance_acknowledged(worker);
-            let state = &self.workers[worker];
-            let Heartbeat::Due(at) = state.heartbeat else { continue };
-            let Contact::Answering { at: reported_at } = state.contact else { continue };
-            let next = self.next_heartbeat(state, reported_at);
-            if next < at && state.unacknowledged.is_empty() {
-                self.schedule_heartbeat(worker, next);
-            }
+            self.expedite_heartbeat(worker);
         }
     }
 }
