Scheduler: a fenced write ends its own ownership only; a stalled process claims nothing

Found by the review, by reading: a write of an earlier ownership of the same process that is fenced ended the present one, since the notice named no epoch; a process whose cell's thread hangs stopped renewing but could claim the cell again; the takeover's reads ran on the cell's thread with the store thread's connections. The notice carries its epoch, claims are guarded like renewals, the reads run on the store thread. The test of the lease now blocks the cell for longer than a lease and looks at its end.

--- a/bin/scheduler/src/election.rs
+++ b/bin/scheduler/src/election.rs
@@ -77,7 +77,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Notice {
     /// A write as the owner was rejected, since the owner key has changed.
-    WriteFenced,
+    WriteFenced {
+        /// Epoch of the ownership that made the write; a later one isn't concerned.
+        epoch: Revision,
+    },
     /// The process is about to stop: give the cell up.
     Drain,
 }
@@ -158,10 +161,12 @@
             let due = Instant::now() + pause;
             let event = tokio::select! {
                 Some(change) = changes.recv() => self.observe(change),
-                Some(notice) = notices.recv() => Some(match notice {
-                    Notice::WriteFenced => Event::Refused,
-                    Notice::Drain => Event::Drain,
-                }),
+                Some(notice) = notices.recv() => match notice {
+                    Notice::WriteFenced { epoch } => {
+                        (self.election.epoch() == Some(epoch)).then_some(Event::Refused)
+                    }
+                    Notice::Drain => Some(Event::Drain),
+                },
                 Some(result) = results.recv() => Some(result),
                 () = tokio::time::sleep_until(due) => Some(Event::Tick),
             };
@@ -213,11 +218,13 @@
                 let lease_until = self.lease.end();
                 Transition::Disown { cause, lease_until }
             }
+            // A stalled process neither keeps the cell nor claims it.
             Action::Renew { ticket, .. } if self.lease.is_stalled(clock::now()) => {
-                let reason = String::from("the cell's thread makes no progress");
-                let outcome = Err(kv::Error::Unavailable(reason));
-                // The receiver is dropped only when the process exits.
-                let _ = self.results.send(Event::Renewed { ticket, outcome });
+                self.report(Event::Renewed { ticket, outcome: Err(stalled()) });
+                return true;
+            }
+            Action::Grant { ticket, .. } if self.lease.is_stalled(clock::now()) => {
+                self.report(Event::Granted { ticket, outcome: Err(stalled()) });
                 return true;
             }
             call => {
@@ -228,6 +235,11 @@
         self.transitions.send(transition).is_ok()
     }
 
+    fn report(&self, result: Event) {
+        // The receiver is dropped only when the process exits.
+        let _ = self.results.send(result);
+    }
+
     fn extend_lease(&self, until: Time) {
         let Some(epoch) = self.election.epoch() else { return };
         if let Some(previous) = self.lease.extend(epoch, until) {
@@ -272,6 +284,10 @@
     }
 }
 
+fn stalled() -> kv::Error {
+    kv::Error::Unavailable(String::from("the cell's thread makes no progress"))
+}
+
 /// Returns the delay before a claim, with random jitter.
 fn claim_delay(precedence: Precedence) -> Duration {
     precedence.delay() + CLAIM_JITTER.mul_f64(rand::random_range(0.0..1.0))
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -11,6 +11,7 @@
 use cowslipchute_planner::action::Change as RecordChange;
 use cowslipchute_planner::action::Note;
 use cowslipchute_planner::backpressure::Load;
+use cowslipchute_planner::estimates::Estimates;
 use cowslipchute_planner::event::BatchNumber;
 use cowslipchute_planner::event::Event;
 use cowslipchute_planner::planner::Contacts;
@@ -126,12 +127,18 @@
 ) {
     let began = clock::now();
     let store_thread = store_thread::open(&context.log);
-    let cell = read_cell(&context).await;
+    let loading = store_thread.runtime().spawn(load(context.store.clone(), context.log.clone()));
+    let (cell, estimates, evacuations) = match loading.await {
+        Ok(loaded) => loaded,
+        Err(error) => {
+            // The task panicked, or the ownership has ended.
+            event!(context.log, LogEvent::StoreLost, "reason" => error.to_string());
+            return;
+        }
+    };
     event!(context.log, LogEvent::CellLoaded, "epoch" => epoch, "jobs" => cell.jobs.len(),
         "records" => cell.records.len(), "revision" => cell.revision);
     let writer = Writer::open(context.store.clone(), epoch, cell.revisions, context.log.clone());
-    let estimates = recovery::read_estimates(&context.store, &context.log).await;
-    let evacuations = Evacuations::read(&context.store, &context.log).await;
     let mut initial_events = vec![Queued::now(evacuations.event())];
     let (sender, receiver) = inbox::open();
     let (writes, write_receiver) = mpsc::unbounded_channel();
@@ -141,8 +148,10 @@
     let retention = context.final_state_retention;
     let mut tasks = JoinSet::new();
     let calls = store_thread.runtime();
-    tasks
-        .spawn_on(store_estimates(writer.clone(), context.planner.clone(), notices.clone()), calls);
+    tasks.spawn_on(
+        store_estimates(epoch, writer.clone(), context.planner.clone(), notices.clone()),
+        calls,
+    );
     tasks.spawn_on(retention::run(store.clone(), epoch, retention, log.clone()), calls);
     tasks.spawn_on(evacuations.follow(store.clone(), sender.clone()), calls);
     tasks.spawn_on(rollouts::follow(store.clone(), sender.clone(), log.clone()), calls);
@@ -150,7 +159,10 @@
         rollouts::write_statuses(store.clone(), epoch, update_receiver, log.clone()),
         calls,
     );
-    tasks.spawn_on(write_batches(writer, write_receiver, sender.clone(), notices.clone()), calls);
+    tasks.spawn_on(
+        write_batches(epoch, writer, write_receiver, sender.clone(), notices.clone()),
+        calls,
+    );
     tasks.spawn_on(follow_jobs(store, cell.revision, sender.clone(), log.clone()), calls);
     let machines = context.machines.clone();
     tasks.spawn(rollouts::list_machines(machines, context.planner.clone(), sender.clone(), log));
@@ -178,17 +190,20 @@
     owner.serve(initial_events, receiver).await;
 }
 
-/// Reads the state of the cell, retrying until the store answers.
-async fn read_cell<S: Store, F, A, M>(context: &Context<S, F, A, M>) -> recovery::Cell {
-    loop {
-        match recovery::read_cell(&context.store).await {
-            Ok(cell) => return cell,
+/// Reads what a new owner needs, retrying until the store answers.
+async fn load<S: Store>(store: S, log: Log) -> (recovery::Cell, Option<Estimates>, Evacuations) {
+    let cell = loop {
+        match recovery::read_cell(&store).await {
+            Ok(cell) => break cell,
             Err(error) => {
-                event!(context.log, LogEvent::StoreLost, "reason" => error.to_string());
+                event!(log, LogEvent::StoreLost, "reason" => error.to_string());
                 tokio::time::sleep(RECOVERY_RETRY_DELAY).await;
             }
         }
-    }
+    };
+    let estimates = recovery::read_estimates(&store, &log).await;
+    let evacuations = Evacuations::read(&store, &log).await;
+    (cell, estimates, evacuations)
 }
 
 /// Sends the jobs that are stored or changed after a revision.
@@ -229,6 +244,7 @@
 
 /// Stores the estimates for the next owner every few seconds, if they have changed.
 async fn store_estimates<S: Store>(
+    epoch: Revision,
     writer: Writer<S>,
     planner: SharedPlanner,
     notices: mpsc::UnboundedSender<Notice>,
@@ -242,7 +258,7 @@
         }
         if writer.write_estimates(&estimates).await.is_err() {
             // The receiver is dropped only when the process exits.
-            let _ = notices.send(Notice::WriteFenced);
+            let _ = notices.send(Notice::WriteFenced { epoch });
             return;
         }
         stored = Some(estimates);
@@ -251,6 +267,7 @@
 
 /// Writes batches concurrently as they arrive; overlapping batches are about different jobs.
 async fn write_batches<S: Store>(
+    epoch: Revision,
     writer: Writer<S>,
     mut batches: mpsc::UnboundedReceiver<(BatchNumber, Vec<RecordChange>)>,
     events: inbox::Sender,
@@ -265,7 +282,7 @@
             // The receiver of notices is dropped only when the process exits.
             match writer.write(&changes).await {
                 Ok(()) => events.send(Event::Written { batch }),
-                Err(Fenced) => drop(notices.send(Notice::WriteFenced)),
+                Err(Fenced) => drop(notices.send(Notice::WriteFenced { epoch })),
             }
         });
         while writes.try_join_next().is_some() {}
--- a/bin/scheduler/tests/lease.rs
+++ b/bin/scheduler/tests/lease.rs
@@ -18,8 +18,8 @@
 
 /// Time after which a renewal that hasn't come never will.
 const PATIENCE: Duration = Duration::from_secs(20);
-/// Renewals that a busy cell waits for.
-const RENEWALS: usize = 3;
+/// Renewals that a busy cell waits for; they take longer than a lease lasts.
+const RENEWALS: usize = 8;
 
 /// A store that reports each renewal.
 #[derive(Clone)]
@@ -78,11 +78,13 @@
             Some(Transition::Own { epoch }) => epoch,
             other => panic!("the cell is vacant: {other:?}"),
         };
+        let first_end = handle.lease.until(epoch);
+        assert!(first_end > Duration::ZERO);
         // The cell's thread does nothing else until the lease was renewed.
         for _ in 0..RENEWALS {
             renewals.recv_timeout(PATIENCE).expect("a lease is renewed beside a busy cell");
         }
-        assert!(handle.lease.until(epoch) > Duration::ZERO);
+        assert!(handle.lease.until(epoch) > first_end, "the renewals count");
         assert!(handle.transitions.try_recv().is_err(), "the ownership goes on");
     });
 }
