Measure: load on a running owner

The owner's processor time a command was known only from plays, which need the platform and repeat badly. `measure owner` is a platform in one process (store, directory, 1,100 workers on loopback addresses of their own, jobs of short, best-effort and service tasks at a steady rate), to which a release build of the scheduler connects.

Not measured: speed limits and stops, which this load causes none of.

--- a/bin/measure/src/lib.rs
+++ b/bin/measure/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod event_queue;
 pub mod loopback;
 pub mod memory;
+pub mod owner;
 pub mod passes;
 pub mod requests;
 pub mod sample;
--- a/bin/measure/src/main.rs
+++ b/bin/measure/src/main.rs
@@ -1,11 +1,15 @@
 //! Prints measurements of the shipped decisions. `docs/MEASUREMENTS.md` has results and commands.
 
+use std::path::PathBuf;
+use std::time::Duration;
+
 use anyhow::Context as _;
 use bpaf::Bpaf;
 use cowslipchute_measure::capacity;
 use cowslipchute_measure::decisions;
 use cowslipchute_measure::loopback;
 use cowslipchute_measure::loopback::drive;
+use cowslipchute_measure::owner;
 use cowslipchute_measure::passes;
 use cowslipchute_measure::requests;
 use cowslipchute_measure::tasks;
@@ -37,6 +41,29 @@
     /// What each kind of decision and a takeover cost an owner
     #[bpaf(command)]
     Decisions,
+    /// Load on a running owner: opens a platform, writes the settings of two scheduler processes
+    /// and waits for them
+    #[bpaf(command)]
+    Owner {
+        /// Directory for owner.json and entry.json; holds the owner's process id in owner.pid
+        #[bpaf(long, argument("DIR"))]
+        directory: PathBuf,
+        /// Workers
+        #[bpaf(long, argument("N"), fallback(1100), display_fallback)]
+        workers: usize,
+        /// Jobs of short tasks a second
+        #[bpaf(long, argument("R"), fallback(24.0), display_fallback)]
+        short: f64,
+        /// Jobs of best-effort tasks a second
+        #[bpaf(long, argument("R"), fallback(6.0), display_fallback)]
+        best_effort: f64,
+        /// Seconds from the first of these jobs until the measurement
+        #[bpaf(long, argument("S"), fallback(8), display_fallback)]
+        warm_up: u64,
+        /// Length of the measurement
+        #[bpaf(long, argument("S"), fallback(20), display_fallback)]
+        seconds: u64,
+    },
     /// Load over loopback against the running entry and its backend server, in turns
     #[bpaf(command)]
     Entry {
@@ -105,6 +132,11 @@
         Command::Entry { entry, direct, pid, seconds, connections, rate } => {
             print_entry(&drive::Plan { entry, direct, pid, seconds, connections, rate })
         }
+        Command::Owner { directory, workers, short, best_effort, warm_up, seconds } => {
+            let (warm_up, length) = (Duration::from_secs(warm_up), Duration::from_secs(seconds));
+            let plan = owner::run::Plan { directory, workers, short, best_effort, warm_up, length };
+            runtime()?.block_on(owner::run::run(&plan))
+        }
         Command::Declare { store, service } => {
             runtime()?.block_on(loopback::declare::service(&store, &service))
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod plan;
 mod platform;
 pub mod report;
+pub mod scale;
 pub mod site;
 pub mod worker;
 
