--- a/crates/planner/src/heartbeat.rs
+++ b/crates/planner/src/heartbeat.rs
@@ -74,7 +74,7 @@
             PROBATION_HEARTBEAT_WAIT
         } else if worker.suspects > 0 || (worker.has_latency_critical() && worker.has_best_effort())
         {
-            self.settings.colocated_heartbeat_wait + self.load.pause()
+            self.settings.colocated_heartbeat_wait + self.report_pause(worker)
         } else {
             self.settings.heartbeat_wait
         }
@@ -285,6 +285,7 @@
             hosted.progressed_at = now;
         }
         hosted.measurement = running.measurement;
+        hosted.infer_full_speed();
         if !was_running {
             self.mark_started(running.run.task.job);
         }
