Stand-in: a watch skips the changes that it has seen

Each watch looked at up to 20,000 changes each 4 ms under the site's lock. Suspected, not shown, of the soak's own pauses: a_cell_keeps_up_again_after_overload failed twice in nine runs beside a load of 20 to 22 on 8 processors, with pauses of the soak of 2.1 and 2.9 s (passing runs: 42 to 897 ms).

--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -276,13 +276,12 @@
             if query.after < state.store.compacted {
                 return reply(StatusCode::GONE, &json!({}));
             }
-            let events: Vec<Value> = state
-                .store
-                .changes
+            // Changes are in the order of their revisions.
+            let changes = &state.store.changes;
+            let first = changes.partition_point(|change| change.revision <= query.after);
+            let events: Vec<Value> = changes[first..]
                 .iter()
-                .filter(|change| {
-                    change.revision > query.after && change.key.starts_with(&query.prefix)
-                })
+                .filter(|change| change.key.starts_with(&query.prefix))
                 .map(|change| match &change.item {
                     Some(item) => render(&change.key, item),
                     None => {
