Planner: starving jobs in a module of their own; plainer comments of the overload soak

Functions are moved as they are; no decision changes. Comments of the soak in the terms of the field.

--- a/bin/measure/src/decisions/mod.rs
+++ b/bin/measure/src/decisions/mod.rs
@@ -1,5 +1,5 @@
 //! Cost of an owner's decisions by the size of its cell and the number of open jobs: the shipped
-//! planner in virtual time, beside workers that run what they are told.
+//! planner in virtual time, beside workers that carry out its commands.
 
 pub mod cell;
 pub mod load;
--- a/bin/measure/src/decisions/worker.rs
+++ b/bin/measure/src/decisions/worker.rs
@@ -1,4 +1,4 @@
-//! A worker that runs what it is told and answers heartbeats as long polls.
+//! A worker that runs what it is commanded and answers heartbeats as long polls.
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
--- a/crates/e2e/src/bin/soak.rs
+++ b/crates/e2e/src/bin/soak.rs
@@ -44,7 +44,7 @@
     /// Times that all triggers are played, in an overload
     #[bpaf(long("rounds"), argument("NUMBER"), fallback(2), display_fallback)]
     rounds: usize,
-    /// How long a cell that doesn't keep up is watched, in seconds, in an overload
+    /// Seconds for which a cell that doesn't keep up is watched, in an overload
     #[bpaf(long("watched"), argument("S"), fallback(60), display_fallback)]
     watched: u64,
 }
--- a/crates/e2e/src/soak.rs
+++ b/crates/e2e/src/soak.rs
@@ -109,7 +109,7 @@
         }
     }
 
-    /// Takes in a member's answer to the job.
+    /// Records a member's answer to the job.
     fn answer(&mut self, status: Option<StatusCode>) {
         match status {
             Some(status) if status.is_success() => self.accepted = true,
--- a/crates/e2e/src/soak/overload.rs
+++ b/crates/e2e/src/soak/overload.rs
@@ -64,7 +64,7 @@
 /// What an owner did while starts were checked.
 #[derive(Clone, Debug, Default)]
 pub struct Check {
-    /// How long the jobs waited for their first start.
+    /// Waits of the jobs for their first start.
     pub waits: Waits,
     /// The part of its share that the owner used, unless it changed.
     pub used: Option<f64>,
--- a/crates/e2e/src/soak/overload/load.rs
+++ b/crates/e2e/src/soak/overload/load.rs
@@ -32,7 +32,7 @@
 const TASKS: std::ops::Range<u32> = 2..9;
 const WORK_MILLIS: std::ops::Range<u64> = 100..800;
 
-/// How long jobs waited for their first start.
+/// Waits of jobs for their first start.
 #[derive(Clone, Debug, Default)]
 pub struct Waits {
     /// In order; one that hasn't started has waited until now.
@@ -95,7 +95,7 @@
         }
     }
 
-    /// Takes in the answers that clients have got and the jobs that have started.
+    /// Records the answers that clients have received and the jobs that have started.
     pub(super) fn step(&mut self, soak: &mut Soak) {
         while let Some(ended) = self.calls.try_join_next() {
             let (id, known) = ended.expect("no client panics");
@@ -129,7 +129,7 @@
         started.chain(unstarted).max().unwrap_or(self.opened)
     }
 
-    /// Waits until each client has its answer and each job that was taken in has come to its end.
+    /// Waits until each client has its answer and each accepted job has ended.
     pub(super) async fn finish(&mut self, soak: &mut Soak) {
         while let Some(ended) = self.calls.join_next().await {
             let (id, known) = ended.expect("no client panics");
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -59,6 +59,7 @@
 mod service_wait;
 pub mod settings;
 mod start_window;
+mod starvation;
 mod takeover;
 mod throttle;
 mod way;
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/place.rs
@@ -6,7 +6,6 @@
 
 use cowslipchute_base::event::Event as LogEvent;
 use cowslipchute_base::id;
-use cowslipchute_base::id::Time;
 use cowslipchute_ports::deployment::Queue;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::JobId;
@@ -25,7 +24,6 @@
 use crate::idle::Rooms;
 use crate::idle::Spare;
 use crate::job::Place;
-use crate::job::Task;
 use crate::overdue::Urgency;
 use crate::planner::Planner;
 use crate::rate_limit::START_RETRY;
@@ -38,9 +36,6 @@
 use crate::way::Way;
 use crate::worker::WorkerId;
 
-/// Time for which a best-effort job has nothing running, although most of the cell is free, before
-/// one of its tasks is placed where it costs the least. After three seconds the job counts as lost.
-const STARVATION_DELAY: Duration = Duration::from_millis(1200);
 /// A cell counts as mostly free if less than this fraction of its CPU is reserved. Users expect one
 /// half.
 const MAX_RESERVED_FRACTION: f64 = 0.6;
@@ -276,70 +271,6 @@
         (reserved as f64) < capacity as f64 * MAX_RESERVED_FRACTION
     }
 
-    /// Returns `true` if a step's job has had nothing running for a while.
-    fn is_starving(&self, step: StepId) -> bool {
-        let job = &self.jobs[&step.job];
-        let mut tasks = job.steps(step.job).flat_map(|(_, state)| &state.tasks);
-        if tasks.any(|task| matches!(task.place, Place::At(_))) {
-            return false;
-        }
-        let waiting = job.step(step).into_iter().flat_map(|state| &state.tasks);
-        let waiting = waiting.filter(|task| task.place == Place::Waiting);
-        waiting
-            .map(|task| task.waiting_since)
-            .min()
-            .is_some_and(|since| self.now >= since + STARVATION_DELAY)
-    }
-
-    /// Returns since when the oldest task has waited of a job that has had nothing running for a
-    /// while, or of a service step with a task that has waited for as long.
-    pub(crate) fn starving_since(&self, id: JobId) -> Option<Time> {
-        let job = &self.jobs[&id];
-        let steps = job.waiting_steps(id).into_iter();
-        let starving =
-            steps.filter(|&step| job.spec(step.step).long_running || self.is_starving(step));
-        let tasks = starving.filter_map(|step| job.step(step)).flat_map(|state| &state.tasks);
-        let waiting = tasks.filter(|task| task.place == Place::Waiting);
-        let since = waiting.map(|task| task.waiting_since).min()?;
-        (self.now >= since + STARVATION_DELAY).then_some(since)
-    }
-
-    /// Places one task of a step that found no worker where its work is worth the cost, on the
-    /// worker where it costs the least.
-    fn place_starving(&mut self, step: StepId, spec: &Step, open: &[WorkerId]) {
-        if !self.is_starving(step) {
-            return;
-        }
-        let Some(state) = self.jobs[&step.job].step(step) else { return };
-        let free = |index: u32| !self.is_pinned(step.task(index));
-        let ready = |&(index, task): &(u32, &Task)| task.is_ready(self.now) && free(index);
-        let tasks = || (0..).zip(&state.tasks).filter(ready);
-        let trusted = tasks().find(|(_, task)| !task.is_on_probation());
-        let Some((index, task)) = trusted.or_else(|| tasks().next()) else { return };
-        let probation_workers =
-            task.is_on_probation().then(|| self.probation_workers(task.waiting_since, open));
-        let open = probation_workers.as_deref().unwrap_or(open);
-        let id = step.task(index);
-        if let Some(worker) =
-            self.least_cost_worker(&Request::new(&self.interference, id, spec), open)
-        {
-            self.assign(id, worker);
-            self.refresh_colocation(worker);
-        }
-    }
-
-    /// Returns the worker with free capacity for a best-effort task on which the task costs the
-    /// least, even if it isn't worth that cost.
-    pub(crate) fn least_cost_worker(
-        &self,
-        request: &Request<'_>,
-        open: &[WorkerId],
-    ) -> Option<WorkerId> {
-        let with_room = open.iter().filter(|&&id| self.has_room(&self.workers[id], request));
-        let cost = |id: WorkerId| self.interference_cost(&self.workers[id], request);
-        with_room.min_by(|&&a, &&b| cost(a).total_cmp(&cost(b))).copied()
-    }
-
     /// Places a step's tasks one by one, until one has to wait for anything but its probation.
     fn place_tasks(
         &mut self,
