--- a/crates/e2e/src/soak/overload/trigger.rs
+++ b/crates/e2e/src/soak/overload/trigger.rs
@@ -1,4 +1,4 @@
-//! The triggers of a soak of overload. Each is over within seconds.
+//! The triggers of a soak of overload. Each ends within seconds.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -13,9 +13,9 @@
 
 /// Part of its share that a slowed process has.
 const SLOWED: f64 = 0.2;
-/// How long it is slowed, in milliseconds.
+/// Duration of the slowdown, in milliseconds.
 const SLOWED_MILLIS: std::ops::Range<u64> = 2000..4000;
-/// How long a killed process is down, in milliseconds.
+/// Downtime of a killed process, in milliseconds.
 const DOWN_MILLIS: std::ops::Range<u64> = 200..1500;
 /// Pause after a trigger, in milliseconds.
 const PAUSE_MILLIS: std::ops::Range<u64> = 300..1500;
