--- a/crates/planner/src/action.rs
+++ b/crates/planner/src/action.rs
@@ -17,7 +17,7 @@
 use cowslipchute_ports::machine::RolloutNumber;
 
 use crate::event::BatchNumber;
-use crate::record::Record;
+use crate::records::record::Record;
 
 /// A change of the store, applied once and only while the cell is owned.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/planner/src/idle.rs
+++ b/crates/planner/src/capacity/idle.rs
@@ -1,7 +1,7 @@
 //! Free capacity that service tasks may take.
 //!
 //! Service tasks run for the rest of the day and could fill the cell, so some capacity is reserved
-//! for short tasks ([`crate::reserve`]). If service tasks took each gap between two short tasks, no
+//! for short tasks ([`crate::capacity::reserve`]). If service tasks took each gap between two short tasks, no
 //! gap would be left for a large short task, and such jobs would starve while a twentieth of the
 //! cell is free in pieces. So service tasks may use the reserve only as far as it has been free all
 //! the time. They must not wait for long beside capacity that stays free.
@@ -16,11 +16,11 @@
 use cowslipchute_ports::job::StepId;
 use smallvec::SmallVec;
 
-use crate::command::Timer;
-use crate::overdue::Urgency;
 use crate::planner::Planner;
-use crate::way::Way;
-use crate::worker::WorkerId;
+use crate::service::overdue::Urgency;
+use crate::service::way::Way;
+use crate::workers::command::Timer;
+use crate::workers::worker::WorkerId;
 
 /// Interval at which a service task that waits beside the reserve for short tasks is checked again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/planner/src/quota.rs
+++ b/crates/planner/src/capacity/quota.rs
@@ -4,7 +4,7 @@
 //! alone left a gap that it may take again. But when some of the workers are gone, their capacity
 //! is gone too, and giving back everything that ran there would take it from short tasks alone. So
 //! returning service tasks get capacity up to the fraction of the cell that service tasks held a
-//! moment ago. Beyond that they take what stays free, like new ones ([`crate::idle`]).
+//! moment ago. Beyond that they take what stays free, like new ones ([`crate::capacity::idle`]).
 
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 use cowslipchute_ports::job::Step;
 
 use crate::planner::Planner;
-use crate::worker::WorkerId;
+use crate::workers::worker::WorkerId;
 
 /// Time constant of the remembered fraction: longer than a failed task takes to be placed again.
 const DECAY_TIME: Duration = Duration::from_secs(10);
--- a/crates/planner/src/reservation.rs
+++ b/crates/planner/src/capacity/reservation.rs
@@ -15,15 +15,15 @@
 use cowslipchute_ports::job::StepId;
 use smallvec::SmallVec;
 
-use crate::command::Timer;
-use crate::fit::Request;
-use crate::host::Stage;
-use crate::job::Place;
-use crate::job::Task;
+use crate::placement::fit::Request;
 use crate::planner::Planner;
-use crate::way::Way;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::queue::job::Place;
+use crate::queue::job::Task;
+use crate::service::way::Way;
+use crate::workers::command::Timer;
+use crate::workers::host::Stage;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Time for which a task waits before a worker is reserved for it: longer than it takes until the
 /// end of a run is known and its capacity used, so that nothing is reserved where a task would fit
@@ -66,7 +66,7 @@
 
 impl Unplaced {
     /// Returns a step that found no worker, if one may be reserved for it. Tasks with a rack
-    /// preference limit their wait themselves ([`crate::locality`]).
+    /// preference limit their wait themselves ([`crate::placement::locality`]).
     pub(crate) fn of(planner: &Planner, step: StepId, spec: &Step) -> Option<Unplaced> {
         if spec.best_effort || spec.data_rack.is_some() || spec.same_rack {
             return None;
@@ -135,7 +135,7 @@
     }
 
     /// Returns `true` if a worker may be reserved for a task. For a service task that is only so if
-    /// it gets its capacity back ([`crate::quota`]) or is overdue ([`crate::overdue`]): a new one
+    /// it gets its capacity back ([`crate::capacity::quota`]) or is overdue ([`crate::service::overdue`]): a new one
     /// takes only what short tasks leave.
     fn may_reserve(&self, step: StepId, spec: &Step, task: &Task) -> bool {
         let is_returning = task.attempt > 0 && self.quota.allows(spec);
--- a/crates/planner/src/colocate.rs
+++ b/crates/planner/src/colocation/colocate.rs
@@ -1,7 +1,7 @@
 //! Colocation of best-effort tasks with latency-critical tasks.
 //!
 //! Best-effort tasks use the CPU that latency-critical tasks leave unused, and slow some of them by
-//! amounts that differ by image and change within seconds ([`crate::interference`]). So a
+//! amounts that differ by image and change within seconds ([`crate::colocation::interference`]). So a
 //! best-effort task is placed only where every latency-critical task beside it is expected to meet
 //! its target, also at the peak of its load. Where a tail latency approaches its target
 //! nevertheless, the best-effort tasks that interfere are throttled, and moved if they stay
@@ -12,21 +12,21 @@
 
 use smallvec::SmallVec;
 
-use crate::host::FULL_SPEED;
-use crate::host::Hosted;
-use crate::interference;
-use crate::interference::Image;
-use crate::interference::Model;
-use crate::interference::Profile;
-use crate::interference::Shares;
-use crate::measurement::Headroom;
+use crate::colocation::interference;
+use crate::colocation::interference::Image;
+use crate::colocation::interference::Model;
+use crate::colocation::interference::Profile;
+use crate::colocation::interference::Shares;
+use crate::colocation::measurement::Headroom;
+use crate::colocation::risk::best_effort_value;
+use crate::colocation::risk::cost;
 use crate::planner::Planner;
-use crate::risk::best_effort_value;
-use crate::risk::cost;
-use crate::worker::Colocation;
-use crate::worker::Margin;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::workers::host::FULL_SPEED;
+use crate::workers::host::Hosted;
+use crate::workers::worker::Colocation;
+use crate::workers::worker::Margin;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// A smaller headroom loss is noise and isn't throttled.
 pub(crate) const MIN_HEADROOM_LOSS: f64 = 0.06;
--- a/crates/planner/src/interference.rs
+++ b/crates/planner/src/colocation/interference.rs
@@ -3,7 +3,7 @@
 //! Most pairs hardly interfere, a few interfere strongly, and which ones isn't known beforehand.
 //! The model uses the *headroom*, the latency target divided by the tail latency: 1 is exactly at
 //! the target, and each best-effort image takes away the pair's weight times the fraction of the
-//! worker's CPU that it uses. [`crate::load`] estimates the task's own load.
+//! worker's CPU that it uses. [`crate::colocation::load`] estimates the task's own load.
 
 use std::sync::Arc;
 
@@ -14,8 +14,8 @@
 use serde::Serialize;
 use smallvec::SmallVec;
 
-use crate::load::Load;
-use crate::load::clamp_error;
+use crate::colocation::load::Load;
+use crate::colocation::load::clamp_error;
 
 /// Name of an image.
 pub(crate) type Image = Arc<str>;
--- a/crates/planner/src/load.rs
+++ b/crates/planner/src/colocation/load.rs
@@ -3,7 +3,7 @@
 //! The tasks of a step serve the same users, so their load oscillates together around its usual
 //! level, with a period of some seconds up to a minute. A sample of one task is noisy, but the
 //! samples of all tasks together show the phase of the oscillation, and so the load in a second or
-//! two. The unit is the headroom of [`crate::interference`].
+//! two. The unit is the headroom of [`crate::colocation::interference`].
 
 use std::f64::consts::TAU;
 use std::time::Duration;
--- a/crates/planner/src/measurement.rs
+++ b/crates/planner/src/colocation/measurement.rs
@@ -7,20 +7,20 @@
 
 use std::time::Duration;
 
-use crate::colocate::cpu_fraction;
-use crate::colocate::image;
-use crate::host::FULL_SPEED;
-use crate::host::Hosted;
-use crate::host::Stage;
-use crate::interference;
-use crate::interference::Model;
-use crate::interference::SAMPLE_VARIANCE;
-use crate::interference::Sample;
-use crate::interference::Shares;
-use crate::load::Load;
+use crate::colocation::colocate::cpu_fraction;
+use crate::colocation::colocate::image;
+use crate::colocation::interference;
+use crate::colocation::interference::Model;
+use crate::colocation::interference::SAMPLE_VARIANCE;
+use crate::colocation::interference::Sample;
+use crate::colocation::interference::Shares;
+use crate::colocation::load::Load;
 use crate::planner::Planner;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::workers::host::FULL_SPEED;
+use crate::workers::host::Hosted;
+use crate::workers::host::Stage;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Reports closer together than this show the same measurements.
 const MIN_SAMPLE_INTERVAL: Duration = Duration::from_millis(300);
--- a/crates/planner/src/throttle.rs
+++ b/crates/planner/src/colocation/throttle.rs
@@ -11,20 +11,20 @@
 use cowslipchute_ports::executor::Run;
 use smallvec::SmallVec;
 
-use crate::colocate::MIN_HEADROOM_LOSS;
-use crate::colocate::cpu_fraction;
-use crate::colocate::image;
-use crate::fit::Request;
-use crate::host::FULL_SPEED;
-use crate::host::Hosted;
-use crate::host::Reason;
-use crate::host::Stage;
-use crate::measurement::Headroom;
+use crate::colocation::colocate::MIN_HEADROOM_LOSS;
+use crate::colocation::colocate::cpu_fraction;
+use crate::colocation::colocate::image;
+use crate::colocation::measurement::Headroom;
+use crate::colocation::risk::best_effort_value;
+use crate::colocation::risk::cost;
+use crate::placement::fit::Request;
 use crate::planner::Planner;
-use crate::risk::best_effort_value;
-use crate::risk::cost;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::workers::host::FULL_SPEED;
+use crate::workers::host::Hosted;
+use crate::workers::host::Reason;
+use crate::workers::host::Stage;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Speed limits are multiples of this, in percent, so that small changes need no command.
 const SPEED_STEP: u8 = 20;
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -23,8 +23,8 @@
 use cowslipchute_ports::machine::RolloutNumber;
 use cowslipchute_ports::machine::RolloutRequest;
 
-use crate::estimates::Estimates;
-use crate::record::Record;
+use crate::records::estimates::Estimates;
+use crate::records::record::Record;
 
 /// Number of a write, increasing within a planner.
 pub type BatchNumber = u64;
--- a/crates/planner/src/crash.rs
+++ b/crates/planner/src/faults/crash.rs
@@ -5,7 +5,7 @@
 //! a crash is counted against the runs that began just before it, whose tasks become suspects. Most
 //! of them didn't cause the crash and are cleared once they have run for a while elsewhere;
 //! suspects aren't placed together on a worker if that can be avoided. A task that is one crash
-//! short of [`CRASH_LIMIT`] in a row is on *probation* ([`crate::probation`]): it is started on a
+//! short of [`CRASH_LIMIT`] in a row is on *probation* ([`crate::faults::probation`]): it is started on a
 //! worker where nothing else has begun recently, and nothing else begins there for a while. A crash
 //! then counts against this task alone, and its job is ended as crashed.
 //!
@@ -24,16 +24,16 @@
 use cowslipchute_ports::job::State;
 use cowslipchute_ports::job::StepId;
 
-use crate::candidate::Candidate;
-use crate::fit::Request;
-use crate::host::Command;
-use crate::host::Hosted;
-use crate::host::Stage;
-use crate::job::Place;
-use crate::job::Task;
+use crate::placement::candidate::Candidate;
+use crate::placement::fit::Request;
 use crate::planner::Planner;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::queue::job::Place;
+use crate::queue::job::Task;
+use crate::workers::host::Command;
+use crate::workers::host::Hosted;
+use crate::workers::host::Stage;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Crashes in a row after which a job is ended as crashed, if the last one is conclusive.
 const CRASH_LIMIT: usize = 3;
--- a/crates/planner/src/probation.rs
+++ b/crates/planner/src/faults/probation.rs
@@ -12,16 +12,16 @@
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::StepId;
 
-use crate::command::Timer;
-use crate::crash::MACHINE_CRASH_WINDOW;
-use crate::crash::START_CRASH_WINDOW;
-use crate::fit::Request;
-use crate::gang;
-use crate::host::Hosted;
-use crate::job::Place;
+use crate::faults::crash::MACHINE_CRASH_WINDOW;
+use crate::faults::crash::START_CRASH_WINDOW;
+use crate::placement::fit::Request;
+use crate::placement::gang;
 use crate::planner::Planner;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::queue::job::Place;
+use crate::workers::command::Timer;
+use crate::workers::host::Hosted;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Time that a task on probation waits for a machine that hasn't crashed recently: a machine that
 /// crashes again and again makes all its runs suspects. Short compared with the seconds within
--- a/crates/planner/src/progress.rs
+++ b/crates/planner/src/faults/progress.rs
@@ -11,13 +11,13 @@
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::executor::Run;
 
-use crate::command::Timer;
-use crate::host::FULL_SPEED;
-use crate::host::Hosted;
-use crate::host::Reason;
-use crate::host::Stage;
 use crate::planner::Planner;
-use crate::worker::WorkerId;
+use crate::workers::command::Timer;
+use crate::workers::host::FULL_SPEED;
+use crate::workers::host::Hosted;
+use crate::workers::host::Reason;
+use crate::workers::host::Stage;
+use crate::workers::worker::WorkerId;
 
 /// Time without a percent of progress after which a run is stalled, unless its work is so long that
 /// it can't have made that much.
--- a/crates/planner/src/disruption.rs
+++ b/crates/planner/src/maintenance/disruption.rs
@@ -12,11 +12,11 @@
 use cowslipchute_ports::job::StepId;
 use cowslipchute_ports::job::TaskId;
 
-use crate::host::Reason;
-use crate::host::Stage;
-use crate::job::Place;
 use crate::planner::Planner;
-use crate::worker::WorkerId;
+use crate::queue::job::Place;
+use crate::workers::host::Reason;
+use crate::workers::host::Stage;
+use crate::workers::worker::WorkerId;
 
 /// Number of a step's tasks that may be unavailable at once if its client sets no limit: the
 /// minimum with which a task can be moved at all.
--- a/crates/planner/src/rollout.rs
+++ b/crates/planner/src/maintenance/rollout.rs
@@ -30,10 +30,10 @@
 use cowslipchute_ports::machine::RolloutRequest;
 
 use crate::action::Action;
-use crate::command::Timer;
-use crate::host::Reason;
 use crate::planner::Planner;
-use crate::worker::WorkerId;
+use crate::workers::command::Timer;
+use crate::workers::host::Reason;
+use crate::workers::worker::WorkerId;
 
 /// Time for which a machine is away: a second until it shuts down, two or three of maintenance.
 const MACHINE_CYCLE: Duration = Duration::from_secs(4);
--- a/crates/planner/src/backpressure.rs
+++ b/crates/planner/src/owner/backpressure.rs
@@ -14,14 +14,14 @@
 
 use cowslipchute_base::id::Time;
 
-use crate::host::FULL_SPEED;
-use crate::host::Hosted;
-use crate::host::Stage;
 use crate::planner::Planner;
-use crate::worker::Contact;
-use crate::worker::Heartbeat;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::workers::host::FULL_SPEED;
+use crate::workers::host::Hosted;
+use crate::workers::host::Stage;
+use crate::workers::worker::Contact;
+use crate::workers::worker::Heartbeat;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Lag that an owner has in normal operation, a few rounds of its work.
 const NORMAL_LAG: Duration = Duration::from_millis(8);
--- a/crates/planner/src/census.rs
+++ b/crates/planner/src/owner/census.rs
@@ -2,10 +2,10 @@
 
 use cowslipchute_base::id;
 
-use crate::job::Place;
 use crate::planner::Planner;
-use crate::service_wait::Returned;
-use crate::worker::Contact;
+use crate::queue::job::Place;
+use crate::service::service_wait::Returned;
+use crate::workers::worker::Contact;
 
 /// Number of tasks of one kind by state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/planner/src/start_window.rs
+++ b/crates/planner/src/owner/start_window.rs
@@ -16,9 +16,9 @@
 use cowslipchute_ports::job::JobId;
 use smallvec::SmallVec;
 
-use crate::host::Stage;
 use crate::planner::Planner;
-use crate::worker::WorkerId;
+use crate::workers::host::Stage;
+use crate::workers::worker::WorkerId;
 
 /// Number of starts that may be in flight: a few times what a busy owner sends while one is on its
 /// way.
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/owner/takeover.rs
@@ -15,21 +15,21 @@
 use cowslipchute_ports::job::StepIndex;
 use cowslipchute_ports::job::TaskId;
 
-use crate::command::Timer;
-use crate::estimates::Estimates;
-use crate::host::Hosted;
-use crate::host::Reason;
-use crate::job::Job;
-use crate::job::Place;
-use crate::job::Policy;
+use crate::capacity::reserve::Reserve;
 use crate::planner::Planner;
-use crate::record;
-use crate::record::Record;
-use crate::reserve::Reserve;
-use crate::worker::Heartbeat;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
-use crate::write::Writes;
+use crate::queue::job::Job;
+use crate::queue::job::Place;
+use crate::queue::job::Policy;
+use crate::records::estimates::Estimates;
+use crate::records::record;
+use crate::records::record::Record;
+use crate::records::write::Writes;
+use crate::workers::command::Timer;
+use crate::workers::host::Hosted;
+use crate::workers::host::Reason;
+use crate::workers::worker::Heartbeat;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Interval at which the lease of a silent worker is checked for expiry.
 pub(crate) const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/planner/src/admission.rs
+++ b/crates/planner/src/placement/admission.rs
@@ -10,13 +10,13 @@
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::executor::Target;
 
-use crate::host::Command;
-use crate::host::Hosted;
-use crate::host::Reason;
-use crate::host::Stage;
 use crate::planner::Planner;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::workers::host::Command;
+use crate::workers::host::Hosted;
+use crate::workers::host::Reason;
+use crate::workers::host::Stage;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Reason why nothing more may be started on a worker, whatever was decided before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/planner/src/advice.rs
+++ b/crates/planner/src/placement/advice.rs
@@ -16,10 +16,10 @@
 use cowslipchute_ports::job::StepId;
 
 use crate::action::Action;
-use crate::command::Timer;
-use crate::fit::Request;
+use crate::placement::fit::Request;
 use crate::planner::Planner;
-use crate::worker::WorkerId;
+use crate::workers::command::Timer;
+use crate::workers::worker::WorkerId;
 
 /// Maximum number of workers in one query; users rely on this limit.
 const MAX_WORKERS_PER_QUERY: usize = 30;
--- a/crates/planner/src/candidate.rs
+++ b/crates/planner/src/placement/candidate.rs
@@ -7,9 +7,9 @@
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 
-use crate::fit::Request;
+use crate::placement::fit::Request;
 use crate::planner::Planner;
-use crate::worker::WorkerId;
+use crate::workers::worker::WorkerId;
 
 /// A worker that may take a task. Of candidates with equal scores the one with the lower index is
 /// preferred, so that the result doesn't depend on the order of scoring.
--- a/crates/planner/src/evacuation.rs
+++ b/crates/planner/src/placement/evacuation.rs
@@ -16,8 +16,8 @@
 use cowslipchute_base::id;
 
 use crate::planner::Planner;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 impl Planner {
     /// Replaces the set of evacuated failure domains.
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/placement/fit.rs
@@ -8,16 +8,16 @@
 use cowslipchute_ports::job::TaskId;
 use smallvec::SmallVec;
 
-use crate::colocate::NO_IMAGE;
-use crate::colocate::cpu_fraction;
-use crate::colocate::image;
-use crate::host;
-use crate::host::Hosted;
-use crate::interference::Model;
-use crate::interference::Profile;
-use crate::measurement::Headroom;
+use crate::colocation::colocate::NO_IMAGE;
+use crate::colocation::colocate::cpu_fraction;
+use crate::colocation::colocate::image;
+use crate::colocation::interference::Model;
+use crate::colocation::interference::Profile;
+use crate::colocation::measurement::Headroom;
 use crate::planner::Planner;
-use crate::worker::Worker;
+use crate::workers::host;
+use crate::workers::host::Hosted;
+use crate::workers::worker::Worker;
 
 /// Range of the CPU fraction that a latency-critical task is assumed to use.
 const LATENCY_CRITICAL_USE: std::ops::RangeInclusive<f64> = 0.2..=0.9;
--- a/crates/planner/src/gang.rs
+++ b/crates/planner/src/placement/gang.rs
@@ -11,13 +11,13 @@
 use cowslipchute_ports::job::StepId;
 use cowslipchute_ports::job::TaskId;
 
-use crate::fit::Request;
-use crate::host::Reason;
-use crate::job::Place;
+use crate::placement::fit::Request;
 use crate::planner::Planner;
-use crate::service_wait::Gate;
-use crate::way::Way;
-use crate::worker::WorkerId;
+use crate::queue::job::Place;
+use crate::service::service_wait::Gate;
+use crate::service::way::Way;
+use crate::workers::host::Reason;
+use crate::workers::worker::WorkerId;
 
 impl Planner {
     /// Places a whole gang or none of it; returns what kept it waiting, if anything did. A starving
--- a/crates/planner/src/locality.rs
+++ b/crates/planner/src/placement/locality.rs
@@ -11,10 +11,10 @@
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::StepId;
 
-use crate::command::Timer;
-use crate::job::Place;
 use crate::planner::Planner;
-use crate::worker::WorkerId;
+use crate::queue::job::Place;
+use crate::workers::command::Timer;
+use crate::workers::worker::WorkerId;
 
 /// Fraction of the time lost elsewhere for which a task waits for a worker of its rack: a wait that
 /// hasn't ended by then is expected to take as long again.
--- a/crates/planner/src/pin.rs
+++ b/crates/planner/src/placement/pin.rs
@@ -25,18 +25,18 @@
 use cowslipchute_ports::job::StepId;
 use cowslipchute_ports::job::TaskId;
 
-use crate::command::Timer;
-use crate::fit::Request;
-use crate::host::Hosted;
-use crate::host::Stage;
-use crate::job::Place;
-use crate::job::Task;
+use crate::owner::rate_limit::START_RETRY;
+use crate::placement::fit::Request;
 use crate::planner::Planner;
-use crate::rate_limit::START_RETRY;
-use crate::record::Outstanding;
-use crate::way::Way;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::queue::job::Place;
+use crate::queue::job::Task;
+use crate::records::record::Outstanding;
+use crate::service::way::Way;
+use crate::workers::command::Timer;
+use crate::workers::host::Hosted;
+use crate::workers::host::Stage;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Time after sending within which an unanswered start may be carried out.
 const START_EXPIRY: Duration = Duration::from_secs(12);
--- a/crates/planner/src/place.rs
+++ b/crates/planner/src/placement/place.rs
@@ -14,27 +14,27 @@
 use cowslipchute_ports::job::TaskId;
 use foldhash::HashMap;
 
-use crate::bypass::BYPASS_INTERVAL;
-use crate::bypass::Placement;
-use crate::command::Timer;
-use crate::fit::Request;
-use crate::host::Hosted;
-use crate::host::Stage;
-use crate::idle::Choice;
-use crate::idle::Rooms;
-use crate::idle::Spare;
-use crate::job::Place;
-use crate::overdue::Urgency;
+use crate::capacity::idle::Choice;
+use crate::capacity::idle::Rooms;
+use crate::capacity::idle::Spare;
+use crate::capacity::reservation::Unplaced;
+use crate::owner::rate_limit::START_RETRY;
+use crate::placement::fit::Request;
+use crate::placement::refused::Refused;
 use crate::planner::Planner;
-use crate::rate_limit::START_RETRY;
-use crate::reclaim::Reclaim;
-use crate::refused::Refused;
-use crate::reservation::Unplaced;
-use crate::service_wait::Decision;
-use crate::service_wait::Gate;
-use crate::service_wait::Outcome;
-use crate::way::Way;
-use crate::worker::WorkerId;
+use crate::queue::bypass::BYPASS_INTERVAL;
+use crate::queue::bypass::Placement;
+use crate::queue::job::Place;
+use crate::service::overdue::Urgency;
+use crate::service::reclaim::Reclaim;
+use crate::service::service_wait::Decision;
+use crate::service::service_wait::Gate;
+use crate::service::service_wait::Outcome;
+use crate::service::way::Way;
+use crate::workers::command::Timer;
+use crate::workers::host::Hosted;
+use crate::workers::host::Stage;
+use crate::workers::worker::WorkerId;
 
 /// A cell counts as mostly free if less than this fraction of its CPU is reserved. Users expect one
 /// half.
@@ -56,11 +56,11 @@
     places_best_effort: bool,
     /// Free capacity of each worker of a service, filled in when a service step first needs it.
     rooms: Rooms,
-    /// The same as an observer sees it ([`crate::overdue`]).
+    /// The same as an observer sees it ([`crate::service::overdue`]).
     seen: Rooms,
     /// Steps for which a worker may be reserved.
     unplaced: Vec<Unplaced>,
-    /// Services whose jobs yield to service tasks ([`crate::reclaim`]).
+    /// Services whose jobs yield to service tasks ([`crate::service::reclaim`]).
     reclaiming: Vec<Reclaim>,
 }
 
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -21,33 +21,33 @@
 
 use crate::action::Action;
 use crate::action::Note;
-use crate::advice::Query;
-use crate::backpressure::Load;
-use crate::bypass::Placements;
-pub use crate::census::Census;
-pub use crate::census::Contacts;
-use crate::command::Timer;
-use crate::crash::Crash;
+use crate::capacity::quota::Quota;
+use crate::capacity::reservation::Reservation;
+use crate::capacity::reserve::Reserve;
+use crate::colocation::interference::Model;
+use crate::colocation::load::Periodicity;
 use crate::event::Event;
-use crate::interference::Model;
-use crate::job::Job;
-use crate::load::Periodicity;
-use crate::occurrence::WallClock;
-use crate::overdue::Starts;
-use crate::pin::Pin;
-use crate::probation::Isolation;
-use crate::quota::Quota;
-use crate::rate_limit::Limiter;
-use crate::reservation::Reservation;
-use crate::reserve::Reserve;
-use crate::rollout::Rollouts;
-use crate::service_wait::Overrides;
-use crate::service_wait::Waits;
+use crate::faults::crash::Crash;
+use crate::faults::probation::Isolation;
+use crate::maintenance::rollout::Rollouts;
+use crate::owner::backpressure::Load;
+pub use crate::owner::census::Census;
+pub use crate::owner::census::Contacts;
+use crate::owner::rate_limit::Limiter;
+use crate::owner::start_window::Window;
+use crate::placement::advice::Query;
+use crate::placement::pin::Pin;
+use crate::queue::bypass::Placements;
+use crate::queue::job::Job;
+use crate::queue::occurrence::WallClock;
+use crate::records::write::Writes;
+use crate::service::overdue::Starts;
+use crate::service::service_wait::Overrides;
+use crate::service::service_wait::Waits;
 use crate::settings::Settings;
-use crate::start_window::Window;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
-use crate::write::Writes;
+use crate::workers::command::Timer;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Scheduler of one cell. It makes decisions while this process owns the cell.
 #[derive(Debug)]
@@ -61,7 +61,7 @@
     /// End of the owner's lease; commands may be sent until then.
     pub(crate) lease_until: Time,
     pub(crate) config: Option<Arc<Config>>,
-    /// Failure domains in which nothing may be started any more ([`crate::evacuation`]).
+    /// Failure domains in which nothing may be started any more ([`crate::placement::evacuation`]).
     pub(crate) evacuated: BTreeSet<id::Domain>,
     pub(crate) jobs: HashMap<JobId, Job>,
     /// Number of jobs received; the arrival number of the latest one.
@@ -123,7 +123,7 @@
     pub(crate) next_pass_at: Time,
     /// When best-effort tasks are placed next.
     pub(crate) best_effort_due: Time,
-    /// Tasks that may be started on one worker only ([`crate::pin`]).
+    /// Tasks that may be started on one worker only ([`crate::placement::pin`]).
     pub(crate) pins: BTreeMap<TaskId, Pin>,
     /// Recent placements.
     pub(crate) placements: Placements,
@@ -293,7 +293,7 @@
 
     fn configure(&mut self, config: Arc<Config>) {
         for job in self.jobs.values_mut() {
-            job.policy = crate::job::Policy::of(Some(&config), &job.accepted.queue);
+            job.policy = crate::queue::job::Policy::of(Some(&config), &job.accepted.queue);
         }
         self.config = Some(config);
         self.apply_deferred_entries();
--- /dev/null
+++ b/crates/planner/src/queue.rs
@@ -0,0 +1,8 @@
+//! Jobs of the cell: their state, and the order in which they are served.
+
+pub(crate) mod bypass;
+pub(crate) mod end;
+pub(crate) mod job;
+pub(crate) mod occurrence;
+pub(crate) mod rank;
+pub(crate) mod starvation;
--- a/crates/planner/src/end.rs
+++ b/crates/planner/src/queue/end.rs
@@ -10,15 +10,15 @@
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
 
-use crate::command::Timer;
-use crate::host::Command;
-use crate::host::Hosted;
-use crate::host::Reason;
-use crate::host::Stage;
-use crate::job::Place;
 use crate::planner::Planner;
-use crate::worker::WorkerId;
-use crate::write::end_text;
+use crate::queue::job::Place;
+use crate::records::write::end_text;
+use crate::workers::command::Timer;
+use crate::workers::host::Command;
+use crate::workers::host::Hosted;
+use crate::workers::host::Reason;
+use crate::workers::host::Stage;
+use crate::workers::worker::WorkerId;
 
 /// Delay before a failed task is retried, so that a task that fails immediately isn't restarted in
 /// a tight loop.
--- a/crates/planner/src/job.rs
+++ b/crates/planner/src/queue/job.rs
@@ -14,15 +14,15 @@
 use cowslipchute_ports::job::State;
 use smallvec::SmallVec;
 
-use crate::advice::Permit;
-use crate::idle::Idle;
-use crate::load::Load;
-use crate::overdue::Watch;
-use crate::record;
-use crate::record::Attempts;
-use crate::record::Record;
-use crate::service_wait::Decision;
-use crate::worker::WorkerId;
+use crate::capacity::idle::Idle;
+use crate::colocation::load::Load;
+use crate::placement::advice::Permit;
+use crate::records::record;
+use crate::records::record::Attempts;
+use crate::records::record::Record;
+use crate::service::overdue::Watch;
+use crate::service::service_wait::Decision;
+use crate::workers::worker::WorkerId;
 
 /// Number of failed runs after which a job fails if the configuration doesn't name its queue.
 /// Unlimited, since a job that is reported as failed too early is lost.
--- a/crates/planner/src/occurrence.rs
+++ b/crates/planner/src/queue/occurrence.rs
@@ -9,8 +9,8 @@
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::job::JobId;
 
-use crate::command::Timer;
 use crate::planner::Planner;
+use crate::workers::command::Timer;
 
 /// A deviation up to this is drift and is adopted immediately.
 const MAX_DRIFT: Duration = Duration::from_millis(100);
--- a/crates/planner/src/rank.rs
+++ b/crates/planner/src/queue/rank.rs
@@ -3,14 +3,14 @@
 //! With more work than capacity the order decides which jobs finish in time. A job has its full
 //! value while it can still meet its objective, little until three times the objective, and almost
 //! none afterwards. Within a priority, jobs of service tasks come first and are limited to their
-//! capacity ([`crate::idle`]). Jobs with best-effort tasks are ordered by the value that is still
+//! capacity ([`crate::capacity::idle`]). Jobs with best-effort tasks are ordered by the value that is still
 //! to be gained per remaining core-second.
 
 use cowslipchute_base::size::MAX_LATE_FACTOR;
 use cowslipchute_ports::job::JobId;
 
-use crate::job::Job;
 use crate::planner::Planner;
+use crate::queue::job::Job;
 
 /// Fraction of a job's value that doesn't depend on its size (the users' page on payoff).
 const FIXED_VALUE: f64 = 0.3;
--- a/crates/planner/src/starvation.rs
+++ b/crates/planner/src/queue/starvation.rs
@@ -11,11 +11,11 @@
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::StepId;
 
-use crate::fit::Request;
-use crate::job::Place;
-use crate::job::Task;
+use crate::placement::fit::Request;
 use crate::planner::Planner;
-use crate::worker::WorkerId;
+use crate::queue::job::Place;
+use crate::queue::job::Task;
+use crate::workers::worker::WorkerId;
 
 /// Time for which a job has nothing running before it counts as starving.
 const STARVATION_DELAY: Duration = Duration::from_millis(1200);
--- /dev/null
+++ b/crates/planner/src/records.rs
@@ -0,0 +1,5 @@
+//! What is stored for the next owner: records of jobs, and estimates.
+
+pub mod estimates;
+pub mod record;
+pub(crate) mod write;
--- a/crates/planner/src/estimates.rs
+++ b/crates/planner/src/records/estimates.rs
@@ -10,8 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::interference::Model;
-use crate::load::Periodicity;
+use crate::colocation::interference::Model;
+use crate::colocation::load::Periodicity;
 use crate::planner::Planner;
 
 /// What an owner has learnt about its cell.
--- a/crates/planner/src/write.rs
+++ b/crates/planner/src/records/write.rs
@@ -12,15 +12,15 @@
 
 use crate::action::Action;
 use crate::action::Change;
-use crate::command::Timer;
 use crate::event::BatchNumber;
-use crate::host::Command;
-use crate::host::Stage;
-use crate::job::Job;
 use crate::planner::Planner;
-use crate::record::Record;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::queue::job::Job;
+use crate::records::record::Record;
+use crate::workers::command::Timer;
+use crate::workers::host::Command;
+use crate::workers::host::Stage;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Number of writes that may be in flight at once: enough that with a store latency of a few
 /// hundred milliseconds each job waits for its own write only.
--- /dev/null
+++ b/crates/planner/src/service.rs
@@ -0,0 +1,7 @@
+//! Waits of service tasks: why they wait, for how long, and which capacity they get back.
+
+pub(crate) mod overdue;
+pub(crate) mod reclaim;
+pub(crate) mod room;
+pub(crate) mod service_wait;
+pub(crate) mod way;
--- a/crates/planner/src/overdue.rs
+++ b/crates/planner/src/service/overdue.rs
@@ -21,16 +21,16 @@
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::StepId;
 
-use crate::host::Stage;
-use crate::idle;
-use crate::idle::MAX_UPDATE_GAP;
-use crate::idle::Rooms;
-use crate::job::Place;
-use crate::job::Task;
+use crate::capacity::idle;
+use crate::capacity::idle::MAX_UPDATE_GAP;
+use crate::capacity::idle::Rooms;
 use crate::planner::Planner;
-use crate::service_wait::LONG_WAIT;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::queue::job::Place;
+use crate::queue::job::Task;
+use crate::service::service_wait::LONG_WAIT;
+use crate::workers::host::Stage;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Time for which there has been capacity for two before an overdue task takes the next. Longer than
 /// a pause between two short jobs, which leaves such capacity too, and short compared with the time
--- a/crates/planner/src/reclaim.rs
+++ b/crates/planner/src/service/reclaim.rs
@@ -1,7 +1,7 @@
 //! Capacity that service tasks get back from short jobs that can no longer finish in time.
 //!
 //! When workers are gone for good in a full cell, the short jobs of the backlog take the free
-//! capacity in turn, and a service task, which takes only what stays free ([`crate::idle`]), would
+//! capacity in turn, and a service task, which takes only what stays free ([`crate::capacity::idle`]), would
 //! wait until the backlog is done, long after the load has ended. So a returning service task
 //! bypasses lost short jobs after a moment, and late ones later. Nothing is bypassed while most of
 //! the cell is free, nor indefinitely, and jobs that can be in time never yield.
@@ -15,13 +15,13 @@
 use cowslipchute_ports::job::StepId;
 use cowslipchute_ports::job::TaskId;
 
-use crate::job::Job;
-use crate::job::Place;
-use crate::job::Task;
+use crate::capacity::reservation::Unplaced;
 use crate::planner::Planner;
-use crate::reservation::Unplaced;
-use crate::way::Way;
-use crate::worker::WorkerId;
+use crate::queue::job::Job;
+use crate::queue::job::Place;
+use crate::queue::job::Task;
+use crate::service::way::Way;
+use crate::workers::worker::WorkerId;
 
 /// Time for which a returning service task waits before lost jobs are bypassed. Most are placed
 /// sooner.
--- a/crates/planner/src/room.rs
+++ b/crates/planner/src/service/room.rs
@@ -5,11 +5,11 @@
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::TaskId;
 
-use crate::fit::Misfit;
-use crate::fit::Request;
-use crate::idle;
+use crate::capacity::idle;
+use crate::placement::fit::Misfit;
+use crate::placement::fit::Request;
 use crate::planner::Planner;
-use crate::worker::WorkerId;
+use crate::workers::worker::WorkerId;
 
 /// Obstacles that room for a task may have.
 const MISFITS: [Misfit; 5] =
--- a/crates/planner/src/service_wait.rs
+++ b/crates/planner/src/service/service_wait.rs
@@ -19,19 +19,19 @@
 use cowslipchute_ports::job::TaskId;
 use smallvec::SmallVec;
 
-use crate::bypass::BYPASS_INTERVAL;
-use crate::fit::Misfit;
-use crate::idle;
-use crate::idle::Spare;
-use crate::job::Place;
-use crate::job::Task;
+use crate::capacity::idle;
+use crate::capacity::idle::Spare;
+use crate::placement::fit::Misfit;
 use crate::planner::Planner;
-use crate::reclaim::Claim;
-use crate::reclaim::Extent;
-use crate::room::Room;
-use crate::room::misfit_text;
-use crate::way::Way;
-use crate::worker::WorkerId;
+use crate::queue::bypass::BYPASS_INTERVAL;
+use crate::queue::job::Place;
+use crate::queue::job::Task;
+use crate::service::reclaim::Claim;
+use crate::service::reclaim::Extent;
+use crate::service::room::Room;
+use crate::service::room::misfit_text;
+use crate::service::way::Way;
+use crate::workers::worker::WorkerId;
 
 /// Time for which a task waits before it is logged. Most are placed sooner.
 const FIRST_LINE_DELAY: Duration = Duration::from_secs(1);
@@ -129,7 +129,7 @@
     }
 }
 
-/// What a task lacks to be placed by the quota ([`crate::quota`]).
+/// What a task lacks to be placed by the quota ([`crate::capacity::quota`]).
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Lack {
     /// It has never run.
--- a/crates/planner/src/way.rs
+++ b/crates/planner/src/service/way.rs
@@ -3,17 +3,17 @@
 /// How a service task came to be placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Way {
-    /// On the fraction of the cell that service tasks held ([`crate::quota`]).
+    /// On the fraction of the cell that service tasks held ([`crate::capacity::quota`]).
     Quota,
     /// On capacity beyond the reserve for short tasks.
     BeyondReserve,
-    /// On capacity that was free through all windows ([`crate::idle`]).
+    /// On capacity that was free through all windows ([`crate::capacity::idle`]).
     Windows,
     /// On free capacity for two that was there for much of the time.
     Pair,
-    /// Beside capacity that an observer sees as free ([`crate::overdue`]).
+    /// Beside capacity that an observer sees as free ([`crate::service::overdue`]).
     Overdue,
-    /// On capacity that short jobs have yielded ([`crate::reclaim`]).
+    /// On capacity that short jobs have yielded ([`crate::service::reclaim`]).
     Reclaimed,
     /// On a worker that was reserved for it.
     Reservation,
--- a/crates/planner/src/command.rs
+++ b/crates/planner/src/workers/command.rs
@@ -17,13 +17,13 @@
 use cowslipchute_ports::job::JobId;
 
 use crate::action::Action;
-use crate::crash::SURVIVAL_THRESHOLD;
-use crate::host::Command;
-use crate::host::Reason;
-use crate::host::Stage;
+use crate::faults::crash::SURVIVAL_THRESHOLD;
+use crate::owner::rate_limit::START_RETRY;
 use crate::planner::Planner;
-use crate::rate_limit::START_RETRY;
-use crate::worker::WorkerId;
+use crate::workers::host::Command;
+use crate::workers::host::Reason;
+use crate::workers::host::Stage;
+use crate::workers::worker::WorkerId;
 
 /// Delay before an unanswered command is retried. Short, since the command's own timeout has passed
 /// already.
@@ -75,7 +75,7 @@
 
     /// Returns the lease deadline to send to a worker now, and records it. It is as late as workers
     /// accept, so that runs on a worker behind a network partition continue until the partition
-    /// heals, and runs outlast a store outage. [`crate::incarnations`] distinguishes a worker that
+    /// heals, and runs outlast a store outage. [`crate::workers::incarnations`] distinguishes a worker that
     /// is gone from an unreachable one long before its lease expires.
     pub(crate) fn extend_lease(&mut self, worker: WorkerId) -> Option<Timestamp> {
         let max_lease = self.settings.max_lease;
--- a/crates/planner/src/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -16,20 +16,20 @@
 use cowslipchute_ports::executor::Target;
 
 use crate::action::Action;
-use crate::command::Timer;
-use crate::crash::PROBATION_HEARTBEAT_WAIT;
-use crate::host::Command;
-use crate::host::Hosted;
-use crate::host::Reason;
-use crate::host::Stage;
+use crate::faults::crash::PROBATION_HEARTBEAT_WAIT;
+use crate::owner::takeover::EXPIRY_CHECK_INTERVAL;
 use crate::planner::Planner;
-use crate::takeover::EXPIRY_CHECK_INTERVAL;
-use crate::worker::ClockReading;
-use crate::worker::Contact;
-use crate::worker::Heartbeat;
-use crate::worker::Unacknowledged;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::workers::command::Timer;
+use crate::workers::host::Command;
+use crate::workers::host::Hosted;
+use crate::workers::host::Reason;
+use crate::workers::host::Stage;
+use crate::workers::worker::ClockReading;
+use crate::workers::worker::Contact;
+use crate::workers::worker::Heartbeat;
+use crate::workers::worker::Unacknowledged;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Longest time that an idle worker may delay its response.
 const IDLE_HEARTBEAT_WAIT: Duration = Duration::from_millis(2000);
--- a/crates/planner/src/host.rs
+++ b/crates/planner/src/workers/host.rs
@@ -8,8 +8,8 @@
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::job::Step;
 
-use crate::load::Deviation;
-use crate::measurement::Headroom;
+use crate::colocation::load::Deviation;
+use crate::colocation::measurement::Headroom;
 
 /// Speed limit of a run that isn't throttled, in percent.
 pub(crate) const FULL_SPEED: u8 = 100;
--- a/crates/planner/src/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -30,17 +30,17 @@
 use cowslipchute_ports::machine::Machine;
 use smallvec::SmallVec;
 
-use crate::command::Timer;
-use crate::host::Command;
-use crate::host::Hosted;
-use crate::host::Stage;
-use crate::job::Place;
-use crate::job::Task;
+use crate::owner::takeover::EXPIRY_CHECK_INTERVAL;
 use crate::planner::Planner;
-use crate::takeover::EXPIRY_CHECK_INTERVAL;
-use crate::worker::Contact;
-use crate::worker::Worker;
-use crate::worker::WorkerId;
+use crate::queue::job::Place;
+use crate::queue::job::Task;
+use crate::workers::command::Timer;
+use crate::workers::host::Command;
+use crate::workers::host::Hosted;
+use crate::workers::host::Stage;
+use crate::workers::worker::Contact;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerId;
 
 /// Maximum lag of the machine list behind the directory: the list says nothing of a worker that
 /// became known less than this before it was requested. Workers write to the directory every one or
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/workers/worker.rs
@@ -19,12 +19,12 @@
 use cowslipchute_ports::job::StepId;
 use smallvec::SmallVec;
 
-use crate::health::Health;
-use crate::host::Hosted;
-use crate::interference::ImageIndex;
-use crate::interference::Shares;
-use crate::probation::Isolation;
+use crate::colocation::interference::ImageIndex;
+use crate::colocation::interference::Shares;
+use crate::faults::health::Health;
+use crate::faults::probation::Isolation;
 use crate::settings::Settings;
+use crate::workers::host::Hosted;
 
 /// Bits of a command's epoch that hold the generation of the incarnation: enough for years of one
 /// ownership. The remaining bits leave room for 2^33 ownership epochs below 2^53, up to which every
@@ -79,7 +79,7 @@
     pub(crate) margin: f64,
     /// Standard deviation of `margin`.
     pub(crate) deviation: f64,
-    /// Cost of the margin by itself ([`crate::risk::cost`]).
+    /// Cost of the margin by itself ([`crate::colocation::risk::cost`]).
     pub(crate) cost: f64,
 }
 
@@ -153,7 +153,7 @@
     /// The amount of `reserved` that belongs to service tasks.
     pub(crate) reserved_by_services: Amount,
     pub(crate) health: Health,
-    /// Number of its runs that are suspects ([`crate::crash`]).
+    /// Number of its runs that are suspects ([`crate::faults::crash`]).
     pub(crate) suspects: u32,
     /// When a start was last sent to it.
     pub(crate) last_start_sent: Time,
