Scheduler: flags for optional parts, off by default

Parts that are to take effect only where a deployment's settings call for them need a switch each, so that each can also be measured by itself.

--- a/bin/scheduler/src/main.rs
+++ b/bin/scheduler/src/main.rs
@@ -25,7 +25,7 @@
         .enable_all()
         .build()
         .unwrap_or_else(|error| exit_with_error(Code::BindFailed, &error.to_string()));
-    let outcome = runtime.block_on(process::run(platform, settings.metrics_port, log.clone()));
+    let outcome = runtime.block_on(process::run(platform, &settings, log.clone()));
     if let Err(error) = outcome {
         let reason = format!("{error:#}");
         event!(log, Event::StartRefused, "reason" => reason.clone());
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -10,6 +10,7 @@
 use cowslipchute_base::id::Time;
 use cowslipchute_planner::event::Event as PlannerEvent;
 use cowslipchute_planner::planner::Planner;
+use cowslipchute_planner::settings::Features;
 use cowslipchute_planner::settings::Settings as PlannerSettings;
 use cowslipchute_platform::advisor::HttpAdvisor;
 use cowslipchute_platform::client::Client;
@@ -38,6 +39,7 @@
 use crate::owner;
 use crate::owner::Context;
 use crate::rpc;
+use crate::settings;
 use crate::submission;
 use crate::turn::millis;
 use crate::turn::remaining_millis;
@@ -67,7 +69,7 @@
 /// # Errors
 ///
 /// Returns an error if an address of the settings can't be bound.
-pub async fn run(settings: Settings, metrics_port: Option<u16>, log: Log) -> anyhow::Result<()> {
+pub async fn run(settings: Settings, own: &settings::Settings, log: Log) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let client = Client::open(settings.limits.idle_connections());
@@ -75,7 +77,7 @@
     let health = Health::default();
     let store = Instrumented::open(keys, log.metrics().clone(), health.clone());
     let current_config = config::spawn(store.clone(), health.clone(), log.clone());
-    let planner = Arc::new(Mutex::new(Planner::open(planner_settings(&settings))));
+    let planner = Arc::new(Mutex::new(Planner::open(planner_settings(&settings, own.features()))));
     let rpc_address = SocketAddr::new(settings.ip, settings.internal_ports.0);
     let endpoint = rpc::bind(rpc_address, planner.clone(), health.clone())
         .await
@@ -116,7 +118,7 @@
     server::serve_readiness(readiness, is_ready, stopping.clone())
         .await
         .with_context(|| format!("can't bind {readiness}"))?;
-    if let Some(port) = metrics_port {
+    if let Some(port) = own.metrics_port {
         let address = SocketAddr::new(settings.ip, port);
         let text = render_metrics(planner.clone(), log.clone());
         server::serve_text(address, METRICS_PATH, text, stopping)
@@ -196,7 +198,7 @@
     settings.bounds.status + RETENTION_MARGIN
 }
 
-fn planner_settings(settings: &Settings) -> PlannerSettings {
+fn planner_settings(settings: &Settings, features: Features) -> PlannerSettings {
     let bounds = &settings.bounds;
     let defaults = PlannerSettings::default();
     PlannerSettings {
@@ -207,6 +209,7 @@
         max_interference_time: bounds.max_violation,
         link_bytes_per_second: settings.limits.link_bytes_per_second(),
         max_stop_time: bounds.stop_timeout,
+        features,
         ..defaults
     }
 }
--- a/crates/planner/src/settings.rs
+++ b/crates/planner/src/settings.rs
@@ -2,6 +2,17 @@
 
 use std::time::Duration;
 
+/// Optional parts of the planner. Each is off unless the deployment's settings turn it on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Features {
+    /// Whether contended capacity is shared between queues and sizes of jobs.
+    pub queue_shares: bool,
+    /// Whether durations learnt from completed tasks replace clients' estimates.
+    pub learned_durations: bool,
+    /// Whether best-effort tasks are placed and throttled by a forecast of interference.
+    pub colocation_forecast: bool,
+}
+
 /// Settings of a deployment, and intervals of the planner.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -28,6 +39,8 @@
     pub link_bytes_per_second: Option<f64>,
     /// Longest time that a stop may take before the worker's report shows its outcome.
     pub max_stop_time: Duration,
+    /// Optional parts.
+    pub features: Features,
 }
 
 impl Default for Settings {
@@ -43,6 +56,7 @@
             remote_slowdown: 2.0,
             link_bytes_per_second: None,
             max_stop_time: Duration::from_millis(900),
+            features: Features::default(),
         }
     }
 }
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -4,6 +4,8 @@
 //!
 //! - `worker name=w cpu=N [memory=N] [rack=R] [domain=D] [count=N]`: adds workers.
 //! - `own [attempts=N] [advised=w]`: a new owner takes over.
+//! - `features [of=(queue_shares, learned_durations, colocation_forecast)]`: optional parts of the
+//!   owners that take over from now on.
 //! - `kill`: the owner crashes without releasing the cell.
 //! - `busy ms=N`: the owner sends commands this much later than it decides on them.
 //! - `link rate=N`: bandwidth of owners' links from now on, in bytes per second.
@@ -85,6 +87,7 @@
 use std::time::Duration;
 
 use cowslipchute_base::amount::Amount;
+use cowslipchute_planner::settings::Features;
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::Schedule;
@@ -301,6 +304,7 @@
             world.allowed.extend(advised);
             world.take_over(&config);
         }
+        "features" => set_features(world, case),
         "kill" => world.kill_owner(),
         "link" => {
             world.link =
@@ -373,6 +377,18 @@
     String::new()
 }
 
+fn set_features(world: &mut World, case: &TestCase) {
+    world.features = Features::default();
+    for name in case.args.get("of").into_iter().flatten() {
+        match name.as_str() {
+            "queue_shares" => world.features.queue_shares = true,
+            "learned_durations" => world.features.learned_durations = true,
+            "colocation_forecast" => world.features.colocation_forecast = true,
+            other => panic!("no feature is named {other}"),
+        }
+    }
+}
+
 fn capacity(case: &TestCase) -> Amount {
     Amount {
         cpu_milli: number(case, "cpu").unwrap_or(8000),
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -38,6 +38,7 @@
 use cowslipchute_planner::event::Event;
 use cowslipchute_planner::planner::Planner;
 use cowslipchute_planner::record::Record;
+use cowslipchute_planner::settings::Features;
 use cowslipchute_ports::deployment::Config;
 use cowslipchute_ports::executor::Failure;
 use cowslipchute_ports::job::Accepted;
@@ -118,6 +119,8 @@
     acknowledged: BTreeSet<TaskId>,
     /// Tasks of which a run has ended done, on any incarnation.
     finished: BTreeSet<TaskId>,
+    /// Optional parts of the planners that are opened from now on.
+    pub features: Features,
     /// Workers that the advisory service permits.
     pub allowed: BTreeSet<String>,
     pub log_lines: Vec<String>,
@@ -164,6 +167,7 @@
             sequence: 0,
             acknowledged: BTreeSet::new(),
             finished: BTreeSet::new(),
+            features: Features::default(),
             allowed: BTreeSet::new(),
             log_lines: Vec::new(),
             starts: 0,
--- a/crates/planner/tests/world/owner.rs
+++ b/crates/planner/tests/world/owner.rs
@@ -71,8 +71,9 @@
         self.owned_at = self.now;
         self.config = Some(config.clone());
         let link_bytes_per_second = self.link.as_ref().map(|link| link.rate);
-        let planner = Planner::open(Settings { link_bytes_per_second, ..Settings::default() });
-        self.planner = Some(planner);
+        let features = self.features;
+        let settings = Settings { link_bytes_per_second, features, ..Settings::default() };
+        self.planner = Some(Planner::open(settings));
         let events = self.takeover_events(config);
         if let Some(processor) = &mut self.processor {
             processor.begin(self.now, self.jobs.len() + self.records.len(), events);
