Admission of jobs at every instance, from a forecast of the owner's

Cause: nothing told an instance how much work waits, so a burst was accepted as a whole and its callers learnt of it from a timeout. The owner now makes a forecast (waiting work by lane and value density, the rate at which it is done, retries that are booked), instances fetch it by datagram in the background, and a gate without I/O decides on each job. What is rejected gets a second of its own to return in. Forecasts older than a second, an owner without a store and unknown lanes admit everything.

Retry-After also follows the reason: the length of earlier outages, within a third of the client's timeout, while the store is away; none at an instance without a configuration while another process owns the cell.

Scenarios: a burst of fifteen times the load for three seconds; of 100 jobs from five seconds after it on, 0 are done in time without admission, 100 with it.

--- a/bin/scheduler/src/api.rs
+++ b/bin/scheduler/src/api.rs
@@ -5,7 +5,9 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use cowslipchute_admission::demand::Demand;
 use cowslipchute_base::code::Code;
+use cowslipchute_base::code::Outcome;
 use cowslipchute_base::event::Event;
 use cowslipchute_base::id::Time;
 use cowslipchute_planner::record;
@@ -22,11 +24,12 @@
 use cowslipchute_ports::kv::Store;
 use tokio::sync::watch;
 
+use crate::admission::Admission;
 use crate::clock;
 use crate::config::Current;
 use crate::election::Holder;
 use crate::event;
-use crate::health::Admission;
+use crate::health::Access;
 use crate::health::Health;
 use crate::keys;
 use crate::log::Log;
@@ -40,8 +43,11 @@
 const PENDING_REFRESH_AGE: Duration = Duration::from_millis(500);
 /// Largest age of the counts that are returned while the cell has no owner.
 const PENDING_MAX_AGE: Duration = Duration::from_millis(2500);
-/// Retry-after time of a request that the store or the owner doesn't answer now.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time for which a client of a request without a timeout of its own is taken to wait.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Retry-after time of a process without a configuration where no other process is known. The
+/// operator's first configuration comes within a second of the start.
+const STARTUP_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Timeout of the read that probes whether the store is back; a slow store takes a few hundred
 /// milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -56,17 +62,32 @@
     queues: HashMap<Arc<str>, u32>,
 }
 
+/// What the client API uses.
+#[derive(Clone, Debug)]
+pub struct Dependencies<S> {
+    /// Client of the store.
+    pub store: S,
+    /// The configuration in force.
+    pub config: Current,
+    /// Admission control, if it is on.
+    pub admission: Option<Admission>,
+    /// Writes submitted jobs.
+    pub submissions: Batcher,
+    /// Calls to the owner of the cell.
+    pub endpoint: Endpoint,
+    /// Health of the store.
+    pub health: Health,
+    /// Last known owner of the cell.
+    pub holder: watch::Receiver<Option<Holder>>,
+    /// The log.
+    pub log: Log,
+}
+
 /// The client API of this process.
 #[derive(Clone, Debug)]
 pub struct Api<S> {
-    store: S,
-    config: Current,
-    submissions: Batcher,
-    endpoint: Endpoint,
-    health: Health,
-    holder: watch::Receiver<Option<Holder>>,
+    dependencies: Dependencies<S>,
     counts: Arc<Mutex<Counts>>,
-    log: Log,
 }
 
 /// Value of the `result` label of a request that succeeded.
@@ -74,33 +95,25 @@
 
 impl<S: Store> Api<S> {
     /// Opens the API.
-    pub fn open(
-        store: S,
-        config: Current,
-        submissions: Batcher,
-        endpoint: Endpoint,
-        health: Health,
-        holder: watch::Receiver<Option<Holder>>,
-        log: Log,
-    ) -> Api<S> {
-        Api { store, config, submissions, endpoint, health, holder, counts: Arc::default(), log }
+    pub fn open(dependencies: Dependencies<S>) -> Api<S> {
+        Api { dependencies, counts: Arc::default() }
     }
 
     async fn call_owner(&self, request: Request) -> Option<Response> {
-        let address = self.holder.borrow().as_ref().map(|holder| holder.address)?;
-        self.endpoint.call(address, request).await
+        let address = self.dependencies.holder.borrow().as_ref().map(|holder| holder.address)?;
+        self.dependencies.endpoint.call(address, request).await
     }
 
     async fn get(&self, prefix: &str, job: JobId) -> Result<Option<kv::Entry>, Rejection> {
         let key = keys::for_job(prefix, job);
-        if self.health.admission(clock::now()) == Admission::Refuse {
-            return Err(self.unavailable().await);
+        if self.dependencies.health.access(clock::now()) == Access::Refuse {
+            return Err(self.unavailable(CLIENT_TIMEOUT).await);
         }
-        let snapshot = match self.store.read(&key).await {
+        let snapshot = match self.dependencies.store.read(&key).await {
             Ok(snapshot) => snapshot,
             Err(error) => {
                 let rejection = Rejection::new(Code::StoreDown, error.to_string());
-                return Err(rejection.retry_after(RETRY_AFTER));
+                return Err(rejection.retry_after(self.store_retry_after(CLIENT_TIMEOUT)));
             }
         };
         Ok(snapshot.entries.into_iter().find(|entry| entry.key == key))
@@ -108,42 +121,53 @@
 
     /// Rejects a client's write while the store isn't reachable: if its outcome stayed unknown, the
     /// client could not retry it on another instance.
-    async fn require_store(&self) -> Result<(), Rejection> {
-        let admission = self.health.admission(clock::now());
-        if self.reaches_store(admission).await { Ok(()) } else { Err(self.unavailable().await) }
+    async fn require_store(&self, client_timeout: Duration) -> Result<(), Rejection> {
+        let access = self.dependencies.health.access(clock::now());
+        if self.reaches_store(access).await {
+            Ok(())
+        } else {
+            Err(self.unavailable(client_timeout).await)
+        }
     }
 
     /// Returns the rejection for a client while the store isn't reachable from here. If the owner
     /// of the cell reaches it, the retry-after time is zero, so that the client tries another
     /// instance at once: a pause of a second would make short jobs late.
-    async fn unavailable(&self) -> Rejection {
+    async fn unavailable(&self, client_timeout: Duration) -> Rejection {
         let owner_reaches_store =
             self.call_owner(Request::StoreReachable).await == Some(Response::StoreReachable(true));
-        let retry_after = if owner_reaches_store { Duration::ZERO } else { RETRY_AFTER };
+        let retry_after = match owner_reaches_store {
+            true => Duration::ZERO,
+            false => self.store_retry_after(client_timeout),
+        };
         Rejection::new(Code::StoreDown, "the store did not answer a moment ago")
             .retry_after(retry_after)
     }
 
+    /// Returns the time after which a client should retry while the store is away.
+    fn store_retry_after(&self, client_timeout: Duration) -> Duration {
+        self.dependencies.health.retry_after(clock::now(), client_timeout)
+    }
+
     /// Returns `true` if new clients are accepted: a configuration is known and the store is
     /// reachable.
     pub async fn is_ready(&self) -> bool {
-        let admission = self.health.readiness(clock::now());
-        self.config.borrow().is_some() && self.reaches_store(admission).await
+        let access = self.dependencies.health.readiness(clock::now());
+        self.dependencies.config.borrow().is_some() && self.reaches_store(access).await
     }
 
-    /// Returns `true` if the store is reachable, after a probing read where `admission` asks for
-    /// one.
-    async fn reaches_store(&self, admission: Admission) -> bool {
-        match admission {
-            Admission::Serve => return true,
-            Admission::Refuse => return false,
-            Admission::Probe => {}
+    /// Returns `true` if the store is reachable, after a probing read where `access` asks for one.
+    async fn reaches_store(&self, access: Access) -> bool {
+        match access {
+            Access::Serve => return true,
+            Access::Refuse => return false,
+            Access::Probe => {}
         }
         let sent_at = clock::now();
-        let read = tokio::time::timeout(PROBE_TIMEOUT, self.store.read(keys::OWNER));
+        let read = tokio::time::timeout(PROBE_TIMEOUT, self.dependencies.store.read(keys::OWNER));
         let answered = matches!(read.await, Ok(Ok(_)));
         if !answered {
-            self.health.record_failure(sent_at, clock::now());
+            self.dependencies.health.record_failure(sent_at, clock::now());
         }
         answered
     }
@@ -204,12 +228,13 @@
     }
 
     async fn commit(&self, txn: kv::Txn) -> Result<Option<()>, Rejection> {
-        match self.store.commit(txn).await {
+        match self.dependencies.store.commit(txn).await {
             Ok(verdict) => Ok(verdict.applied.then_some(())),
             // The read of the next attempt shows the outcome.
             Err(kv::Error::Unknown(_)) => Ok(None),
             Err(error) => {
-                Err(Rejection::new(Code::StoreDown, error.to_string()).retry_after(RETRY_AFTER))
+                let rejection = Rejection::new(Code::StoreDown, error.to_string());
+                Err(rejection.retry_after(self.store_retry_after(CLIENT_TIMEOUT)))
             }
         }
     }
@@ -233,7 +258,15 @@
 
 impl<S: Store> job::ClientApi for Api<S> {
     fn config(&self) -> Option<Arc<Config>> {
-        self.config.borrow().clone()
+        self.dependencies.config.borrow().clone()
+    }
+
+    fn unconfigured_retry_after(&self) -> Duration {
+        // An owner shows that others are configured; the client reaches another instance at once.
+        match self.dependencies.holder.borrow().is_some() {
+            true => Duration::ZERO,
+            false => STARTUP_RETRY_DELAY,
+        }
     }
 
     async fn submit(
@@ -243,14 +276,23 @@
         spec: Spec,
         within: Duration,
     ) -> Result<(), Rejection> {
-        self.require_store().await?;
+        self.require_store(within).await?;
+        if let Some(admission) = &self.dependencies.admission
+            && let Some(demand) = Demand::of(job, queue, &spec)
+        {
+            admission.decide(&demand)?;
+        }
         let accepted = Accepted {
             queue: queue.name.clone(),
             service: queue.service.clone(),
             spec,
             cancelled: false,
         };
-        self.submissions.submit(job, &accepted, within).await
+        let written = self.dependencies.submissions.submit(job, &accepted, within).await;
+        written.map_err(|rejection| match rejection.code.outcome() {
+            Outcome::NotRun => rejection.retry_after(self.store_retry_after(within)),
+            Outcome::Answered | Outcome::Unknown => rejection,
+        })
     }
 
     async fn state(&self, job: JobId) -> Result<State, Rejection> {
@@ -263,7 +305,7 @@
     async fn cancel(&self, job: JobId) -> Result<(), Rejection> {
         for _ in 0..CANCEL_ATTEMPTS {
             if self.try_cancel(job).await?.is_some() {
-                event!(self.log, Event::JobCancelling, "job" => format!("{job:016x}"));
+                event!(self.dependencies.log, Event::JobCancelling, "job" => format!("{job:016x}"));
                 return Ok(());
             }
             tokio::time::sleep(CANCEL_RETRY_DELAY).await;
@@ -282,7 +324,7 @@
         }
         self.cached_count(&queue.name, PENDING_MAX_AGE).ok_or_else(|| {
             Rejection::new(Code::OwnerUnknown, "the owner of the cell did not answer")
-                .retry_after(RETRY_AFTER)
+                .retry_after(self.store_retry_after(CLIENT_TIMEOUT))
         })
     }
 
@@ -293,7 +335,7 @@
         took: Duration,
     ) {
         let result = outcome.map_or_else(|rejection| rejection.code.name(), |()| SERVED);
-        self.log.metrics().request(request.operation.name(), result, took);
+        self.dependencies.log.metrics().request(request.operation.name(), result, took);
         let Err(rejection) = outcome else { return };
         let event = match (request.operation, rejection.code) {
             (Operation::Submit, Code::StoreUnknown) => Event::JobUnsettled,
@@ -301,7 +343,7 @@
             _ => Event::RequestRefused,
         };
         let job = request.job.map(|job| format!("{job:016x}"));
-        event!(self.log, event, "job" => job, "asked" => request.operation.name(),
+        event!(self.dependencies.log, event, "job" => job, "asked" => request.operation.name(),
             "code" => rejection.code.number(), "reason" => rejection.reason.clone());
     }
 }
--- a/bin/scheduler/src/health.rs
+++ b/bin/scheduler/src/health.rs
@@ -11,6 +11,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use cowslipchute_admission::outage::History;
 use cowslipchute_base::id::Time;
 
 /// Interval between probing reads during an outage.
@@ -30,10 +31,14 @@
     /// Time of the last answer.
     answered_at: Option<Time>,
     outage: Option<Outage>,
+    /// Durations of earlier outages.
+    outages: History,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Outage {
+    /// When the first failed call was sent.
+    began_at: Time,
     /// Latest time at which a failed call was sent.
     sent_at: Time,
     /// Time of the last failure.
@@ -44,7 +49,7 @@
 
 /// Decision on a client's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
+pub enum Access {
     /// Serve it.
     Serve,
     /// Refuse it without a call to the store.
@@ -68,31 +73,43 @@
             return;
         }
         state.answered_at = Some(now);
-        state.outage = None;
+        if let Some(outage) = state.outage.take() {
+            state.outages.record(now.saturating_sub(outage.began_at));
+        }
     }
 
     /// Records that the store rejected a call that was sent at `sent`, or did not answer it.
     pub fn record_failure(&self, sent: Time, now: Time) {
         let mut state = self.lock();
         let probed_at = state.outage.and_then(|outage| outage.probed_at);
+        let began_at = state.outage.map_or(sent, |outage| outage.began_at);
         let sent_at = state.outage.map_or(sent, |outage| outage.sent_at.max(sent));
-        state.outage = Some(Outage { sent_at, failed_at: now, probed_at });
+        state.outage = Some(Outage { began_at, sent_at, failed_at: now, probed_at });
+    }
+
+    /// Returns the time after which a client should retry that was refused because of the store, and
+    /// that waits for at most `client_timeout`.
+    pub fn retry_after(&self, now: Time, client_timeout: Duration) -> Duration {
+        let state = self.lock();
+        let elapsed =
+            state.outage.map_or(Duration::ZERO, |outage| now.saturating_sub(outage.began_at));
+        state.outages.retry_after(elapsed, client_timeout)
     }
 
-    /// Returns how to handle a client that arrives now; returns [`Admission::Probe`] at most once
+    /// Returns how to handle a client that arrives now; returns [`Access::Probe`] at most once
     /// per interval.
-    pub fn admission(&self, now: Time) -> Admission {
+    pub fn access(&self, now: Time) -> Access {
         let mut state = self.lock();
-        let Some(outage) = state.outage.as_mut() else { return Admission::Serve };
+        let Some(outage) = state.outage.as_mut() else { return Access::Serve };
         if now >= outage.failed_at + OUTAGE_MAX_AGE {
             state.outage = None;
-            return Admission::Serve;
+            return Access::Serve;
         }
         if outage.probed_at.is_some_and(|probed_at| now < probed_at + PROBE_INTERVAL) {
-            return Admission::Refuse;
+            return Access::Refuse;
         }
         outage.probed_at = Some(now);
-        Admission::Probe
+        Access::Probe
     }
 
     /// Returns `true` if the store has answered recently and no outage is known.
@@ -105,13 +122,13 @@
 
     /// Returns how to handle a readiness check of the platform. Unlike for a client, the absence of
     /// failures isn't enough: the last answer must be recent.
-    pub fn readiness(&self, now: Time) -> Admission {
-        let admission = self.admission(now);
+    pub fn readiness(&self, now: Time) -> Access {
+        let access = self.access(now);
         let answered_at = self.lock().answered_at;
         let is_fresh = answered_at.is_some_and(|answered_at| now < answered_at + READY_MAX_AGE);
-        match admission {
-            Admission::Serve if !is_fresh => Admission::Probe,
-            admission => admission,
+        match access {
+            Access::Serve if !is_fresh => Access::Probe,
+            access => access,
         }
     }
 
--- a/bin/scheduler/src/lib.rs
+++ b/bin/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 //! names and protocols. This crate connects them on one main thread, with one task per duty and
 //! channels between the tasks. `docs/design/platform.md` gives the reasons.
 
+pub mod admission;
 pub mod api;
 pub mod clock;
 pub mod config;
--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -9,12 +9,15 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use cowslipchute_admission::demand::Lane;
+use cowslipchute_admission::forecast::Forecast;
 use cowslipchute_base::event::Event;
 use cowslipchute_base::id::Time;
 use cowslipchute_planner::action::Note;
 use cowslipchute_planner::planner::Census;
 use cowslipchute_ports::job::JobId;
 use prometheus::Gauge;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
@@ -125,6 +128,16 @@
         "Runs left in each evacuated failure domain, at the cell's owner.";
     RATINGS Gauge "cowslipchute_worker_ratings" []
         "How often a worker was scored for a waiting step since this process became the owner of the cell; most of an owner's work.";
+    ADMISSIONS Counter "cowslipchute_admissions_total" ["verdict"]
+        "Jobs submitted here whose admission is controlled, by verdict: admitted, rejected, or unjudged for want of a recent forecast.";
+    FORECAST_AGE Gauge "cowslipchute_forecast_age_seconds" []
+        "Time since this instance received a forecast of the waiting work; forecasts are fetched while jobs are submitted here.";
+    BACKLOG Gauge "cowslipchute_backlog_core_seconds" ["service", "priority", "class"]
+        "Work of waiting tasks that can still be of value, at the cell's owner.";
+    BACKLOG_RATE Gauge "cowslipchute_backlog_rate_cores" ["service", "priority", "class"]
+        "Work that is done per second of such tasks, as forecasts state it, at the cell's owner.";
+    RETRIES Gauge "cowslipchute_retries_booked" []
+        "Rejected jobs that were given a time at which to return, at the cell's owner.";
     CONFIG_VERSION Gauge "cowslipchute_config_version" []
         "Version of the operator's configuration in force.";
     CONFIG_AGE Gauge "cowslipchute_config_age_seconds" []
@@ -163,6 +176,12 @@
     returned: IntGaugeVec,
     evacuated: IntGaugeVec,
     ratings: IntGauge,
+    admissions: IntCounterVec,
+    forecast_age: Gauge,
+    forecast_at: Arc<Mutex<Option<Time>>>,
+    backlog: GaugeVec,
+    backlog_rate: GaugeVec,
+    retries: IntGauge,
     config_version: IntGauge,
     config_age: IntGauge,
     config_applied_at: Arc<Mutex<Option<Time>>>,
@@ -193,6 +212,12 @@
     Ok(metric)
 }
 
+fn float_gauges(registry: &Registry, family: Family) -> prometheus::Result<GaugeVec> {
+    let metric = GaugeVec::new(Opts::new(family.name, family.help), family.labels)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
 fn histograms(
     registry: &Registry,
     family: Family,
@@ -241,6 +266,12 @@
             returned: gauges(&registry, RETURNED)?,
             evacuated: gauges(&registry, EVACUATED)?,
             ratings: gauge(&registry, RATINGS)?,
+            admissions: counters(&registry, ADMISSIONS)?,
+            forecast_age: seconds_gauge(&registry, FORECAST_AGE)?,
+            forecast_at: Arc::default(),
+            backlog: float_gauges(&registry, BACKLOG)?,
+            backlog_rate: float_gauges(&registry, BACKLOG_RATE)?,
+            retries: gauge(&registry, RETRIES)?,
             config_version: gauge(&registry, CONFIG_VERSION)?,
             config_age: gauge(&registry, CONFIG_AGE)?,
             config_applied_at: Arc::default(),
@@ -260,6 +291,16 @@
         self.request_seconds.with_label_values(&[request]).observe(took.as_secs_f64());
     }
 
+    /// Counts a decision on the admission of a job.
+    pub fn admission(&self, verdict: &str) {
+        self.admissions.with_label_values(&[verdict]).inc();
+    }
+
+    /// Records that a forecast was received.
+    pub fn forecast_received(&self, now: Time) {
+        *lock(&self.forecast_at) = Some(now);
+    }
+
     /// Counts a call to the store.
     pub fn store_call(&self, call: &str, answer: &str, took: Duration) {
         self.store_calls.with_label_values(&[call, answer]).inc();
@@ -333,12 +374,30 @@
         lock(&self.tracked).clear();
     }
 
+    /// Sets the gauges of the waiting work from the forecast, if this process owns the cell.
+    pub fn set_backlogs(&self, forecast: Option<&Forecast>) {
+        self.backlog.reset();
+        self.backlog_rate.reset();
+        for backlog in forecast.iter().flat_map(|forecast| &forecast.backlogs) {
+            let Lane { service, priority, class } = &backlog.lane;
+            let priority = priority.to_string();
+            let labels = [&**service, &priority, class.name()];
+            self.backlog.with_label_values(&labels).set(backlog.work_before(0.0));
+            self.backlog_rate.with_label_values(&labels).set(f64::from(backlog.rate));
+        }
+        let retries = forecast.map_or(0, |forecast| forecast.retries);
+        self.retries.set(i64::from(retries));
+    }
+
     /// Renders all metrics, with the counts of the cell if this process owns it.
     ///
     /// # Errors
     ///
     /// Returns an error if the text can't be encoded.
     pub fn render(&self, now: Time, census: Option<Census>) -> prometheus::Result<String> {
+        if let Some(received_at) = *lock(&self.forecast_at) {
+            self.forecast_age.set(now.saturating_sub(received_at).as_secs_f64());
+        }
         self.owned.set(census.is_some().into());
         self.jobs.reset();
         self.tasks.reset();
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -25,7 +25,9 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::admission::Admission;
 use crate::api::Api;
+use crate::api::Dependencies;
 use crate::clock;
 use crate::config;
 use crate::election;
@@ -95,15 +97,20 @@
     );
     let election = election::spawn(election_store, holder, health.clone(), log.clone())?;
     let submissions = submission::spawn(store.clone(), log.clone());
-    let api = Api::open(
-        store.clone(),
-        current_config.clone(),
+    let admission = own
+        .admission
+        .is_on()
+        .then(|| Admission::open(endpoint.clone(), election.holder.clone(), log.metrics().clone()));
+    let api = Api::open(Dependencies {
+        store: store.clone(),
+        config: current_config.clone(),
+        admission,
         submissions,
         endpoint,
-        health.clone(),
-        election.holder,
-        log.clone(),
-    );
+        health: health.clone(),
+        holder: election.holder,
+        log: log.clone(),
+    });
     let (stop, stopping) = watch::channel(false);
     let (accepting_sender, accepting) = watch::channel(true);
     let clients = settings.listen.clients;
@@ -179,10 +186,12 @@
 ) -> impl Fn() -> Option<String> + Clone + Send {
     move || {
         let now = clock::now();
-        let census = {
-            let planner = owner::lock(&planner);
-            planner.owns(now).then(|| planner.census())
+        let (census, forecast) = {
+            let mut planner = owner::lock(&planner);
+            let owns = planner.owns(now);
+            (owns.then(|| planner.census()), owns.then(|| planner.forecast(now, true)))
         };
+        log.metrics().set_backlogs(forecast.as_deref());
         match log.metrics().render(now, census) {
             Ok(text) => Some(text),
             Err(error) => {
--- a/bin/scheduler/src/rpc.rs
+++ b/bin/scheduler/src/rpc.rs
@@ -1,5 +1,5 @@
 //! Requests between scheduler processes, as single datagrams: the state of a job, the numbers of
-//! pending jobs, and whether the store is reachable.
+//! pending jobs, whether the store is reachable, and the forecast of waiting work.
 //!
 //! The owner of the cell knows states and numbers without a call to the store, whose calls are
 //! counted and limited. A lost datagram costs a timeout and a read of the store; a connection would
@@ -11,6 +11,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use cowslipchute_admission::calendar::Booking;
+use cowslipchute_admission::forecast::Forecast;
 use cowslipchute_planner::record;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
@@ -33,7 +35,7 @@
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// A request to another process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub enum Request {
     /// Asks for the state of a job.
@@ -42,6 +44,9 @@
     Pending,
     /// Asks whether the receiver reaches the store.
     StoreReachable,
+    /// Asks for the forecast of waiting work, and reports the jobs that were rejected since the last
+    /// request that was answered.
+    Forecast(Vec<Booking>),
 }
 
 /// The response to a [`Request`].
@@ -56,6 +61,8 @@
     StoreReachable(bool),
     /// The receiver doesn't own the cell.
     NotOwner,
+    /// The forecast of waiting work.
+    Forecast(Arc<Forecast>),
 }
 
 #[derive(Debug)]
@@ -116,15 +123,18 @@
 
     /// Returns the response of this process.
     pub fn respond(&self, request: Request) -> Response {
-        let planner = owner::lock(&self.planner);
-        let owns = planner.owns(clock::now());
+        let now = clock::now();
+        let mut planner = owner::lock(&self.planner);
+        let owns = planner.owns(now);
         match request {
-            Request::StoreReachable => {
-                Response::StoreReachable(self.health.is_reachable(clock::now()))
-            }
+            Request::StoreReachable => Response::StoreReachable(self.health.is_reachable(now)),
             _ if !owns => Response::NotOwner,
             Request::State(job) => Response::State(planner.state(job)),
             Request::Pending => Response::Pending(planner.queued_jobs().into_iter().collect()),
+            Request::Forecast(bookings) => {
+                planner.book_retries(now, &bookings);
+                Response::Forecast(planner.forecast(now, self.health.is_reachable(now)))
+            }
         }
     }
 
--- a/bin/scheduler/src/submission.rs
+++ b/bin/scheduler/src/submission.rs
@@ -36,9 +36,6 @@
 /// Fraction of a client's timeout after which it is answered that the outcome is unknown, so that
 /// it has time to ask another instance.
 const ANSWER_FRACTION: f64 = 0.5;
-/// Retry-after time while the store rejects writes: outages last seconds, and the limit of a busy
-/// store is lifted within one.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 type Outcome = Result<(), Rejection>;
 
@@ -67,7 +64,7 @@
     ///
     /// # Errors
     ///
-    /// As [`cowslipchute_ports::job::ClientApi::submit`].
+    /// As [`cowslipchute_ports::job::ClientApi::submit`], without a retry time.
     pub async fn submit(
         &self,
         job: JobId,
@@ -78,8 +75,7 @@
         let deadline = Instant::now() + client_timeout.mul_f64(RETRY_FRACTION);
         let submission = Submission { job, value: record::encode(accepted), deadline, reply };
         if self.sender.try_send(submission).is_err() {
-            return Err(Rejection::new(Code::Busy, "too many jobs are on their way to the store")
-                .retry_after(RETRY_AFTER));
+            return Err(Rejection::new(Code::Busy, "too many jobs are on their way to the store"));
         }
         let unknown = || Rejection::new(Code::StoreUnknown, "the write was not settled");
         // The write continues; its outcome shows when the client retries.
@@ -133,7 +129,7 @@
             Err(error) if !unsettled => {
                 for submission in batch.drain(..) {
                     let rejection = Rejection::new(Code::StoreDown, error.to_string());
-                    finish(submission, Err(rejection.retry_after(RETRY_AFTER)), &log);
+                    finish(submission, Err(rejection), &log);
                 }
                 return;
             }
--- a/crates/planner/src/owner.rs
+++ b/crates/planner/src/owner.rs
@@ -2,6 +2,7 @@
 
 pub mod backpressure;
 pub(crate) mod census;
+pub(crate) mod forecast;
 pub(crate) mod rate_limit;
 pub(crate) mod start_window;
 pub(crate) mod takeover;
--- a/crates/planner/src/owner/takeover.rs
+++ b/crates/planner/src/owner/takeover.rs
@@ -89,6 +89,7 @@
         self.passes = 0;
         self.next_pass_at = id::Time::ZERO;
         self.start_window = Default::default();
+        self.forecasts = Default::default();
         self.recent_overrides = Default::default();
         self.service_waits = Default::default();
         self.timers.clear();
@@ -193,6 +194,7 @@
             Some(state) => state.accepted = accepted,
             None => {
                 self.insert_job(job, accepted);
+                self.record_arrival(job);
                 self.room_changed = true;
                 let size = self.jobs[&job].size().to_string();
                 self.note(LogEvent::JobKnown, Some(job), None, None, size);
--- a/crates/planner/src/placement/gang.rs
+++ b/crates/planner/src/placement/gang.rs
@@ -144,6 +144,7 @@
         let Some(job) = self.jobs.get_mut(&ended.task.job) else { return };
         let step = ended.task.step_id();
         let count = job.step(step).map_or(0, |state| state.tasks.len());
+        let was_done = job.step(step).map_or(0, |state| state.done as usize);
         for index in 0..count {
             let task = step.task(index as id::TaskIndex);
             if job.task(task).is_some_and(|task| task.place != Place::Done) {
@@ -157,6 +158,7 @@
         if let Some(state) = self.workers.get_mut(worker) {
             state.health.record_success();
         }
+        self.record_completion(step, count - was_done);
     }
 
     /// Returns the runs of the same gang that still have a place.
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -33,6 +33,7 @@
 use crate::owner::backpressure::Load;
 pub use crate::owner::census::Census;
 pub use crate::owner::census::Contacts;
+use crate::owner::forecast;
 use crate::owner::rate_limit::Limiter;
 use crate::owner::start_window::Window;
 use crate::placement::advice::Query;
@@ -119,6 +120,8 @@
     pub(crate) start_window: Window,
     /// How far the owner is behind.
     pub(crate) load: Load,
+    /// What forecasts for other instances are made from.
+    pub(crate) forecasts: forecast::State,
     /// When the next placement pass may begin.
     pub(crate) next_pass_at: Time,
     /// When best-effort tasks are placed next.
@@ -180,6 +183,7 @@
             best_effort_backlog: 0.0,
             start_window: Window::default(),
             load: Load::default(),
+            forecasts: forecast::State::default(),
             next_pass_at: Time::ZERO,
             best_effort_due: Time::ZERO,
             pins: BTreeMap::new(),
--- a/crates/planner/src/queue/end.rs
+++ b/crates/planner/src/queue/end.rs
@@ -157,6 +157,7 @@
         if let Some((other, run)) = other {
             self.stop_run(other, run, Reason::Obsolete);
         }
+        self.record_completion(run.task.step_id(), 1);
     }
 
     /// Ends all runs that a worker has, or may have.
--- a/crates/planner/src/queue/job.rs
+++ b/crates/planner/src/queue/job.rs
@@ -401,6 +401,13 @@
         open.map(|(state, step)| f64::from(state.waiting) * task_work(step)).sum()
     }
 
+    /// Returns the core-seconds of the tasks that aren't placed, in open steps and later ones.
+    pub(crate) fn waiting_work(&self) -> f64 {
+        let steps = self.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+        let specs = self.accepted.spec.steps.iter().cycle();
+        steps.zip(specs).map(|(state, step)| f64::from(state.waiting) * step.task_work()).sum()
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.opened == self.total() && self.occurrences.iter().all(Occurrence::is_done)
     }
--- a/crates/planner/src/queue/rank.rs
+++ b/crates/planner/src/queue/rank.rs
@@ -6,14 +6,14 @@
 //! capacity ([`crate::capacity::idle`]). Jobs with best-effort tasks are ordered by the value that is still
 //! to be gained per remaining core-second.
 
+use cowslipchute_admission::value;
+use cowslipchute_admission::value::MIN_WORK;
 use cowslipchute_base::size::MAX_LATE_FACTOR;
 use cowslipchute_ports::job::JobId;
 
 use crate::planner::Planner;
 use crate::queue::job::Job;
 
-/// Fraction of a job's value that doesn't depend on its size (the users' page on payoff).
-const FIXED_VALUE: f64 = 0.3;
 /// Value of a job between one and three times its objective (the users' sheets: 0.15 of the value
 /// in time).
 const LATE_VALUE: f64 = 0.15;
@@ -26,8 +26,6 @@
 const BEHIND_LATE_VALUE: f64 = 0.9;
 /// Value of a job that counts as lost. It isn't 0, so that such jobs run in idle time.
 const LOST_VALUE: f64 = 0.02;
-/// Minimum work of a job in core-seconds; smaller jobs count as this.
-const MIN_WORK: f64 = 0.5;
 
 /// Earliest possible finish of a job, compared with its objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -138,9 +136,12 @@
 
     /// Returns a job's value relative to its queue's mean, per remaining core-second.
     fn value_density(&self, job: &Job) -> f64 {
-        let work = job.work.max(MIN_WORK);
-        let mean = self.mean_work(&job.accepted.queue).unwrap_or(work);
-        let value = FIXED_VALUE + (1.0 - FIXED_VALUE) * work / mean;
-        value / job.remaining_work().max(MIN_WORK)
+        let mean = self.mean_work(&job.accepted.queue).unwrap_or(job.work);
+        value::density(job.work, mean, job.remaining_work())
+    }
+
+    /// Returns the value density of a job, weighted by what of its value it can still have.
+    pub(crate) fn expected_density(&self, job: &Job) -> f64 {
+        self.prospect(job).weight() * self.value_density(job)
     }
 }
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -6,6 +6,8 @@
 //! - `own [attempts=N] [advised=w]`: a new owner takes over.
 //! - `features [of=(queue_shares, learned_durations, colocation_forecast)]`: optional parts of the
 //!   owners that take over from now on.
+//! - `admission [instances=N]`: from now on instances reject jobs that can't be done, and clients
+//!   retry when they are told to; `admission forecasts=lost|arrive`: whether forecasts arrive.
 //! - `kill`: the owner crashes without releasing the cell.
 //! - `busy ms=N`: the owner sends commands this much later than it decides on them.
 //! - `link rate=N`: bandwidth of owners' links from now on, in bytes per second.
@@ -80,6 +82,8 @@
 //! - `utilization [most=N]`: whether owners used no more than this percentage of their processor
 //!   time since the last `utilization`.
 //! - `takeover most=MS`: whether the owner took no longer to hear of all workers.
+//! - `rejected`: how many jobs were rejected so far, and how many of them at each attempt;
+//!   `rejected most=N`: whether no more were rejected.
 //! - `at_work id=H least=N`: whether enough tasks of a job run.
 
 mod world;
@@ -98,10 +102,15 @@
 use cowslipchute_standin::site::worker::Worker;
 use datadriven::TestCase;
 use world::World;
+use world::admission::Instances;
 use world::service_wait::Scope;
 use yare::parameterized;
 
 #[parameterized(
+    admission_burst = { "admission_burst" },
+    admission_calm = { "admission_calm" },
+    admission_forecasts_lost = { "admission_forecasts_lost" },
+    admission_owner_killed = { "admission_owner_killed" },
     advice = { "advice" },
     attempts_over_owners = { "attempts_over_owners" },
     busy_owner = { "busy_owner" },
@@ -305,6 +314,8 @@
             world.take_over(&config);
         }
         "features" => set_features(world, case),
+        "admission" => set_admission(world, case),
+        "rejected" => return rejected(world, case),
         "kill" => world.kill_owner(),
         "link" => {
             world.link =
@@ -377,6 +388,24 @@
     String::new()
 }
 
+fn set_admission(world: &mut World, case: &TestCase) {
+    if let Some(forecasts) = arg(case, "forecasts") {
+        let instances = world.instances.as_mut().expect("admission is on");
+        instances.forecasts_lost = forecasts == "lost";
+        return;
+    }
+    world.instances = Some(Instances::open(number(case, "instances").unwrap_or(3)));
+}
+
+fn rejected(world: &World, case: &TestCase) -> String {
+    let instances = world.instances.as_ref().expect("admission is on");
+    match number(case, "most") {
+        None => format!("{} jobs, {} given up", instances.rejected, instances.given_up),
+        Some(most) if instances.rejected <= most => String::from("within"),
+        Some(_) => format!("{} jobs", instances.rejected),
+    }
+}
+
 fn set_features(world: &mut World, case: &TestCase) {
     world.features = Features::default();
     for name in case.args.get("of").into_iter().flatten() {
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -9,6 +9,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
+pub mod admission;
 mod calm;
 mod capacity;
 mod check;
@@ -32,6 +33,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cowslipchute_admission::forecast::Forecast;
 use cowslipchute_base::id::Time;
 use cowslipchute_planner::action::Action;
 use cowslipchute_planner::action::Change;
@@ -76,6 +78,8 @@
     Connection(u32, Action, Time),
     /// A client submits a job.
     Submit(JobId, Accepted),
+    /// An instance receives the forecast that it requested at a time, with these jobs reported.
+    Forecast(usize, Arc<Forecast>, Time, Vec<JobId>),
 }
 
 /// The world.
@@ -119,6 +123,8 @@
     acknowledged: BTreeSet<TaskId>,
     /// Tasks of which a run has ended done, on any incarnation.
     finished: BTreeSet<TaskId>,
+    /// The instances that accept jobs, if they control admission.
+    pub instances: Option<admission::Instances>,
     /// Optional parts of the planners that are opened from now on.
     pub features: Features,
     /// Workers that the advisory service permits.
@@ -167,6 +173,7 @@
             sequence: 0,
             acknowledged: BTreeSet::new(),
             finished: BTreeSet::new(),
+            instances: None,
             features: Features::default(),
             allowed: BTreeSet::new(),
             log_lines: Vec::new(),
@@ -188,10 +195,13 @@
     }
 
     pub fn submit(&mut self, id: JobId, accepted: Accepted) {
+        self.submitted_at.entry(id).or_insert(self.now);
+        if !self.admits(id, &accepted) {
+            return;
+        }
         let accepted = Arc::new(accepted);
         self.jobs.insert(id, accepted.clone());
         self.specs.insert(id, accepted.clone());
-        self.submitted_at.insert(id, self.now);
         self.tell(Event::Job { job: id, accepted });
     }
 
@@ -332,6 +342,10 @@
             Arrival::Write(term, batch, changes) => self.write(term, batch, changes),
             Arrival::Command(term, action) => self.receive(term, action),
             Arrival::Submit(id, accepted) => self.submit(id, accepted),
+            Arrival::Forecast(index, forecast, requested_at, jobs) => {
+                let instances = self.instances.as_mut().expect("an instance requested it");
+                instances.receive(index, Forecast::clone(&forecast), requested_at, &jobs);
+            }
             Arrival::DelayedCommand(action) => self.carry_out_late(&action),
             Arrival::Heartbeat(term, action, until) => self.wait_for_end(term, action, until),
         }
--- a/crates/ports/src/deployment.rs
+++ b/crates/ports/src/deployment.rs
@@ -43,6 +43,18 @@
     pub advice: Option<Advice>,
 }
 
+impl Queue {
+    /// Returns `true` if the configuration states by when the queue's jobs should be done.
+    pub fn has_objective(&self) -> bool {
+        self.slack_factor > 1.0 || !self.allowance.is_zero()
+    }
+
+    /// Returns the time within which a job with this critical path should be done.
+    pub fn objective(&self, critical_path: Duration) -> Duration {
+        critical_path.mul_f64(self.slack_factor) + self.allowance
+    }
+}
+
 /// A service: a pool of workers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/crates/ports/src/job.rs
+++ b/crates/ports/src/job.rs
@@ -147,6 +147,35 @@
     pub schedule: Option<Schedule>,
 }
 
+impl Step {
+    /// Returns the core-seconds of one task, as estimated by the client.
+    pub fn task_work(&self) -> f64 {
+        self.estimate.as_secs_f64() * f64::from(self.demand.cpu_milli) / 1e3
+    }
+}
+
+impl Spec {
+    /// Returns the core-seconds of one occurrence, as estimated by the client.
+    pub fn work(&self) -> f64 {
+        self.steps.iter().map(|step| f64::from(step.count) * step.task_work()).sum()
+    }
+
+    /// Returns the critical path of one occurrence, as estimated by the client.
+    pub fn critical_path(&self) -> Duration {
+        self.critical_path_by(|_, step| step.estimate)
+    }
+
+    /// Returns the critical path of one occurrence if its steps take these times.
+    pub fn critical_path_by(&self, duration: impl Fn(usize, &Step) -> Duration) -> Duration {
+        let mut end_times: SmallVec<[Duration; 8]> = SmallVec::new();
+        for (index, step) in self.steps.iter().enumerate() {
+            let start = step.after.iter().map(|&earlier| end_times[usize::from(earlier)]).max();
+            end_times.push(start.unwrap_or_default() + duration(index, step));
+        }
+        end_times.into_iter().max().unwrap_or_default()
+    }
+}
+
 /// Job as stored from its acceptance until it ends.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -261,6 +290,9 @@
     /// Returns the configuration in force, if one is known yet.
     fn config(&self) -> Option<Arc<Config>>;
 
+    /// Returns the time after which a client should retry while no configuration is known here.
+    fn unconfigured_retry_after(&self) -> Duration;
+
     /// Accepts a job. Success means that the job is stored.
     ///
     /// # Errors
