Tests: admission on real processes

A burst at two real processes: what would be worth nothing is rejected with a time to return, and never runs. The soak's processes run with admission as well; it already takes 429 for a refusal that must be true.

--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -159,6 +159,8 @@
             member.settings.display().to_string(),
             String::from("--metrics-port"),
             member.metrics.port().to_string(),
+            String::from("--admission"),
+            String::from("on"),
         ];
         let log = format!("{name}-{}", member.starts);
         let process = Process::spawn("cowslipchute-scheduler", &log, &self.directory, &arguments)?;
@@ -179,11 +181,23 @@
 
     /// Hands a job in at a member that refuses it; after how many seconds it may come back.
     pub async fn refused(&self, member: &str, id: JobId, spec: &Spec) -> Option<u64> {
+        let (status, retry_after) = self.submit_once(member, id, spec).await?;
+        retry_after.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
+    }
+
+    /// Submits a job; returns the status, and the seconds after which it may be submitted again.
+    pub async fn submit_once(
+        &self,
+        member: &str,
+        id: JobId,
+        spec: &Spec,
+    ) -> Option<(StatusCode, Option<u64>)> {
+        self.site.lock().jobs.insert(id, spec.clone());
         let path = format!("/q/{id:016x}");
         let answer = self.caller.send(member, &path, body(spec).to_string()).await?;
-        let refused = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
-        let pause = answer.headers().get("retry-after").filter(|_| refused)?;
-        pause.to_str().ok()?.parse().ok()
+        let pause = answer.headers().get("retry-after");
+        let seconds = pause.and_then(|pause| pause.to_str().ok()?.parse().ok());
+        Some((answer.status(), seconds))
     }
 
     /// Waits until a member tells how many jobs wait, which it knows from the owner of the cell alone.
--- a/crates/e2e/tests/site.rs
+++ b/crates/e2e/tests/site.rs
@@ -328,3 +328,42 @@
         .await;
     });
 }
+
+/// A cell that is full of work for far longer than a job may take rejects jobs at every member, and
+/// what it has rejected never runs. Guards against a burst that is accepted as a whole.
+#[test]
+fn a_burst_is_rejected_where_it_would_be_worth_nothing() {
+    /// Jobs of the burst, each of which takes the only worker for the time of `WORK`.
+    const BURST: u64 = 120;
+    block_on(async {
+        let deployment = Deployment::open("site-burst", 2, 1).await.unwrap();
+        owner(&deployment).await;
+        let job = chain(1, 8, WORK);
+        let mut rejected = Vec::new();
+        let mut accepted = Vec::new();
+        for id in 0..BURST {
+            let member = ["m0", "m1"][id as usize % 2];
+            let (status, retry_after) = deployment.submit_once(member, id, &job).await.unwrap();
+            if status == StatusCode::OK {
+                accepted.push(id);
+            } else {
+                assert_eq!(status, StatusCode::TOO_MANY_REQUESTS, "{id}");
+                assert!(retry_after.is_some_and(|seconds| seconds > 0), "{id}: {retry_after:?}");
+                rejected.push(id);
+            }
+            // Forecasts are fetched in the background.
+            tokio::time::sleep(Duration::from_millis(25)).await;
+        }
+        assert!(!rejected.is_empty(), "all of {BURST} jobs were accepted");
+        for member in ["m0", "m1"] {
+            let counted = r#"cowslipchute_admissions_total{verdict="rejected"}"#;
+            assert!(deployment.metric(member, counted).await.unwrap_or_default() > 0.0, "{member}");
+        }
+        deployment.await_state("m0", accepted[0], "completed").await;
+        for id in rejected {
+            let (status, _) = deployment.state("m1", id).await.unwrap();
+            assert_eq!(status, StatusCode::GONE, "{id}");
+        }
+        assert_kept(&deployment);
+    });
+}
