--- a/bin/scheduler/tests/health.rs
+++ b/bin/scheduler/tests/health.rs
@@ -70,3 +70,16 @@
     health.record_success(at(1801), at(1805));
     assert_eq!(health.access(at(1806)), Access::Serve);
 }
+
+/// Guards against a pause that outlasts the outage, or that uses up a client's timeout.
+#[test]
+fn clients_are_told_to_retry_by_the_length_of_earlier_outages() {
+    let client_timeout = Duration::from_secs(3);
+    let health = Health::default();
+    health.record_failure(at(0), at(10));
+    assert_eq!(health.retry_after(at(10), client_timeout), Duration::from_secs(1));
+    health.record_success(at(500), at(500));
+    health.record_failure(at(1000), at(1010));
+    assert_eq!(health.retry_after(at(1100), client_timeout), Duration::from_millis(400));
+    assert_eq!(health.retry_after(at(1600), client_timeout), Duration::from_secs(1));
+}
