Planner: state of steps, tasks and policies in files of their own

Step and Occurrence are in queue/step.rs, Task and Place in queue/task.rs, Policy in queue/policy.rs. The code is moved unchanged; some methods became visible to their sibling modules.

--- a/crates/planner/src/capacity/reservation.rs
+++ b/crates/planner/src/capacity/reservation.rs
@@ -17,8 +17,8 @@
 
 use crate::placement::fit::Request;
 use crate::planner::Planner;
-use crate::queue::job::Place;
-use crate::queue::job::Task;
+use crate::queue::task::Place;
+use crate::queue::task::Task;
 use crate::service::way::Way;
 use crate::workers::command::Timer;
 use crate::workers::host::Stage;
--- a/crates/planner/src/faults/probation.rs
+++ b/crates/planner/src/faults/probation.rs
@@ -17,7 +17,7 @@
 use crate::placement::fit::Request;
 use crate::placement::gang;
 use crate::planner::Planner;
-use crate::queue::job::Place;
+use crate::queue::task::Place;
 use crate::workers::command::Timer;
 use crate::workers::host::Hosted;
 use crate::workers::worker::Worker;
--- a/crates/planner/src/maintenance/disruption.rs
+++ b/crates/planner/src/maintenance/disruption.rs
@@ -13,7 +13,7 @@
 use cowslipchute_ports::job::TaskId;
 
 use crate::planner::Planner;
-use crate::queue::job::Place;
+use crate::queue::task::Place;
 use crate::workers::host::Reason;
 use crate::workers::host::Stage;
 use crate::workers::worker::WorkerId;
--- a/crates/planner/src/owner/census.rs
+++ b/crates/planner/src/owner/census.rs
@@ -3,7 +3,7 @@
 use cowslipchute_base::id;
 
 use crate::planner::Planner;
-use crate::queue::job::Place;
+use crate::queue::task::Place;
 use crate::service::service_wait::Returned;
 use crate::workers::worker::Contact;
 
--- a/crates/planner/src/placement/gang.rs
+++ b/crates/planner/src/placement/gang.rs
@@ -13,7 +13,7 @@
 
 use crate::placement::fit::Request;
 use crate::planner::Planner;
-use crate::queue::job::Place;
+use crate::queue::task::Place;
 use crate::service::service_wait::Gate;
 use crate::service::way::Way;
 use crate::workers::host::Reason;
--- a/crates/planner/src/placement/locality.rs
+++ b/crates/planner/src/placement/locality.rs
@@ -12,7 +12,7 @@
 use cowslipchute_ports::job::StepId;
 
 use crate::planner::Planner;
-use crate::queue::job::Place;
+use crate::queue::task::Place;
 use crate::workers::command::Timer;
 use crate::workers::worker::WorkerId;
 
--- a/crates/planner/src/placement/place.rs
+++ b/crates/planner/src/placement/place.rs
@@ -24,7 +24,7 @@
 use crate::planner::Planner;
 use crate::queue::bypass::BYPASS_INTERVAL;
 use crate::queue::bypass::Placement;
-use crate::queue::job::Place;
+use crate::queue::task::Place;
 use crate::service::overdue::Urgency;
 use crate::service::reclaim::Reclaim;
 use crate::service::service_wait::Decision;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -293,7 +293,7 @@
 
     fn configure(&mut self, config: Arc<Config>) {
         for job in self.jobs.values_mut() {
-            job.policy = crate::queue::job::Policy::of(Some(&config), &job.accepted.queue);
+            job.policy = crate::queue::policy::Policy::of(Some(&config), &job.accepted.queue);
         }
         self.config = Some(config);
         self.apply_deferred_entries();
--- a/crates/planner/src/queue.rs
+++ b/crates/planner/src/queue.rs
@@ -4,5 +4,8 @@
 pub(crate) mod end;
 pub(crate) mod job;
 pub(crate) mod occurrence;
+pub(crate) mod policy;
 pub(crate) mod rank;
 pub(crate) mod starvation;
+pub(crate) mod step;
+pub(crate) mod task;
--- a/crates/planner/src/queue/end.rs
+++ b/crates/planner/src/queue/end.rs
@@ -11,7 +11,7 @@
 use cowslipchute_ports::job::State;
 
 use crate::planner::Planner;
-use crate::queue::job::Place;
+use crate::queue::task::Place;
 use crate::records::write::end_text;
 use crate::workers::command::Timer;
 use crate::workers::host::Command;
--- a/crates/planner/src/queue/job.rs
+++ b/crates/planner/src/queue/job.rs
@@ -3,10 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 use cowslipchute_base::size::Size;
-use cowslipchute_ports::deployment::Config;
 use cowslipchute_ports::executor::Incarnation;
 use cowslipchute_ports::job;
 use cowslipchute_ports::job::Accepted;
@@ -14,197 +12,14 @@
 use cowslipchute_ports::job::State;
 use smallvec::SmallVec;
 
-use crate::capacity::idle::Idle;
-use crate::colocation::load::Load;
-use crate::placement::advice::Permit;
-use crate::records::record;
-use crate::records::record::Attempts;
+use crate::queue::policy::Policy;
+use crate::queue::step::Occurrence;
+use crate::queue::step::Step;
+use crate::queue::task::Place;
+use crate::queue::task::Task;
 use crate::records::record::Record;
-use crate::service::overdue::Watch;
-use crate::service::service_wait::Decision;
 use crate::workers::worker::WorkerId;
 
-/// Number of failed runs after which a job fails if the configuration doesn't name its queue.
-/// Unlimited, since a job that is reported as failed too early is lost.
-const DEFAULT_MAX_ATTEMPTS: u32 = u32::MAX;
-/// Priority of a job if the configuration doesn't name its queue: lower than all others.
-const DEFAULT_PRIORITY: u8 = u8::MAX;
-
-/// Placement of a task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Place {
-    /// Not assigned; it may be started once its step is open.
-    Waiting,
-    /// Assigned to a worker, on which it may be running.
-    At(WorkerId),
-    /// It has finished its work.
-    Done,
-}
-
-/// A task.
-#[derive(Clone, Debug)]
-pub(crate) struct Task {
-    /// Highest attempt number used.
-    pub(crate) attempt: id::Attempt,
-    /// Attempts that failed.
-    pub(crate) failed: Attempts,
-    /// Attempts whose worker crashed right after their start, since the task was last cleared.
-    pub(crate) crashed: Attempts,
-    /// Checkpoint to resume from.
-    pub(crate) checkpoint: Option<id::Checkpoint>,
-    /// Where the task is placed.
-    pub(crate) place: Place,
-    /// Since when it has been waiting, if it waits.
-    pub(crate) waiting_since: Time,
-    /// Earliest time of its next start.
-    pub(crate) not_before: Time,
-    /// Worker on which it last failed or stalled, which is avoided for the next run.
-    pub(crate) avoided_worker: Option<WorkerId>,
-}
-
-impl Task {
-    fn new(now: Time) -> Task {
-        Task {
-            attempt: 0,
-            failed: Attempts::new(),
-            crashed: Attempts::new(),
-            checkpoint: None,
-            place: Place::Waiting,
-            waiting_since: now,
-            not_before: Time::ZERO,
-            avoided_worker: None,
-        }
-    }
-}
-
-/// A step of a job.
-#[derive(Clone, Debug)]
-pub(crate) struct Step {
-    pub(crate) tasks: Vec<Task>,
-    /// Number of tasks that are `Place::Waiting`.
-    pub(crate) waiting: u32,
-    /// Number of tasks that are `Place::Done`.
-    pub(crate) done: u32,
-    /// Whether every step that it depends on is done.
-    pub(crate) open: bool,
-    /// Permit of the advisory service, if it was queried.
-    pub(crate) permit: Option<Permit>,
-    /// Capacity that has stayed idle while its tasks wait, for service tasks.
-    pub(crate) idle: Idle,
-    /// Capacity that an observer has seen beside its waiting tasks, for service tasks.
-    pub(crate) watch: Watch,
-    /// When it was last logged that its tasks found no worker.
-    pub(crate) waiting_logged_at: Option<Time>,
-    /// The last decision about its service tasks that left some waiting.
-    pub(crate) decision: Option<Box<Decision>>,
-    /// When it was last logged why its service tasks wait.
-    pub(crate) service_wait_logged_at: Option<Time>,
-    /// Load of a step of latency-critical tasks, once it was measured.
-    pub(crate) load: Option<Load>,
-}
-
-impl Step {
-    pub(crate) fn is_done(&self) -> bool {
-        self.done as usize == self.tasks.len()
-    }
-}
-
-/// Policy of a job's queue.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Policy {
-    pub(crate) priority: u8,
-    pub(crate) max_attempts: u32,
-    pub(crate) slack: f64,
-    pub(crate) allowance: Duration,
-}
-
-impl Policy {
-    pub(crate) fn of(config: Option<&Config>, queue: &str) -> Policy {
-        match config.and_then(|config| config.queue(queue)) {
-            Some(queue) => Policy {
-                priority: queue.priority,
-                max_attempts: queue.max_attempts.max(1),
-                slack: queue.slack_factor,
-                allowance: queue.allowance,
-            },
-            None => Policy {
-                priority: DEFAULT_PRIORITY,
-                max_attempts: DEFAULT_MAX_ATTEMPTS,
-                slack: 1.0,
-                allowance: Duration::ZERO,
-            },
-        }
-    }
-}
-
-/// One occurrence of a job; a job without a schedule has exactly one.
-#[derive(Clone, Debug)]
-pub(crate) struct Occurrence {
-    pub(crate) number: job::Occurrence,
-    /// When this owner opened it.
-    pub(crate) since: Time,
-    pub(crate) steps: Vec<Step>,
-}
-
-impl Occurrence {
-    fn new(spec: &job::Spec, number: job::Occurrence, since: Time) -> Occurrence {
-        let steps = spec.steps.iter().map(|step| Step {
-            tasks: (0..step.count).map(|_| Task::new(since)).collect(),
-            waiting: step.count,
-            done: 0,
-            open: false,
-            permit: None,
-            waiting_logged_at: None,
-            decision: None,
-            service_wait_logged_at: None,
-            idle: Idle::default(),
-            watch: Watch::default(),
-            load: None,
-        });
-        let mut occurrence = Occurrence { number, since, steps: steps.collect() };
-        occurrence.open_steps(spec);
-        occurrence
-    }
-
-    fn open_steps(&mut self, spec: &job::Spec) {
-        for index in 0..self.steps.len() {
-            let after = &spec.steps[index].after;
-            let open = after.iter().all(|&earlier| self.steps[usize::from(earlier)].is_done());
-            self.steps[index].open |= open;
-        }
-    }
-
-    fn is_done(&self) -> bool {
-        self.steps.iter().all(Step::is_done)
-    }
-
-    fn record(&self, incarnation: &impl Fn(WorkerId) -> Option<Incarnation>) -> record::Occurrence {
-        let steps = self.steps.iter().map(|step| {
-            if step.tasks.iter().all(|task| task.attempt == 0) {
-                return Vec::new();
-            }
-            step.tasks.iter().map(|task| task_record(task, incarnation)).collect()
-        });
-        record::Occurrence { number: self.number, steps: steps.collect() }
-    }
-
-    /// Returns the crashes counted against its suspects, for the record.
-    fn crashes(&self) -> impl Iterator<Item = record::Crashes> {
-        let steps = self.steps.iter().enumerate();
-        steps.flat_map(move |(step, state)| {
-            let tasks = state.tasks.iter().enumerate();
-            let suspects =
-                tasks.filter(|(_, task)| task.place != Place::Done && !task.crashed.is_empty());
-            suspects.map(move |(index, task)| record::Crashes {
-                occurrence: self.number,
-                step: step as job::StepIndex,
-                index: index as id::TaskIndex,
-                attempts: task.crashed.clone(),
-            })
-        })
-    }
-}
-
 /// A job that has not ended, or whose final state is not stored yet.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
@@ -466,19 +281,3 @@
 fn task_work(step: &job::Step) -> f64 {
     step.estimate.as_secs_f64() * f64::from(step.demand.cpu_milli) / 1e3
 }
-
-fn task_record(
-    task: &Task,
-    incarnation: &impl Fn(WorkerId) -> Option<Incarnation>,
-) -> record::Task {
-    record::Task {
-        attempt: task.attempt,
-        done: task.place == Place::Done,
-        failed: task.failed.clone(),
-        worker: match task.place {
-            Place::At(worker) => incarnation(worker),
-            Place::Waiting | Place::Done => None,
-        },
-        checkpoint: if task.place == Place::Done { None } else { task.checkpoint.clone() },
-    }
-}
--- a/crates/planner/src/queue/starvation.rs
+++ b/crates/planner/src/queue/starvation.rs
@@ -13,8 +13,8 @@
 
 use crate::placement::fit::Request;
 use crate::planner::Planner;
-use crate::queue::job::Place;
-use crate::queue::job::Task;
+use crate::queue::task::Place;
+use crate::queue::task::Task;
 use crate::workers::worker::WorkerId;
 
 /// Time for which a job has nothing running before it counts as starving.
--- a/crates/planner/src/service/reclaim.rs
+++ b/crates/planner/src/service/reclaim.rs
@@ -18,8 +18,8 @@
 use crate::capacity::reservation::Unplaced;
 use crate::planner::Planner;
 use crate::queue::job::Job;
-use crate::queue::job::Place;
-use crate::queue::job::Task;
+use crate::queue::task::Place;
+use crate::queue::task::Task;
 use crate::service::way::Way;
 use crate::workers::worker::WorkerId;
 
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -32,8 +32,8 @@
 
 use crate::owner::takeover::EXPIRY_CHECK_INTERVAL;
 use crate::planner::Planner;
-use crate::queue::job::Place;
-use crate::queue::job::Task;
+use crate::queue::task::Place;
+use crate::queue::task::Task;
 use crate::workers::command::Timer;
 use crate::workers::host::Command;
 use crate::workers::host::Hosted;
