Planner: durations learnt from completed runs replace estimates, behind learned_durations

Cause: clients' estimates are off by up to a factor of two, and three percent of the tasks take seven times as long, while prospects, reservations and the detection of slow workers take estimates at their word. What is learnt: the ratio of actual to estimated duration for each queue and kind, in two rotating windows of an hdrhistogram, and the delay of a job beyond its tasks. The ratio belongs to both sides of a prospect, the delay to the expected end only. Not yet run: the whole test suite, the cost of a pass.

--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -15,6 +15,7 @@
 use cowslipchute_planner::planner::Census;
 use cowslipchute_ports::job::JobId;
 use prometheus::Gauge;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
@@ -125,6 +126,8 @@
         "Runs left in each evacuated failure domain, at the cell's owner.";
     RATINGS Gauge "cowslipchute_worker_ratings" []
         "How often a worker was scored for a waiting step since this process became the owner of the cell; most of an owner's work.";
+    DURATION_RATIO Gauge "cowslipchute_task_duration_ratio" ["queue", "kind", "quantile"]
+        "Quantiles of the learnt ratio of actual to estimated duration of tasks by queue and kind, at the cell's owner; none without --learned-durations.";
     CONFIG_VERSION Gauge "cowslipchute_config_version" []
         "Version of the operator's configuration in force.";
     CONFIG_AGE Gauge "cowslipchute_config_age_seconds" []
@@ -163,6 +166,7 @@
     returned: IntGaugeVec,
     evacuated: IntGaugeVec,
     ratings: IntGauge,
+    duration_ratio: GaugeVec,
     config_version: IntGauge,
     config_age: IntGauge,
     config_applied_at: Arc<Mutex<Option<Time>>>,
@@ -181,6 +185,12 @@
     Ok(metric)
 }
 
+fn float_gauges(registry: &Registry, family: Family) -> prometheus::Result<GaugeVec> {
+    let metric = GaugeVec::new(Opts::new(family.name, family.help), family.labels)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
 fn gauge(registry: &Registry, family: Family) -> prometheus::Result<IntGauge> {
     let metric = IntGauge::new(family.name, family.help)?;
     registry.register(Box::new(metric.clone()))?;
@@ -241,6 +251,7 @@
             returned: gauges(&registry, RETURNED)?,
             evacuated: gauges(&registry, EVACUATED)?,
             ratings: gauge(&registry, RATINGS)?,
+            duration_ratio: float_gauges(&registry, DURATION_RATIO)?,
             config_version: gauge(&registry, CONFIG_VERSION)?,
             config_age: gauge(&registry, CONFIG_AGE)?,
             config_applied_at: Arc::default(),
@@ -346,6 +357,7 @@
         self.overdue.reset();
         self.returned.reset();
         self.evacuated.reset();
+        self.duration_ratio.reset();
         for (state, count) in census.iter().flat_map(Census::jobs) {
             self.jobs.with_label_values(&[state]).set(count);
         }
@@ -365,6 +377,9 @@
         for (domain, runs) in census.iter().flat_map(Census::evacuated) {
             self.evacuated.with_label_values(&[&**domain]).set(*runs);
         }
+        for (queue, kind, quantile, ratio) in census.iter().flat_map(Census::durations) {
+            self.duration_ratio.with_label_values(&[queue, kind, quantile]).set(ratio);
+        }
         let ratings = census.map_or(0, |census| census.scores());
         self.ratings.set(i64::try_from(ratings).unwrap_or(i64::MAX));
         if let Some(since) = *lock(&self.config_applied_at) {
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -166,4 +166,5 @@
     304 ConfigConflict Info "An operator's change was based on another revision and was refused.";
     305 ConfigSettled Info "A read of the store showed whether a change whose answer was lost had been made.";
     306 ConfigInvalid Warning "A stored resource can't be parsed; the last valid revision stays in force.";
+    318 DurationsLearnt Info "Actual durations of a queue's tasks, as a multiple of their estimates, are known or have changed; median and tail are given.";
 }
--- a/crates/planner/src/capacity/reservation.rs
+++ b/crates/planner/src/capacity/reservation.rs
@@ -21,7 +21,6 @@
 use crate::queue::task::Task;
 use crate::service::way::Way;
 use crate::workers::command::Timer;
-use crate::workers::host::Stage;
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerId;
 
@@ -283,11 +282,7 @@
         for hosted in
             worker.runs.values().filter(|hosted| !hosted.long_running && !hosted.best_effort)
         {
-            let worked = match hosted.stage {
-                Stage::Running { since } => self.now.saturating_sub(since),
-                _ => Duration::ZERO,
-            };
-            ends.push((hosted.estimate.saturating_sub(worked), hosted.reserved()));
+            ends.push((self.expected_remaining(hosted), hosted.reserved()));
         }
         ends.sort_by_key(|&(left, _)| left);
         let mut room = worker.room();
--- a/crates/planner/src/faults/progress.rs
+++ b/crates/planner/src/faults/progress.rs
@@ -10,8 +10,10 @@
 use cowslipchute_base::event::Event as LogEvent;
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::executor::Run;
+use smallvec::SmallVec;
 
 use crate::planner::Planner;
+use crate::queue::durations::TAIL_RANK;
 use crate::workers::command::Timer;
 use crate::workers::host::FULL_SPEED;
 use crate::workers::host::Hosted;
@@ -41,6 +43,14 @@
 /// A run on a slow worker is moved if the rest of it would take this many times as long as the
 /// whole run takes elsewhere.
 const MIN_MOVE_GAIN: f64 = 1.3;
+/// Ratio of a run to the learnt tail of its queue up to which it counts as part of the tail: the
+/// progress of a run is reported in whole percent.
+const TAIL_MARGIN: f64 = 1.25;
+/// Number of runs up to which the tail of their queue explains that all of them are slow. Runs of a
+/// tail of three percent hold a fifth of the capacity in use, so two side by side are common.
+const MAX_TAIL_RUNS: usize = 2;
+/// Lowest speed that is told from none.
+const MIN_SPEED: f64 = 0.01;
 /// Weight of one run in the cell's speed.
 const SPEED_WEIGHT: f64 = 0.02;
 
@@ -100,9 +110,16 @@
 
     fn is_slow(&self, worker: WorkerId) -> bool {
         let cell_speed = self.log_speed.exp();
-        let runs =
-            self.workers[worker].runs.values().filter(|hosted| hosted.is_running_short_task());
-        let speeds: Vec<f64> = runs.filter_map(|hosted| hosted.speed(self.now)).collect();
+        let runs = self.workers[worker].runs.values();
+        let runs = runs.filter(|hosted| hosted.is_running_short_task() && !hosted.was_moved);
+        let measured = runs.filter_map(|hosted| Some((hosted, hosted.speed(self.now)?)));
+        let measured: SmallVec<[(&Hosted, f64); 16]> = measured.collect();
+        let is_explained = |&(hosted, speed): &(&Hosted, f64)| self.is_within_tail(hosted, speed);
+        if measured.len() <= MAX_TAIL_RUNS && measured.iter().any(is_explained) {
+            return false;
+        }
+        let speeds = measured.iter().map(|&(hosted, speed)| self.comparable(hosted, speed));
+        let speeds: SmallVec<[f64; 16]> = speeds.collect();
         let fraction = match speeds.len() {
             0 => return false,
             1 => SLOW_FRACTION_SINGLE,
@@ -111,15 +128,31 @@
         speeds.iter().all(|speed| *speed < cell_speed * fraction)
     }
 
+    /// Returns a run's speed as it compares with the cell's. The usual ratio of actual to estimated
+    /// duration of its queue, where it is learnt, is not the worker's fault.
+    fn comparable(&self, hosted: &Hosted, speed: f64) -> f64 {
+        let usual = self.learnt(hosted).map(|learnt| learnt.quantile(0.5));
+        usual.map_or(speed, |usual| speed * usual * self.log_speed.exp())
+    }
+
+    /// Returns `true` if a run will take no longer than the longest runs of its queue do. Such a run
+    /// says little about its worker: it would take as long elsewhere.
+    fn is_within_tail(&self, hosted: &Hosted, speed: f64) -> bool {
+        let Some(learnt) = self.learnt(hosted) else { return false };
+        1.0 / speed.max(MIN_SPEED) <= learnt.quantile(TAIL_RANK) * TAIL_MARGIN
+    }
+
     fn avoid_slow_worker(&mut self, worker: WorkerId) {
         let now = self.now;
         self.close_slow_worker(worker);
         let cell_speed = self.log_speed.exp();
         let is_worth_moving = |hosted: &Hosted| {
             let Some(speed) = hosted.speed(now) else { return false };
+            let speed = self.comparable(hosted, speed);
             let remaining = 1.0 - f64::from(hosted.progress) / 100.0;
             hosted.is_running_short_task()
-                && remaining / speed.max(0.01) > MIN_MOVE_GAIN / cell_speed
+                && !hosted.was_moved
+                && remaining / speed.max(MIN_SPEED) > MIN_MOVE_GAIN / cell_speed
         };
         for run in self.workers[worker].runs_where(is_worth_moving) {
             self.avoid_worker(worker, run);
--- a/crates/planner/src/owner/backpressure.rs
+++ b/crates/planner/src/owner/backpressure.rs
@@ -34,6 +34,9 @@
 /// Time before the expected end of a short task at which its worker gets the next heartbeat, since
 /// estimates are rough.
 const END_MARGIN: Duration = Duration::from_millis(100);
+/// Rank of the remaining times of like runs at which the next heartbeat is due, where durations are
+/// learnt: a heartbeat too early costs little, while capacity is idle from an end until the report.
+const EARLY_END_RANK: f64 = 0.25;
 /// Interval between two placement passes as a multiple of the duration of one, up to
 /// [`BRIEF_PASS_INTERVAL`].
 const BRIEF_PASS_FACTOR: u32 = 8;
@@ -117,8 +120,14 @@
         let end = match hosted.stage {
             Stage::Stopping { .. } => self.now,
             _ if !is_short => return None,
-            Stage::Running { since } => since + hosted.estimate,
-            Stage::Intended { .. } | Stage::Starting { .. } => self.now + hosted.estimate,
+            Stage::Running { since } => {
+                let learnt = self.learnt_remaining(hosted, EARLY_END_RANK);
+                learnt.map_or(since + hosted.estimate, |remaining| self.now + remaining)
+            }
+            Stage::Intended { .. } | Stage::Starting { .. } => {
+                let learnt = self.learnt_remaining(hosted, EARLY_END_RANK);
+                self.now + learnt.unwrap_or(hosted.estimate)
+            }
             Stage::Inherited => self.now,
         };
         Some(end.saturating_sub(END_MARGIN))
--- a/crates/planner/src/owner/census.rs
+++ b/crates/planner/src/owner/census.rs
@@ -1,12 +1,19 @@
 //! Counts of the owner's jobs, tasks and workers, for its metrics.
 
+use std::sync::Arc;
+
 use cowslipchute_base::id;
 
 use crate::planner::Planner;
+use crate::queue::durations::Kind;
+use crate::queue::durations::TAIL_RANK;
 use crate::queue::task::Place;
 use crate::service::service_wait::Returned;
 use crate::workers::worker::Contact;
 
+/// Quantiles of learnt durations that are shown, with their ranks.
+const DURATION_QUANTILES: [(&str, f64); 3] = [("0.5", 0.5), ("0.9", 0.9), ("0.99", TAIL_RANK)];
+
 /// Number of tasks of one kind by state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Tasks {
@@ -26,7 +33,7 @@
 }
 
 /// Counts of jobs, tasks and workers.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Census {
     queued: i64,
     active: i64,
@@ -39,6 +46,7 @@
     /// Service tasks that have waited for long: those that have run before, and new ones.
     overdue: [i64; 2],
     returned: Returned,
+    durations: Vec<(Arc<str>, Kind, [f64; 3])>,
 }
 
 impl Census {
@@ -80,6 +88,14 @@
         self.returned.by_bound().into_iter()
     }
 
+    /// Returns quantiles of the learnt ratio of actual to estimated duration, by queue and kind.
+    pub fn durations(&self) -> impl Iterator<Item = (&str, &'static str, &'static str, f64)> {
+        self.durations.iter().flat_map(|(queue, kind, ratios)| {
+            let named = DURATION_QUANTILES.into_iter().zip(ratios);
+            named.map(|((name, _), ratio)| (&**queue, kind.name(), name, *ratio))
+        })
+    }
+
     /// Returns how many times a worker was scored for a waiting step since the ownership began.
     pub fn scores(&self) -> u64 {
         self.scores
@@ -97,8 +113,15 @@
         let evacuated = self.evacuated_runs();
         let returned = self.service_waits.returned;
         let contacts = self.contacts();
-        let mut census =
-            Census { scores: self.scores, evacuated, returned, contacts, ..Census::default() };
+        let durations = self.durations.quantiles(DURATION_QUANTILES.map(|(_, rank)| rank));
+        let mut census = Census {
+            scores: self.scores,
+            evacuated,
+            returned,
+            contacts,
+            durations,
+            ..Census::default()
+        };
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.end.is_none()) {
             *if job.started { &mut census.active } else { &mut census.queued } += 1;
             for (step, state) in job.steps(*id) {
--- a/crates/planner/src/owner/takeover.rs
+++ b/crates/planner/src/owner/takeover.rs
@@ -157,10 +157,12 @@
         // Only starts on workers that may restart are recorded as outstanding.
         let start_unanswered = self.pins.contains_key(&run.task);
         self.workers[worker].has_predecessor_with_start |= start_unanswered;
+        let learns = self.settings.features.learned_durations;
         let hosted = Hosted {
             crashes,
             start_unanswered,
             starts_in_flight: u32::from(start_unanswered),
+            queue: learns.then(|| job.accepted.queue.clone()),
             ..Hosted::inherited(job.spec(run.task.step), now)
         };
         job.move_task(run.task, Place::At(worker));
--- a/crates/planner/src/placement/place.rs
+++ b/crates/planner/src/placement/place.rs
@@ -399,6 +399,7 @@
         let run = Run { task, attempt: state.attempt };
         let checkpoint = state.checkpoint.clone();
         let crashes = state.crashed.len();
+        let was_moved = state.avoided_worker.is_some();
         let stage = Stage::Intended { version: job.version };
         let spec = job.spec(task.step);
         if !spec.best_effort {
@@ -410,9 +411,16 @@
             });
         }
         let is_short = !spec.best_effort && !spec.long_running;
+        let learns = self.settings.features.learned_durations;
         let mut hosted = Hosted::new(spec, stage, now);
+        hosted.is_whole = checkpoint.is_none();
+        hosted.was_moved = learns && was_moved;
         hosted.checkpoint = checkpoint;
         hosted.crashes = crashes;
+        hosted.queue = learns.then(|| job.accepted.queue.clone());
+        if !job.started {
+            job.placed_at.get_or_insert(now);
+        }
         job.move_task(task, Place::At(worker));
         self.workers[worker].add_run(run, hosted);
         self.workers[worker].isolated_for.take_if(|isolation| isolation.step == task.step_id());
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -38,6 +38,7 @@
 use crate::placement::advice::Query;
 use crate::placement::pin::Pin;
 use crate::queue::bypass::Placements;
+use crate::queue::durations::Durations;
 use crate::queue::job::Job;
 use crate::queue::occurrence::WallClock;
 use crate::records::write::Writes;
@@ -85,6 +86,8 @@
     pub(crate) mean_work: HashMap<Arc<str>, f64>,
     /// Logarithm of the speed of short runs in the cell, as a fraction of the estimated speed.
     pub(crate) log_speed: f64,
+    /// Learnt durations; empty unless the feature is on.
+    pub(crate) durations: Durations,
     /// The query to the advisory service that is in flight.
     pub(crate) pending_query: Option<Query>,
     /// Estimate of the wall clock.
@@ -165,6 +168,7 @@
             unconfigured: HashMap::default(),
             mean_work: HashMap::default(),
             log_speed: 0.0,
+            durations: Durations::default(),
             pending_query: None,
             wall_clock: WallClock::default(),
             reserve: Reserve::default(),
--- a/crates/planner/src/queue.rs
+++ b/crates/planner/src/queue.rs
@@ -1,8 +1,10 @@
 //! Jobs of the cell: their state, and the order in which they are served.
 
 pub(crate) mod bypass;
+pub mod durations;
 pub(crate) mod end;
 pub(crate) mod job;
+pub(crate) mod learn;
 pub(crate) mod occurrence;
 pub(crate) mod policy;
 pub(crate) mod rank;
--- a/crates/planner/src/queue/end.rs
+++ b/crates/planner/src/queue/end.rs
@@ -129,6 +129,7 @@
         } else if !long_running && failures >= job.policy.max_attempts {
             self.finish_job(run.task.job, State::Failed);
         } else if job.is_done() {
+            self.learn_delay(run.task.job);
             self.finish_job(run.task.job, State::Completed);
         } else if let Some(job) = self.jobs.get_mut(&run.task.job) {
             job.drop_done_occurrences();
--- a/crates/planner/src/queue/job.rs
+++ b/crates/planner/src/queue/job.rs
@@ -12,6 +12,7 @@
 use cowslipchute_ports::job::State;
 use smallvec::SmallVec;
 
+use crate::queue::durations::Queue;
 use crate::queue::policy::Policy;
 use crate::queue::step::Occurrence;
 use crate::queue::step::Step;
@@ -31,6 +32,8 @@
     pub(crate) arrival: u64,
     /// Whether a task is known to have started.
     pub(crate) started: bool,
+    /// When this owner first assigned a task of it, if no earlier owner had started it.
+    pub(crate) placed_at: Option<Time>,
     /// Number of occurrences that have become due.
     pub(crate) opened: u32,
     /// The occurrences that have become due and aren't done.
@@ -55,6 +58,7 @@
             since,
             arrival,
             started: false,
+            placed_at: None,
             opened: 0,
             occurrences: Vec::new(),
             work: 0.0,
@@ -251,13 +255,42 @@
         }
     }
 
+    /// Returns the expected remaining critical path of its oldest open occurrence, from the learnt
+    /// durations of its queue. Tasks that are done no longer count for the longest of a step.
+    pub(crate) fn expected_remaining_path(&self, learnt: &Queue) -> Duration {
+        let occurrence = self.occurrences.first();
+        self.critical_path_with(|index, step| {
+            let done = occurrence.map_or(0, |occurrence| occurrence.steps[index].done);
+            expected_duration(step, step.count.saturating_sub(done), learnt)
+        })
+    }
+
+    /// Returns the expected critical path of an occurrence.
+    pub(crate) fn expected_path(&self, learnt: &Queue) -> Duration {
+        self.critical_path_with(|_, step| expected_duration(step, step.count, learnt))
+    }
+
+    /// Returns the expected time within which an occurrence should be done: clients compute it from
+    /// the actual critical path.
+    pub(crate) fn expected_objective(&self, learnt: &Queue) -> Duration {
+        self.expected_path(learnt).mul_f64(self.policy.slack) + self.policy.allowance
+    }
+
     /// Returns the critical path, leaving out the steps for which `is_done` returns `true`.
     fn critical_path_without(&self, is_done: impl Fn(usize) -> bool) -> Duration {
+        let duration = |index, step: &job::Step| match is_done(index) {
+            true => Duration::ZERO,
+            false => step.estimate,
+        };
+        self.critical_path_with(duration)
+    }
+
+    /// Returns the critical path for these durations of the steps.
+    fn critical_path_with(&self, duration: impl Fn(usize, &job::Step) -> Duration) -> Duration {
         let mut end_times: SmallVec<[Duration; 8]> = SmallVec::new();
         for (index, step) in self.accepted.spec.steps.iter().enumerate() {
             let start = step.after.iter().map(|&earlier| end_times[usize::from(earlier)]).max();
-            let duration = if is_done(index) { Duration::ZERO } else { step.estimate };
-            end_times.push(start.unwrap_or_default() + duration);
+            end_times.push(start.unwrap_or_default() + duration(index, step));
         }
         end_times.into_iter().max().unwrap_or_default()
     }
@@ -274,6 +307,17 @@
     }
 }
 
+/// Returns the expected duration of a step of which this many tasks are left.
+fn expected_duration(step: &job::Step, left: u32, learnt: &Queue) -> Duration {
+    match learnt.of(step.best_effort) {
+        _ if left == 0 => Duration::ZERO,
+        Some(distribution) if !step.long_running => {
+            step.estimate.mul_f64(distribution.longest_of(left))
+        }
+        _ => step.estimate,
+    }
+}
+
 fn step_work(step: &job::Step) -> f64 {
     f64::from(step.count) * task_work(step)
 }
--- a/crates/planner/src/queue/rank.rs
+++ b/crates/planner/src/queue/rank.rs
@@ -6,6 +6,8 @@
 //! capacity ([`crate::capacity::idle`]). Jobs with best-effort tasks are ordered by the value that is still
 //! to be gained per remaining core-second.
 
+use std::time::Duration;
+
 use cowslipchute_base::size::MAX_LATE_FACTOR;
 use cowslipchute_ports::job::JobId;
 
@@ -81,8 +83,15 @@
     }
 
     fn prospect(&self, job: &Job) -> Prospect {
-        let finish = self.now.saturating_sub(job.due_since()) + job.remaining_critical_path();
-        let objective = job.objective();
+        let (remaining, objective) = match self.durations.of_queue(&job.accepted.queue) {
+            None => (job.remaining_critical_path(), job.objective()),
+            Some(learnt) => {
+                let delay = if job.started { Duration::ZERO } else { learnt.delay() };
+                let remaining = job.expected_remaining_path(learnt) + delay;
+                (remaining, job.expected_objective(learnt))
+            }
+        };
+        let finish = self.now.saturating_sub(job.due_since()) + remaining;
         if finish <= objective {
             Prospect::InTime
         } else if finish <= objective.mul_f64(MAX_LATE_FACTOR) {
--- a/crates/planner/src/records/estimates.rs
+++ b/crates/planner/src/records/estimates.rs
@@ -13,6 +13,8 @@
 use crate::colocation::interference::Model;
 use crate::colocation::load::Periodicity;
 use crate::planner::Planner;
+use crate::queue::durations::Durations;
+use crate::queue::durations::Snapshot;
 
 /// What an owner has learnt about its cell.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -25,6 +27,7 @@
     /// shorter value that an owner of an earlier version stored then fails to decode instead of
     /// being misread.
     periodicity: Periodicity,
+    durations: Snapshot,
 }
 
 impl Planner {
@@ -35,6 +38,7 @@
             mean_work: self.mean_work.clone(),
             log_speed: self.log_speed,
             periodicity: self.periodicity.clone(),
+            durations: self.durations.snapshot(),
         }
     }
 
@@ -43,5 +47,8 @@
         self.mean_work = estimates.mean_work;
         self.log_speed = estimates.log_speed;
         self.periodicity = estimates.periodicity;
+        if self.settings.features.learned_durations {
+            self.durations = Durations::restore(&estimates.durations, self.now);
+        }
     }
 }
--- a/crates/planner/src/workers/command.rs
+++ b/crates/planner/src/workers/command.rs
@@ -351,7 +351,7 @@
         let name = &target.name;
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         hosted.throttle_in_flight = false;
-        hosted.confirmed_speed_limit = outcome.ok().map(|_| percent);
+        hosted.confirm_speed_limit(self.now, outcome.ok().map(|_| percent));
         // Stall detection starts over with the new speed limit.
         hosted.progressed_at = self.now;
         if hosted.needs_throttle() {
--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -189,8 +189,9 @@
             }
             Contact::Answering { .. } => {}
         }
+        let is_prompt = matches!(previous, Contact::Answering { .. });
         for ended in report.ended {
-            self.handle_ended(worker, ended);
+            self.handle_ended(worker, ended, is_prompt);
         }
         let mut listed: Vec<Run> = Vec::with_capacity(report.running.len());
         for running in report.running {
@@ -226,7 +227,8 @@
             .all(|configured| configured.name != *service || configured.enforces_limits)
     }
 
-    fn handle_ended(&mut self, worker: WorkerId, ended: Ended) {
+    /// Handles the end of a run, which is prompt if the worker has answered all the time.
+    fn handle_ended(&mut self, worker: WorkerId, ended: Ended, is_prompt: bool) {
         let state = &mut self.workers[worker];
         if ended.number <= state.last_end_seen {
             return;
@@ -243,6 +245,9 @@
         }
         if let (EndReason::Done, Some(hosted)) = (ended.reason, &hosted) {
             self.learn_speed(hosted);
+            if is_prompt {
+                self.learn_duration(hosted);
+            }
         }
         let job = ended.run.task.job;
         self.mark_started(job);
--- a/crates/planner/src/workers/host.rs
+++ b/crates/planner/src/workers/host.rs
@@ -89,6 +89,16 @@
     /// Bound on the tail latency of a latency-critical task.
     pub(crate) latency_target: Option<Duration>,
     pub(crate) estimate: Duration,
+    /// Queue of its job, if durations are learnt.
+    pub(crate) queue: Option<Arc<str>>,
+    /// Whether this owner has assigned it with all of its work to do.
+    pub(crate) is_whole: bool,
+    /// Whether an earlier run of its task was given up on another worker, if durations are learnt.
+    pub(crate) was_moved: bool,
+    /// Time that it would have worked at full speed until `paced_at`.
+    pub(crate) full_speed_time: Duration,
+    /// When its speed limit last changed.
+    pub(crate) paced_at: Time,
     pub(crate) checkpoint: Option<id::Checkpoint>,
     /// Number of crashes counted against its task, until this run has cleared the task.
     pub(crate) crashes: usize,
@@ -149,6 +159,11 @@
             image: step.image.clone(),
             latency_target: step.latency_target,
             estimate: step.estimate,
+            queue: None,
+            is_whole: false,
+            was_moved: false,
+            full_speed_time: Duration::ZERO,
+            paced_at: Time::ZERO,
             checkpoint: None,
             crashes: 0,
             probed: false,
@@ -192,6 +207,21 @@
             && !self.throttle_in_flight
     }
 
+    /// Returns how long a run has worked, with the time under a speed limit counted by the limit.
+    pub(crate) fn worked(&self, now: Time) -> Duration {
+        let Stage::Running { since } = self.stage else { return Duration::ZERO };
+        let percent = self.confirmed_speed_limit.unwrap_or(self.speed_limit);
+        let span = now.saturating_sub(since.max(self.paced_at));
+        self.full_speed_time + span.mul_f64(f64::from(percent) / f64::from(FULL_SPEED))
+    }
+
+    /// Records that the worker has answered a change of the speed limit; `None` if it hasn't.
+    pub(crate) fn confirm_speed_limit(&mut self, now: Time, percent: Option<u8>) {
+        self.full_speed_time = self.worked(now);
+        self.paced_at = now;
+        self.confirmed_speed_limit = percent;
+    }
+
     /// Takes a best-effort run whose speed limit is unknown for unlimited if it uses nearly all the
     /// CPU that it asks for. After a takeover thousands of runs need no command then.
     pub(crate) fn infer_full_speed(&mut self) {
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -212,6 +212,7 @@
         let hosted = Hosted {
             stage,
             carried_over: true,
+            is_whole: false,
             confirmed_speed_limit: None,
             throttle_in_flight: false,
             ..hosted
--- a/crates/planner/tests/learnt.rs
+++ b/crates/planner/tests/learnt.rs
@@ -3,8 +3,8 @@
 use cowslipchute_planner::estimates::Estimates;
 use cowslipchute_planner::record;
 
-/// Size of the last field in bytes: one number for each of eight periods.
-const LAST_FIELD: usize = 8 * size_of::<f64>();
+/// Size in bytes of the last field without content: the number of its classes.
+const LAST_FIELD: usize = 1;
 
 #[test]
 fn what_an_earlier_version_left_is_refused_and_not_misread() {
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -6,6 +6,7 @@
 //! - `own [attempts=N] [advised=w]`: a new owner takes over.
 //! - `features [of=(queue_shares, learned_durations, colocation_forecast)]`: optional parts of the
 //!   owners that take over from now on.
+//! - `hand_over`: from now on an owner begins with what the last one had learnt.
 //! - `kill`: the owner crashes without releasing the cell.
 //! - `busy ms=N`: the owner sends commands this much later than it decides on them.
 //! - `link rate=N`: bandwidth of owners' links from now on, in bytes per second.
@@ -20,8 +21,9 @@
 //!
 //! Directives for jobs:
 //!
-//! - `job id=H [queue=q] [payload=N] [work=MS] [start=MS interval=MS count=N]`: submits a job. Its
-//!   input has one line for each step: `count=N cpu=N memory=N time=MS [after=N,..]` and any of
+//! - `job id=H [queue=q] [payload=N] [work=MS] [tail=N [longer=N]] [start=MS interval=MS count=N]`:
+//!   submits a job, whose tasks take `work`, or `longer` times as long (7) for `tail` in a thousand
+//!   of them. Its input has one line for each step: `count=N cpu=N memory=N time=MS [after=N,..]` and any of
 //!   `gang`, `lasts`, `fills`, `saves`, `tight`, `image=I`, `target=MS`, `spares=N`, `apart=N`,
 //!   `near=R`, `needs=L`.
 //! - `stream id=H every=MS jobs=N`: like `job`, submitted repeatedly with increasing ids.
@@ -99,6 +101,7 @@
 use datadriven::TestCase;
 use world::World;
 use world::service_wait::Scope;
+use world::tail::Tail;
 use yare::parameterized;
 
 #[parameterized(
@@ -120,6 +123,11 @@
     cut_unlisted = { "cut_unlisted" },
     draining = { "draining" },
     draining_start = { "draining_start" },
+    durations_overestimated = { "durations_overestimated" },
+    durations_underestimated = { "durations_underestimated" },
+    durations_slow_worker = { "durations_slow_worker" },
+    durations_tail = { "durations_tail" },
+    durations_owner_killed = { "durations_owner_killed" },
     evacuated = { "evacuated" },
     evacuated_busy = { "evacuated_busy" },
     evacuated_by_turns = { "evacuated_by_turns" },
@@ -305,6 +313,7 @@
             world.take_over(&config);
         }
         "features" => set_features(world, case),
+        "hand_over" => world.hands_over = true,
         "kill" => world.kill_owner(),
         "link" => {
             world.link =
@@ -325,11 +334,7 @@
             let every = Duration::from_millis(number(case, "every").expect("`every` is given"));
             let accepted = parse_job(world, case);
             let jobs = number(case, "jobs").expect("`jobs` is given");
-            if let Some(work) = number(case, "work").map(Duration::from_millis) {
-                world
-                    .actual_work
-                    .extend((job_id(case)..job_id(case) + jobs).map(|job| (job, work)));
-            }
+            set_durations(world, case, jobs);
             world.submit_stream(job_id(case), &accepted, jobs, every);
         }
         "served" => return served(world, case),
@@ -610,12 +615,22 @@
         },
         cancelled: false,
     };
-    if let Some(work) = number(case, "work") {
-        world.actual_work.insert(job_id(case), Duration::from_millis(work));
-    }
+    set_durations(world, case, 1);
     accepted
 }
 
+/// Sets the actual durations of the tasks of some jobs, where they differ from the estimates.
+fn set_durations(world: &mut World, case: &TestCase, jobs: u64) {
+    let jobs = job_id(case)..job_id(case) + jobs;
+    if let Some(work) = number(case, "work").map(Duration::from_millis) {
+        world.actual_work.extend(jobs.clone().map(|job| (job, work)));
+    }
+    if let Some(thousandths) = number(case, "tail") {
+        let tail = Tail { thousandths, factor: number(case, "longer").unwrap_or(7) };
+        world.tails.extend(jobs.map(|job| (job, tail)));
+    }
+}
+
 /// Returns whether enough jobs of a stream were done in time.
 fn served(world: &World, case: &TestCase) -> String {
     let count = number(case, "jobs").expect("`jobs` is given");
--- a/crates/planner/tests/world/commands.rs
+++ b/crates/planner/tests/world/commands.rs
@@ -208,7 +208,8 @@
         let accepted = self.specs.get(&run.task.job).expect("only submitted jobs are started");
         let step = accepted.spec.steps[usize::from(run.task.step)].clone();
         let work = self.actual_work.get(&run.task.job).copied().unwrap_or(step.estimate);
-        (step, work)
+        let tail = self.tails.get(&run.task.job);
+        (step, tail.map_or(work, |tail| work * tail.factor(run.task)))
     }
 }
 
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -24,6 +24,7 @@
 mod restarts;
 pub mod service_wait;
 mod stream;
+pub mod tail;
 mod workers;
 
 use std::collections::BTreeMap;
@@ -35,6 +36,7 @@
 use cowslipchute_base::id::Time;
 use cowslipchute_planner::action::Action;
 use cowslipchute_planner::action::Change;
+use cowslipchute_planner::estimates::Estimates;
 use cowslipchute_planner::event::Event;
 use cowslipchute_planner::planner::Planner;
 use cowslipchute_planner::record::Record;
@@ -103,6 +105,11 @@
     pub job_wait: Option<job_wait::Watch>,
     /// Actual duration of a task where it differs from the estimate.
     pub actual_work: BTreeMap<JobId, Duration>,
+    /// Tasks of a job that take longer than the others.
+    pub tails: BTreeMap<JobId, tail::Tail>,
+    /// What the last owner had learnt, if it is handed over.
+    pub hands_over: bool,
+    pub estimates: Option<Estimates>,
     /// Whether the store answers, and how long it takes.
     pub store_up: bool,
     pub store_delay: Duration,
@@ -157,6 +164,9 @@
             service_waits: service_wait::ServiceWaits::default(),
             job_wait: None,
             actual_work: BTreeMap::new(),
+            tails: BTreeMap::new(),
+            hands_over: false,
+            estimates: None,
             store_up: true,
             store_delay: STORE_DELAY,
             renewals: true,
--- a/crates/planner/tests/world/owner.rs
+++ b/crates/planner/tests/world/owner.rs
@@ -67,6 +67,7 @@
     /// Lets a new owner take over the cell; commands of the previous one that are in flight
     /// continue.
     pub fn take_over(&mut self, config: &Arc<Config>) {
+        self.kill_owner();
         self.term += 1;
         self.owned_at = self.now;
         self.config = Some(config.clone());
@@ -97,11 +98,12 @@
             Some(_) => Processor::first_lease_end(self.now),
             None => self.now + LEASE,
         };
+        let estimates = self.estimates.clone().filter(|_| self.hands_over);
         let mut events = vec![
             Event::WallClock { wall: self.now },
             Event::Config { config },
             evacuated,
-            Event::OwnershipAcquired { epoch: self.term.into(), jobs, records, estimates: None },
+            Event::OwnershipAcquired { epoch: self.term.into(), jobs, records, estimates },
             Event::LeaseRenewed { until: lease_until },
         ];
         events.extend(self.open_rollouts());
@@ -115,8 +117,10 @@
         self.now - self.owned_at
     }
 
-    /// Kills the owner without notice.
+    /// Kills the owner without notice. What it had learnt is in the store.
     pub fn kill_owner(&mut self) {
-        self.planner = None;
+        if let Some(planner) = self.planner.take() {
+            self.estimates = Some(planner.estimates());
+        }
     }
 }
