--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -125,6 +125,7 @@
     draining_start = { "draining_start" },
     durations_overestimated = { "durations_overestimated" },
     durations_underestimated = { "durations_underestimated" },
+    durations_reserved = { "durations_reserved" },
     durations_slow_worker = { "durations_slow_worker" },
     durations_tail = { "durations_tail" },
     durations_owner_killed = { "durations_owner_killed" },
