--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -138,6 +138,8 @@
         "Work that is done per second of such tasks, as forecasts state it, at the cell's owner.";
     RETRIES Gauge "cowslipchute_retries_booked" []
         "Rejected jobs that were given a time at which to return, at the cell's owner.";
+    DURATION_RATIO Gauge "cowslipchute_task_duration_ratio" ["queue", "kind", "quantile"]
+        "Quantiles of the learnt ratio of actual to estimated duration of tasks by queue and kind, at the cell's owner; none without --learned-durations.";
     CONFIG_VERSION Gauge "cowslipchute_config_version" []
         "Version of the operator's configuration in force.";
     CONFIG_AGE Gauge "cowslipchute_config_age_seconds" []
@@ -182,6 +184,7 @@
     backlog: GaugeVec,
     backlog_rate: GaugeVec,
     retries: IntGauge,
+    duration_ratio: GaugeVec,
     config_version: IntGauge,
     config_age: IntGauge,
     config_applied_at: Arc<Mutex<Option<Time>>>,
@@ -200,20 +203,20 @@
     Ok(metric)
 }
 
-fn gauge(registry: &Registry, family: Family) -> prometheus::Result<IntGauge> {
-    let metric = IntGauge::new(family.name, family.help)?;
+fn float_gauges(registry: &Registry, family: Family) -> prometheus::Result<GaugeVec> {
+    let metric = GaugeVec::new(Opts::new(family.name, family.help), family.labels)?;
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
 }
 
-fn seconds_gauge(registry: &Registry, family: Family) -> prometheus::Result<Gauge> {
-    let metric = Gauge::new(family.name, family.help)?;
+fn gauge(registry: &Registry, family: Family) -> prometheus::Result<IntGauge> {
+    let metric = IntGauge::new(family.name, family.help)?;
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
 }
 
-fn float_gauges(registry: &Registry, family: Family) -> prometheus::Result<GaugeVec> {
-    let metric = GaugeVec::new(Opts::new(family.name, family.help), family.labels)?;
+fn seconds_gauge(registry: &Registry, family: Family) -> prometheus::Result<Gauge> {
+    let metric = Gauge::new(family.name, family.help)?;
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
 }
@@ -272,6 +275,7 @@
             backlog: float_gauges(&registry, BACKLOG)?,
             backlog_rate: float_gauges(&registry, BACKLOG_RATE)?,
             retries: gauge(&registry, RETRIES)?,
+            duration_ratio: float_gauges(&registry, DURATION_RATIO)?,
             config_version: gauge(&registry, CONFIG_VERSION)?,
             config_age: gauge(&registry, CONFIG_AGE)?,
             config_applied_at: Arc::default(),
@@ -405,6 +409,7 @@
         self.overdue.reset();
         self.returned.reset();
         self.evacuated.reset();
+        self.duration_ratio.reset();
         for (state, count) in census.iter().flat_map(Census::jobs) {
             self.jobs.with_label_values(&[state]).set(count);
         }
@@ -424,6 +429,9 @@
         for (domain, runs) in census.iter().flat_map(Census::evacuated) {
             self.evacuated.with_label_values(&[&**domain]).set(*runs);
         }
+        for (queue, kind, quantile, ratio) in census.iter().flat_map(Census::durations) {
+            self.duration_ratio.with_label_values(&[queue, kind, quantile]).set(ratio);
+        }
         let ratings = census.map_or(0, |census| census.scores());
         self.ratings.set(i64::try_from(ratings).unwrap_or(i64::MAX));
         if let Some(since) = *lock(&self.config_applied_at) {
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -39,6 +39,7 @@
 use crate::placement::advice::Query;
 use crate::placement::pin::Pin;
 use crate::queue::bypass::Placements;
+use crate::queue::durations::Durations;
 use crate::queue::job::Job;
 use crate::queue::occurrence::WallClock;
 use crate::records::write::Writes;
@@ -86,6 +87,8 @@
     pub(crate) mean_work: HashMap<Arc<str>, f64>,
     /// Logarithm of the speed of short runs in the cell, as a fraction of the estimated speed.
     pub(crate) log_speed: f64,
+    /// Learnt durations; empty unless the feature is on.
+    pub(crate) durations: Durations,
     /// The query to the advisory service that is in flight.
     pub(crate) pending_query: Option<Query>,
     /// Estimate of the wall clock.
@@ -168,6 +171,7 @@
             unconfigured: HashMap::default(),
             mean_work: HashMap::default(),
             log_speed: 0.0,
+            durations: Durations::default(),
             pending_query: None,
             wall_clock: WallClock::default(),
             reserve: Reserve::default(),
@@ -297,7 +301,7 @@
 
     fn configure(&mut self, config: Arc<Config>) {
         for job in self.jobs.values_mut() {
-            job.policy = crate::queue::job::Policy::of(Some(&config), &job.accepted.queue);
+            job.policy = crate::queue::policy::Policy::of(Some(&config), &job.accepted.queue);
         }
         self.config = Some(config);
         self.apply_deferred_entries();
--- a/crates/planner/src/queue/end.rs
+++ b/crates/planner/src/queue/end.rs
@@ -11,7 +11,7 @@
 use cowslipchute_ports::job::State;
 
 use crate::planner::Planner;
-use crate::queue::job::Place;
+use crate::queue::task::Place;
 use crate::records::write::end_text;
 use crate::workers::command::Timer;
 use crate::workers::host::Command;
@@ -129,6 +129,7 @@
         } else if !long_running && failures >= job.policy.max_attempts {
             self.finish_job(run.task.job, State::Failed);
         } else if job.is_done() {
+            self.learn_delay(run.task.job);
             self.finish_job(run.task.job, State::Completed);
         } else if let Some(job) = self.jobs.get_mut(&run.task.job) {
             job.drop_done_occurrences();
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -32,8 +32,8 @@
 
 use crate::owner::takeover::EXPIRY_CHECK_INTERVAL;
 use crate::planner::Planner;
-use crate::queue::job::Place;
-use crate::queue::job::Task;
+use crate::queue::task::Place;
+use crate::queue::task::Task;
 use crate::workers::command::Timer;
 use crate::workers::host::Command;
 use crate::workers::host::Hosted;
@@ -212,6 +212,7 @@
         let hosted = Hosted {
             stage,
             carried_over: true,
+            is_whole: false,
             confirmed_speed_limit: None,
             throttle_in_flight: false,
             ..hosted
