Planner: shares of contended capacity by queue and size of job

Cause: rank alone decides when there is more work than capacity. Jobs of eight tasks in a cell that small ones keep full, the largest best-effort jobs, and a queue with a short objective beside one with long tasks are late for as long as the contention lasts. An account for each queue and size class now says whether its share is reached; jobs of one that has been behind for a second go ahead of their rank, up to a quarter of the capacity. Off unless the feature is on.

--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -15,6 +15,7 @@
 use cowslipchute_planner::planner::Census;
 use cowslipchute_ports::job::JobId;
 use prometheus::Gauge;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
@@ -123,6 +124,10 @@
         "Service tasks placed again since this process became the owner of the cell, by the upper bound of their wait in seconds; each counts once.";
     EVACUATED Gauge "cowslipchute_evacuated_runs" ["domain"]
         "Runs left in each evacuated failure domain, at the cell's owner.";
+    SHARE_WORK Gauge "cowslipchute_share_core_seconds" ["queue", "size", "work"]
+        "Core-seconds of the jobs of a queue and size in the last seconds, at the cell's owner: those that arrived and whose outcome is known, those of them that were in time, and what was missing to their share. None if queue shares are off.";
+    SHARE_AHEAD Gauge "cowslipchute_share_ahead" ["queue", "size"]
+        "Whether jobs of a queue and size go ahead of their rank, at the cell's owner.";
     RATINGS Gauge "cowslipchute_worker_ratings" []
         "How often a worker was scored for a waiting step since this process became the owner of the cell; most of an owner's work.";
     CONFIG_VERSION Gauge "cowslipchute_config_version" []
@@ -162,6 +167,8 @@
     overdue: IntGaugeVec,
     returned: IntGaugeVec,
     evacuated: IntGaugeVec,
+    share_work: GaugeVec,
+    share_ahead: IntGaugeVec,
     ratings: IntGauge,
     config_version: IntGauge,
     config_age: IntGauge,
@@ -181,6 +188,12 @@
     Ok(metric)
 }
 
+fn float_gauges(registry: &Registry, family: Family) -> prometheus::Result<GaugeVec> {
+    let metric = GaugeVec::new(Opts::new(family.name, family.help), family.labels)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
 fn gauge(registry: &Registry, family: Family) -> prometheus::Result<IntGauge> {
     let metric = IntGauge::new(family.name, family.help)?;
     registry.register(Box::new(metric.clone()))?;
@@ -240,6 +253,8 @@
             overdue: gauges(&registry, OVERDUE)?,
             returned: gauges(&registry, RETURNED)?,
             evacuated: gauges(&registry, EVACUATED)?,
+            share_work: float_gauges(&registry, SHARE_WORK)?,
+            share_ahead: gauges(&registry, SHARE_AHEAD)?,
             ratings: gauge(&registry, RATINGS)?,
             config_version: gauge(&registry, CONFIG_VERSION)?,
             config_age: gauge(&registry, CONFIG_AGE)?,
@@ -365,6 +380,7 @@
         for (domain, runs) in census.iter().flat_map(Census::evacuated) {
             self.evacuated.with_label_values(&[&**domain]).set(*runs);
         }
+        self.render_shares(census.as_ref());
         let ratings = census.map_or(0, |census| census.scores());
         self.ratings.set(i64::try_from(ratings).unwrap_or(i64::MAX));
         if let Some(since) = *lock(&self.config_applied_at) {
@@ -373,6 +389,24 @@
         }
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
+
+    fn render_shares(&self, census: Option<&Census>) {
+        self.share_work.reset();
+        self.share_ahead.reset();
+        for (queue, class, status) in census.into_iter().flat_map(Census::shares) {
+            let work = [
+                ("arrived", status.balance.arrived),
+                ("served", status.balance.served),
+                ("deficit", status.deficit()),
+            ];
+            for (kind, core_seconds) in work {
+                let labels = [&**queue, class.name(), kind];
+                self.share_work.with_label_values(&labels).set(core_seconds);
+            }
+            let ahead = self.share_ahead.with_label_values(&[&**queue, class.name()]);
+            ahead.set(status.ahead.into());
+        }
+    }
 }
 
 fn lock<T>(value: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -166,4 +166,6 @@
     304 ConfigConflict Info "An operator's change was based on another revision and was refused.";
     305 ConfigSettled Info "A read of the store showed whether a change whose answer was lost had been made.";
     306 ConfigInvalid Warning "A stored resource can't be parsed; the last valid revision stays in force.";
+    315 ShareBehind Info "Jobs of a queue and size go ahead of their rank, since less of their work was in time than their share for longer than a second; the inputs are given.";
+    316 ShareRestored Info "Jobs of a queue and size don't go ahead any more, since their share is reached or they are too few; the inputs are given.";
 }
--- a/crates/planner/src/capacity/reservation.rs
+++ b/crates/planner/src/capacity/reservation.rs
@@ -166,14 +166,15 @@
         !is_lost && self.reservable_tasks(step, spec).next().is_some()
     }
 
-    /// Reserves workers for steps that found none: first for those that can be in time, then for
-    /// those that have waited longest.
+    /// Reserves workers for steps that found none: first for those that go ahead of their rank, then
+    /// for those that can be in time, then for those that have waited longest.
     pub(crate) fn reserve_workers(&mut self, mut unplaced: Vec<Unplaced>, open: &[WorkerId]) {
         unplaced.retain(|unplaced| {
             self.now >= unplaced.since + RESERVATION_DELAY && self.needs_reservation(unplaced.step)
         });
-        unplaced
-            .sort_by_key(|unplaced| (self.is_late(&self.jobs[&unplaced.step.job]), unplaced.since));
+        unplaced.sort_by_key(|&Unplaced { step: StepId { job, .. }, since }| {
+            (!self.shares.is_ahead(job), self.is_late(&self.jobs[&job]), since)
+        });
         let available = self.short_task_milli(open);
         let mut left = available * RESERVED_FRACTION - self.reserved_milli();
         // A demand for which no worker could be reserved; there is none for a larger one either.
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -27,5 +27,6 @@
 mod workers;
 
 pub use owner::backpressure;
+pub use queue::share;
 pub use records::estimates;
 pub use records::record;
--- a/crates/planner/src/owner/census.rs
+++ b/crates/planner/src/owner/census.rs
@@ -1,9 +1,13 @@
 //! Counts of the owner's jobs, tasks and workers, for its metrics.
 
+use std::sync::Arc;
+
 use cowslipchute_base::id;
 
 use crate::planner::Planner;
 use crate::queue::job::Place;
+use crate::queue::share::Class;
+use crate::queue::share::Status;
 use crate::service::service_wait::Returned;
 use crate::workers::worker::Contact;
 
@@ -26,7 +30,7 @@
 }
 
 /// Counts of jobs, tasks and workers.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Census {
     queued: i64,
     active: i64,
@@ -39,6 +43,7 @@
     /// Service tasks that have waited for long: those that have run before, and new ones.
     overdue: [i64; 2],
     returned: Returned,
+    shares: Vec<(Arc<str>, Class, Status)>,
 }
 
 impl Census {
@@ -80,6 +85,11 @@
         self.returned.by_bound().into_iter()
     }
 
+    /// Returns the accounts of queues and size classes, which are none if the feature is off.
+    pub fn shares(&self) -> &[(Arc<str>, Class, Status)] {
+        &self.shares
+    }
+
     /// Returns how many times a worker was scored for a waiting step since the ownership began.
     pub fn scores(&self) -> u64 {
         self.scores
@@ -97,8 +107,10 @@
         let evacuated = self.evacuated_runs();
         let returned = self.service_waits.returned;
         let contacts = self.contacts();
+        let shares = self.shares.statuses(self.now);
+        let scores = self.scores;
         let mut census =
-            Census { scores: self.scores, evacuated, returned, contacts, ..Census::default() };
+            Census { scores, evacuated, returned, contacts, shares, ..Census::default() };
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.end.is_none()) {
             *if job.started { &mut census.active } else { &mut census.queued } += 1;
             for (step, state) in job.steps(*id) {
--- a/crates/planner/src/owner/takeover.rs
+++ b/crates/planner/src/owner/takeover.rs
@@ -59,6 +59,7 @@
         let known: Vec<JobId> = self.jobs.keys().copied().collect();
         for job in known {
             self.end_if_finished(job);
+            self.add_to_share(job);
         }
         self.room_changed = true;
     }
@@ -69,6 +70,7 @@
         self.lease_until = id::Time::ZERO;
         self.jobs.clear();
         self.waiting.clear();
+        self.shares = Default::default();
         self.ended.clear();
         self.ended_expiry.clear();
         self.workers = Default::default();
@@ -193,6 +195,7 @@
             Some(state) => state.accepted = accepted,
             None => {
                 self.insert_job(job, accepted);
+                self.add_to_share(job);
                 self.room_changed = true;
                 let size = self.jobs[&job].size().to_string();
                 self.note(LogEvent::JobKnown, Some(job), None, None, size);
--- a/crates/planner/src/placement/place.rs
+++ b/crates/planner/src/placement/place.rs
@@ -90,6 +90,7 @@
             reclaiming: Vec::new(),
         };
         let mut backlog = 0.0;
+        self.update_shares(&pass.open);
         for job in self.ranked() {
             if self.yields(job, &mut pass.reclaiming) {
                 continue;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -40,6 +40,7 @@
 use crate::queue::bypass::Placements;
 use crate::queue::job::Job;
 use crate::queue::occurrence::WallClock;
+use crate::queue::share::Shares;
 use crate::records::write::Writes;
 use crate::service::overdue::Starts;
 use crate::service::service_wait::Overrides;
@@ -83,6 +84,8 @@
     pub(crate) unconfigured: HashMap<id::Instance, Registration>,
     /// Mean work of the jobs of each queue, in core-seconds.
     pub(crate) mean_work: HashMap<Arc<str>, f64>,
+    /// Shares of the queues and of the sizes of jobs in contended capacity.
+    pub(crate) shares: Shares,
     /// Logarithm of the speed of short runs in the cell, as a fraction of the estimated speed.
     pub(crate) log_speed: f64,
     /// The query to the advisory service that is in flight.
@@ -164,6 +167,7 @@
             crashed_at: HashMap::default(),
             unconfigured: HashMap::default(),
             mean_work: HashMap::default(),
+            shares: Shares::default(),
             log_speed: 0.0,
             pending_query: None,
             wall_clock: WallClock::default(),
--- a/crates/planner/src/queue.rs
+++ b/crates/planner/src/queue.rs
@@ -1,8 +1,11 @@
 //! Jobs of the cell: their state, and the order in which they are served.
 
+pub(crate) mod account;
+pub(crate) mod ahead;
 pub(crate) mod bypass;
 pub(crate) mod end;
 pub(crate) mod job;
 pub(crate) mod occurrence;
 pub(crate) mod rank;
+pub mod share;
 pub(crate) mod starvation;
--- a/crates/planner/src/queue/end.rs
+++ b/crates/planner/src/queue/end.rs
@@ -40,6 +40,7 @@
             }
         }
         self.waiting.remove(&job);
+        self.settle_share(job, state);
         self.mark_dirty(job);
         self.note(LogEvent::JobEnding, Some(job), None, None, end_text(state));
         for (worker, run) in places {
--- a/crates/planner/src/queue/rank.rs
+++ b/crates/planner/src/queue/rank.rs
@@ -26,6 +26,9 @@
 const BEHIND_LATE_VALUE: f64 = 0.9;
 /// Value of a job that counts as lost. It isn't 0, so that such jobs run in idle time.
 const LOST_VALUE: f64 = 0.02;
+/// Value of a job that goes ahead of its rank ([`crate::queue::share`]): after service tasks, which
+/// are limited to capacity of their own, and before all other jobs of its priority.
+const AHEAD_VALUE: f64 = f64::MAX;
 /// Minimum work of a job in core-seconds; smaller jobs count as this.
 const MIN_WORK: f64 = 0.5;
 
@@ -74,7 +77,7 @@
         let mut ranked: Vec<(Rank, JobId)> = self
             .waiting
             .iter()
-            .filter_map(|&id| Some((self.rank(self.jobs.get(&id)?), id)))
+            .filter_map(|&id| Some((self.rank(id, self.jobs.get(&id)?), id)))
             .collect();
         ranked.sort_by(|a, b| a.0.compare(&b.0));
         ranked.into_iter().map(|(_, id)| id).collect()
@@ -107,10 +110,12 @@
     /// Of the short jobs, late ones that have started come first, then those that can be in time,
     /// then other late ones, and among equals the earliest arrival. Their size doesn't count:
     /// smaller jobs first would finish a few more but starve the large ones of a full queue.
-    fn rank(&self, job: &Job) -> Rank {
+    fn rank(&self, id: JobId, job: &Job) -> Rank {
         let steps = &job.accepted.spec.steps;
         let value = if steps.iter().all(|step| step.long_running) {
             f64::INFINITY
+        } else if self.shares.is_ahead(id) {
+            AHEAD_VALUE
         } else if steps.iter().any(|step| step.best_effort) {
             let density = match self.load.is_behind() {
                 true => self.progress_density(job),
--- a/crates/planner/tests/world/owner.rs
+++ b/crates/planner/tests/world/owner.rs
@@ -38,7 +38,7 @@
         };
         Arc::new(Config {
             version: 1,
-            queues: vec![queue("q", priority), queue("low", priority + 2)],
+            queues: vec![queue("q", priority), queue("r", priority), queue("low", priority + 2)],
             services: Vec::new(),
             limits: Limits {
                 max_header_bytes: 1 << 14,
