--- a/bin/scheduler/tests/metrics.rs
+++ b/bin/scheduler/tests/metrics.rs
@@ -6,13 +6,18 @@
 use std::fmt::Write as _;
 use std::fs;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cowslipchute_base::event::Event;
 use cowslipchute_planner::action::Note;
+use cowslipchute_planner::event::Event as PlannerEvent;
 use cowslipchute_planner::planner::Planner;
+use cowslipchute_planner::settings::Features;
 use cowslipchute_planner::settings::Settings;
 use cowslipchute_ports::executor::Run;
+use cowslipchute_ports::job::Accepted;
+use cowslipchute_ports::job::Spec;
 use cowslipchute_ports::job::TaskId;
 use cowslipchute_scheduler::metrics::FAMILIES;
 use cowslipchute_scheduler::metrics::Metrics;
@@ -121,3 +126,37 @@
     assert_eq!(value(&text, overdue), None);
     assert_eq!(value(&text, returned), None);
 }
+
+/// Guards against accounts of a former owner that stay visible, and against any while the feature is
+/// off.
+#[test]
+fn shares_show_at_the_owner_while_the_feature_is_on() {
+    let metrics = Metrics::open().unwrap();
+    for queue_shares in [true, false] {
+        let features = Features { queue_shares, ..Features::default() };
+        let mut planner = Planner::open(Settings { features, ..Settings::default() });
+        let spec = Spec { payload: "".into(), steps: Vec::new(), schedule: None };
+        let accepted = Accepted { queue: "q".into(), service: "s".into(), spec, cancelled: false };
+        let taken = PlannerEvent::OwnershipAcquired {
+            epoch: 1,
+            jobs: vec![],
+            records: vec![],
+            estimates: None,
+        };
+        planner.step(Duration::ZERO, taken, &mut Vec::new());
+        planner.step(
+            Duration::ZERO,
+            PlannerEvent::Job { job: 2, accepted: Arc::new(accepted) },
+            &mut Vec::new(),
+        );
+        let text = metrics.render(Duration::ZERO, Some(planner.census())).unwrap();
+        let shown = queue_shares.then_some(0.0);
+        let deficit =
+            "cowslipchute_share_core_seconds{queue=\"q\",size=\"largest\",work=\"deficit\"}";
+        assert_eq!(value(&text, deficit), shown);
+        let ahead = "cowslipchute_share_ahead{queue=\"q\",size=\"rest\"}";
+        assert_eq!(value(&text, ahead), shown);
+        let text = metrics.render(Duration::ZERO, None).unwrap();
+        assert_eq!((value(&text, deficit), value(&text, ahead)), (None, None));
+    }
+}
