--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -126,6 +126,10 @@
         "Service tasks placed again since this process became the owner of the cell, by the upper bound of their wait in seconds; each counts once.";
     EVACUATED Gauge "cowslipchute_evacuated_runs" ["domain"]
         "Runs left in each evacuated failure domain, at the cell's owner.";
+    SHARE_WORK Gauge "cowslipchute_share_core_seconds" ["queue", "size", "work"]
+        "Core-seconds of the jobs of a queue and size in the last seconds, at the cell's owner: those that arrived and whose outcome is known, those of them that were in time, and what was missing to their share. None if queue shares are off.";
+    SHARE_AHEAD Gauge "cowslipchute_share_ahead" ["queue", "size"]
+        "Whether jobs of a queue and size go ahead of their rank, at the cell's owner.";
     RATINGS Gauge "cowslipchute_worker_ratings" []
         "How often a worker was scored for a waiting step since this process became the owner of the cell; most of an owner's work.";
     ADMISSIONS Counter "cowslipchute_admissions_total" ["verdict"]
@@ -177,6 +181,8 @@
     overdue: IntGaugeVec,
     returned: IntGaugeVec,
     evacuated: IntGaugeVec,
+    share_work: GaugeVec,
+    share_ahead: IntGaugeVec,
     ratings: IntGauge,
     admissions: IntCounterVec,
     forecast_age: Gauge,
@@ -268,6 +274,8 @@
             overdue: gauges(&registry, OVERDUE)?,
             returned: gauges(&registry, RETURNED)?,
             evacuated: gauges(&registry, EVACUATED)?,
+            share_work: float_gauges(&registry, SHARE_WORK)?,
+            share_ahead: gauges(&registry, SHARE_AHEAD)?,
             ratings: gauge(&registry, RATINGS)?,
             admissions: counters(&registry, ADMISSIONS)?,
             forecast_age: seconds_gauge(&registry, FORECAST_AGE)?,
@@ -432,6 +440,7 @@
         for (queue, kind, quantile, ratio) in census.iter().flat_map(Census::durations) {
             self.duration_ratio.with_label_values(&[queue, kind, quantile]).set(ratio);
         }
+        self.render_shares(census.as_ref());
         let ratings = census.map_or(0, |census| census.scores());
         self.ratings.set(i64::try_from(ratings).unwrap_or(i64::MAX));
         if let Some(since) = *lock(&self.config_applied_at) {
@@ -440,6 +449,24 @@
         }
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
+
+    fn render_shares(&self, census: Option<&Census>) {
+        self.share_work.reset();
+        self.share_ahead.reset();
+        for (queue, class, status) in census.into_iter().flat_map(Census::shares) {
+            let work = [
+                ("arrived", status.balance.arrived),
+                ("served", status.balance.served),
+                ("deficit", status.deficit()),
+            ];
+            for (kind, core_seconds) in work {
+                let labels = [&**queue, class.name(), kind];
+                self.share_work.with_label_values(&labels).set(core_seconds);
+            }
+            let ahead = self.share_ahead.with_label_values(&[&**queue, class.name()]);
+            ahead.set(status.ahead.into());
+        }
+    }
 }
 
 fn lock<T>(value: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -28,5 +28,6 @@
 
 pub use owner::backpressure;
 pub use queue::durations;
+pub use queue::share;
 pub use records::estimates;
 pub use records::record;
--- a/crates/planner/src/owner/census.rs
+++ b/crates/planner/src/owner/census.rs
@@ -7,6 +7,8 @@
 use crate::planner::Planner;
 use crate::queue::durations::Kind;
 use crate::queue::durations::TAIL_RANK;
+use crate::queue::share::Class;
+use crate::queue::share::Status;
 use crate::queue::task::Place;
 use crate::service::service_wait::Returned;
 use crate::workers::worker::Contact;
@@ -47,6 +49,7 @@
     overdue: [i64; 2],
     returned: Returned,
     durations: Vec<(Arc<str>, Kind, [f64; 3])>,
+    shares: Vec<(Arc<str>, Class, Status)>,
 }
 
 impl Census {
@@ -96,6 +99,11 @@
         })
     }
 
+    /// Returns the accounts of queues and size classes, which are none if the feature is off.
+    pub fn shares(&self) -> &[(Arc<str>, Class, Status)] {
+        &self.shares
+    }
+
     /// Returns how many times a worker was scored for a waiting step since the ownership began.
     pub fn scores(&self) -> u64 {
         self.scores
@@ -110,16 +118,13 @@
 
     /// Counts the jobs, tasks and workers of the cell.
     pub fn census(&self) -> Census {
-        let evacuated = self.evacuated_runs();
-        let returned = self.service_waits.returned;
-        let contacts = self.contacts();
-        let durations = self.durations.quantiles(DURATION_QUANTILES.map(|(_, rank)| rank));
         let mut census = Census {
             scores: self.scores,
-            evacuated,
-            returned,
-            contacts,
-            durations,
+            evacuated: self.evacuated_runs(),
+            returned: self.service_waits.returned,
+            contacts: self.contacts(),
+            durations: self.durations.quantiles(DURATION_QUANTILES.map(|(_, rank)| rank)),
+            shares: self.shares.statuses(self.now),
             ..Census::default()
         };
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.end.is_none()) {
