Planner: a forecast budget for best-effort work beside loads that swing

Cause: speed limits followed the headroom 0.6 s ahead at each measurement, and placements the minimum of 0.6 and 1 s, so best-effort work was placed where it was throttled seconds later.

With the feature on, the headroom of each latency-critical task is forecast at 0.6, 1.2, 2 and 3 s. The deviations are scaled by a quantile learnt from past errors. A placement costs what it exceeds the budgets by, averaged over its run, and a speed limit changes only if that is worth a command.

The scenario language gets `phase` for loads and `colocated` for the three figures.

--- a/crates/planner/src/colocation.rs
+++ b/crates/planner/src/colocation.rs
@@ -1,6 +1,8 @@
 //! Best-effort tasks beside latency-critical tasks: interference, forecasts and speed limits.
 
+pub(crate) mod budget;
 pub(crate) mod colocate;
+pub(crate) mod forecast_error;
 pub(crate) mod interference;
 pub(crate) mod load;
 pub(crate) mod measurement;
--- a/crates/planner/src/colocation/colocate.rs
+++ b/crates/planner/src/colocation/colocate.rs
@@ -10,14 +10,18 @@
 use std::borrow::Cow;
 use std::time::Duration;
 
+use cowslipchute_base::id::Time;
 use smallvec::SmallVec;
 
+use crate::colocation::budget;
+use crate::colocation::forecast_error::horizon_weights;
 use crate::colocation::interference;
 use crate::colocation::interference::Image;
 use crate::colocation::interference::Model;
 use crate::colocation::interference::Profile;
 use crate::colocation::interference::Shares;
 use crate::colocation::measurement::Headroom;
+use crate::colocation::measurement::curve;
 use crate::colocation::risk::best_effort_value;
 use crate::colocation::risk::cost;
 use crate::planner::Planner;
@@ -71,15 +75,48 @@
             let uncertainty = model.headroom_loss_variance(&image, &shares).sqrt();
             let deviation = headroom.deviation.hypot(uncertainty);
             let cost = cost(margin, deviation);
-            Margin { image: model.image_index(&image), margin, deviation, cost }
+            Margin { image: model.image_index(&image), margin, deviation, cost, horizon: None }
         })
         .collect()
 }
 
+/// Sums up the CPU fractions that best-effort images use at full speed: a run that is throttled now
+/// still needs its budget. A run that ends soon counts for the whole forecast, since another one
+/// takes its place: without it, workers take more than their budgets pass after pass.
+fn demanded_shares(worker: &Worker) -> Shares {
+    let mut shares = Shares::new();
+    for hosted in worker.runs.values().filter(|hosted| hosted.best_effort) {
+        let fraction = cpu_fraction(hosted.demand.cpu_milli, worker);
+        interference::add_share(&mut shares, &image(hosted), fraction);
+    }
+    shares
+}
+
+/// Estimates how far each latency-critical task of a worker will stay from its target at each
+/// horizon.
+fn forecast_margins(model: &Model, worker: &Worker) -> SmallVec<[Margin; 8]> {
+    let shares = demanded_shares(worker);
+    let mut margins = SmallVec::new();
+    for hosted in worker.runs.values().filter(|hosted| hosted.is_latency_critical()) {
+        let image = image(hosted);
+        let index = model.image_index(&image);
+        let loss = model.headroom_loss(&image, &shares);
+        let uncertainty = model.headroom_loss_variance(&image, &shares).sqrt();
+        for (horizon, point) in curve(hosted, model).iter().enumerate() {
+            let margin = point.level - 1.0 - loss;
+            let deviation = point.deviation.hypot(uncertainty);
+            let cost = budget::cost(margin, deviation);
+            margins.push(Margin { image: index, margin, deviation, cost, horizon: Some(horizon) });
+        }
+    }
+    margins
+}
+
 /// Estimates the conditions that a best-effort task would find on a worker.
-fn estimate_colocation(model: &Model, worker: &Worker) -> Colocation {
+fn estimate_colocation(model: &Model, worker: &Worker, foresees: bool) -> Colocation {
     Colocation {
-        margins: margins(model, worker),
+        margins: if foresees { forecast_margins(model, worker) } else { margins(model, worker) },
+        measured_at: worker.measured_at,
         best_effort_room: worker.best_effort_room(model),
         over_target_since: worker.runs.values().filter_map(|hosted| hosted.over_target_since).min(),
     }
@@ -87,12 +124,28 @@
 
 impl Colocation {
     /// Returns what one more best-effort task, which uses a fraction of the worker's CPU, would
-    /// cost the latency-critical tasks. The unit is the CPU of the whole worker.
-    pub(crate) fn added_cost(&self, profile: &Profile, fraction: f64) -> f64 {
+    /// cost the latency-critical tasks over its run of this time. The unit is the CPU of the whole
+    /// worker.
+    pub(crate) fn added_cost(
+        &self,
+        profile: &Profile,
+        fraction: f64,
+        now: Time,
+        time: Duration,
+    ) -> f64 {
+        let age = now.saturating_sub(self.measured_at);
+        let weights = horizon_weights(age.as_secs_f64(), time.as_secs_f64());
         let added = self.margins.iter().map(|task| {
             let (weight, uncertainty) = profile.weight_on(task.image);
             let deviation = task.deviation.hypot(uncertainty * fraction);
-            (cost(task.margin - weight * fraction, deviation) - task.cost).max(0.0)
+            let margin = task.margin - weight * fraction;
+            match task.horizon {
+                None => (cost(margin, deviation) - task.cost).max(0.0),
+                Some(horizon) if weights[horizon] <= 0.0 => 0.0,
+                Some(horizon) => {
+                    weights[horizon] * (budget::cost(margin, deviation) - task.cost).max(0.0)
+                }
+            }
         });
         added.sum()
     }
@@ -101,9 +154,10 @@
 impl Planner {
     /// Caches a worker's conditions for best-effort tasks, which a placement pass needs many times.
     pub(crate) fn refresh_colocation(&mut self, worker: WorkerId) {
+        let foresees = self.settings.features.colocation_forecast;
         if self.workers[worker].colocation.is_none() {
             self.workers[worker].colocation =
-                Some(estimate_colocation(&self.interference, &self.workers[worker]));
+                Some(estimate_colocation(&self.interference, &self.workers[worker], foresees));
         }
     }
 
@@ -111,7 +165,10 @@
     pub(crate) fn colocation<'a>(&self, worker: &'a Worker) -> Cow<'a, Colocation> {
         match &worker.colocation {
             Some(known) => Cow::Borrowed(known),
-            None => Cow::Owned(estimate_colocation(&self.interference, worker)),
+            None => {
+                let foresees = self.settings.features.colocation_forecast;
+                Cow::Owned(estimate_colocation(&self.interference, worker, foresees))
+            }
         }
     }
 
--- a/crates/planner/src/colocation/measurement.rs
+++ b/crates/planner/src/colocation/measurement.rs
@@ -7,8 +7,15 @@
 
 use std::time::Duration;
 
+use cowslipchute_base::id::Time;
+
 use crate::colocation::colocate::cpu_fraction;
 use crate::colocation::colocate::image;
+use crate::colocation::forecast_error::Curve;
+use crate::colocation::forecast_error::Factors;
+use crate::colocation::forecast_error::HORIZON_COUNT;
+use crate::colocation::forecast_error::HORIZONS;
+use crate::colocation::forecast_error::Point;
 use crate::colocation::interference;
 use crate::colocation::interference::Model;
 use crate::colocation::interference::SAMPLE_VARIANCE;
@@ -90,6 +97,7 @@
     /// report.
     pub(crate) fn record_measurements(&mut self, worker: WorkerId) {
         let now = self.now;
+        let foresees = self.settings.features.colocation_forecast;
         let state = &mut self.workers[worker];
         let is_new_sample = now >= state.measured_at + MIN_SAMPLE_INTERVAL;
         let shares = if is_new_sample { Some(update_shares(state)) } else { None };
@@ -127,6 +135,10 @@
                 load.correct(own, noise, &mut self.periodicity);
                 self.interference.learn_usual_headroom(&image, own);
             }
+            if foresees {
+                let measured = headroom + loss;
+                foresee(hosted, load, measured, now, &mut self.forecast_factors);
+            }
             let (next_forecast, ahead_forecast) =
                 (load.forecast(NEXT_SAMPLE), load.forecast(PLACEMENT_HORIZON));
             hosted.headroom = Some(Headroom {
@@ -138,6 +150,34 @@
     }
 }
 
+/// Returns the forecast for a task over the next seconds, or the usual headroom of its image if the
+/// task hasn't been measured yet.
+pub(crate) fn curve(hosted: &Hosted, model: &Model) -> Curve {
+    match &hosted.curve {
+        Some(curve) => **curve,
+        None => {
+            let level = model.usual_headroom(&image(hosted));
+            [Point { level, deviation: INITIAL_DEVIATION }; HORIZON_COUNT]
+        }
+    }
+}
+
+/// Compares a task's earlier forecasts with its measured headroom without best-effort tasks, and
+/// forecasts the next seconds.
+fn foresee(hosted: &mut Hosted, load: &Load, measured: f64, now: Time, factors: &mut Factors) {
+    let forecasts = hosted.forecasts.get_or_insert_default();
+    forecasts.compare(now, measured, factors);
+    let curve = HORIZONS.map(|horizon| {
+        let forecast = load.forecast(horizon);
+        Point {
+            level: forecast.level + hosted.deviation.forecast(horizon),
+            deviation: (SAMPLE_VARIANCE + forecast.variance).sqrt(),
+        }
+    });
+    forecasts.add(now, &curve);
+    hosted.curve = Some(Box::new(factors.widen(curve)));
+}
+
 /// Returns the CPU fractions of the best-effort images beside a worker's tasks since the previous
 /// report, and stores the current ones.
 fn update_shares(worker: &mut Worker) -> Shares {
--- a/crates/planner/src/colocation/throttle.rs
+++ b/crates/planner/src/colocation/throttle.rs
@@ -11,10 +11,16 @@
 use cowslipchute_ports::executor::Run;
 use smallvec::SmallVec;
 
+use crate::colocation::budget;
+use crate::colocation::budget::BestEffort;
+use crate::colocation::budget::SPEED_STEP;
+use crate::colocation::budget::speed_fraction;
 use crate::colocation::colocate::MIN_HEADROOM_LOSS;
 use crate::colocation::colocate::cpu_fraction;
 use crate::colocation::colocate::image;
+use crate::colocation::forecast_error::Curve;
 use crate::colocation::measurement::Headroom;
+use crate::colocation::measurement::curve;
 use crate::colocation::risk::best_effort_value;
 use crate::colocation::risk::cost;
 use crate::placement::fit::Request;
@@ -26,8 +32,6 @@
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerId;
 
-/// Speed limits are multiples of this, in percent, so that small changes need no command.
-const SPEED_STEP: u8 = 20;
 /// A tail latency that violates its target for this fraction of `max_interference_time` stops all
 /// best-effort tasks beside it that may be the cause.
 const SUSPECT_STOP_FRACTION: f64 = 0.35;
@@ -44,28 +48,6 @@
 /// the last checkpoint, which is half an interval on average.
 const MOVE_DELAY_FRACTION: f64 = 0.4;
 
-/// A best-effort run while its speed limit is computed.
-struct BestEffort {
-    run: Run,
-    /// Fraction of the worker's CPU that it uses at full speed.
-    cpu_fraction: f64,
-    /// Its speed limit, in percent.
-    speed_limit: u8,
-    /// Weight on each latency-critical task: the headroom loss if it used all of the worker's CPU.
-    weights: SmallVec<[f64; 8]>,
-}
-
-impl BestEffort {
-    /// Returns the headroom loss that it causes for a latency-critical task at a speed limit.
-    fn headroom_loss(&self, index: usize, limit: u8) -> f64 {
-        self.weights[index] * self.cpu_fraction * speed_fraction(limit)
-    }
-
-    fn max_weight(&self) -> f64 {
-        self.weights.iter().copied().fold(0.0, f64::max)
-    }
-}
-
 impl Planner {
     /// Computes the speed limits on a worker and schedules commands for those that have changed.
     pub(crate) fn set_speed_limits(&mut self, worker: WorkerId) {
@@ -83,7 +65,14 @@
             .iter()
             .map(|hosted| Headroom::of(hosted, &self.interference))
             .collect();
-        choose_speed_limits(&mut runs, &headrooms, best_effort_value(self.best_effort_backlog));
+        let value = best_effort_value(self.best_effort_backlog);
+        if self.settings.features.colocation_forecast {
+            let curves: SmallVec<[Curve; 8]> =
+                latency_critical.iter().map(|hosted| curve(hosted, &self.interference)).collect();
+            budget::choose_speed_limits(&mut runs, &curves, value);
+        } else {
+            choose_speed_limits(&mut runs, &headrooms, value);
+        }
         self.stop_beside_violations(&mut runs, &latency_critical);
         runs.iter().map(|run| (run.run, run.speed_limit)).collect()
     }
@@ -99,7 +88,7 @@
                 BestEffort {
                     run: *run,
                     cpu_fraction: cpu_fraction(hosted.demand.cpu_milli, worker),
-                    speed_limit: FULL_SPEED,
+                    speed_limit: hosted.speed_limit,
                     weights: latency_critical.iter().map(weight).collect(),
                 }
             })
@@ -182,6 +171,7 @@
 /// finds solutions that the first can't.
 fn choose_speed_limits(runs: &mut [BestEffort], headrooms: &[Headroom], value: f64) {
     if is_full_speed_best(runs, headrooms, value) {
+        runs.iter_mut().for_each(|run| run.speed_limit = FULL_SPEED);
         return;
     }
     let mut order: Vec<usize> = (0..runs.len()).collect();
@@ -254,8 +244,3 @@
         margins.iter().zip(headrooms).map(|(&margin, headroom)| cost(margin, headroom.deviation));
     work - costs.sum::<f64>()
 }
-
-/// Returns a speed limit as a fraction of full speed.
-fn speed_fraction(limit: u8) -> f64 {
-    f64::from(limit) / f64::from(FULL_SPEED)
-}
--- a/crates/planner/src/placement/fit.rs
+++ b/crates/planner/src/placement/fit.rs
@@ -224,7 +224,7 @@
     pub(crate) fn interference_cost(&self, worker: &Worker, request: &Request<'_>) -> f64 {
         let Some(profile) = &request.profile else { return 0.0 };
         let fraction = cpu_fraction(request.step.demand.cpu_milli, worker);
-        self.colocation(worker).added_cost(profile, fraction)
+        self.colocation(worker).added_cost(profile, fraction, self.now, request.step.estimate)
     }
 
     /// Scores a worker for a best-effort task, or returns `None` where its work isn't worth the
@@ -232,7 +232,7 @@
     fn best_effort_score(&self, worker: &Worker, step: &Step, profile: &Profile) -> Option<f64> {
         let colocation = self.colocation(worker);
         let fraction = cpu_fraction(step.demand.cpu_milli, worker);
-        let cost = colocation.added_cost(profile, fraction);
+        let cost = colocation.added_cost(profile, fraction, self.now, step.estimate);
         if !self.is_worthwhile(&colocation, fraction, cost) {
             return None;
         }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -24,6 +24,7 @@
 use crate::capacity::quota::Quota;
 use crate::capacity::reservation::Reservation;
 use crate::capacity::reserve::Reserve;
+use crate::colocation::forecast_error::Factors;
 use crate::colocation::interference::Model;
 use crate::colocation::load::Periodicity;
 use crate::event::Event;
@@ -108,6 +109,8 @@
     pub(crate) isolation_priority: Option<Isolation>,
     /// Model of the interference between images.
     pub(crate) interference: Model,
+    /// Learnt accuracy of forecasts of headrooms.
+    pub(crate) forecast_factors: Factors,
     /// Periodicity of the loads.
     pub(crate) periodicity: Periodicity,
     /// Work of best-effort tasks that found no worker in the last placement pass, in seconds of the
@@ -176,6 +179,7 @@
             reservations: Vec::new(),
             isolation_priority: None,
             interference: Model::default(),
+            forecast_factors: Factors::default(),
             periodicity: Periodicity::default(),
             best_effort_backlog: 0.0,
             start_window: Window::default(),
--- a/crates/planner/src/records/estimates.rs
+++ b/crates/planner/src/records/estimates.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::colocation::forecast_error::Factors;
 use crate::colocation::interference::Model;
 use crate::colocation::load::Periodicity;
 use crate::planner::Planner;
@@ -25,6 +26,7 @@
     /// shorter value that an owner of an earlier version stored then fails to decode instead of
     /// being misread.
     periodicity: Periodicity,
+    forecast_factors: Factors,
 }
 
 impl Planner {
@@ -35,6 +37,7 @@
             mean_work: self.mean_work.clone(),
             log_speed: self.log_speed,
             periodicity: self.periodicity.clone(),
+            forecast_factors: self.forecast_factors,
         }
     }
 
@@ -43,5 +46,6 @@
         self.mean_work = estimates.mean_work;
         self.log_speed = estimates.log_speed;
         self.periodicity = estimates.periodicity;
+        self.forecast_factors = estimates.forecast_factors;
     }
 }
--- a/crates/planner/src/workers/host.rs
+++ b/crates/planner/src/workers/host.rs
@@ -8,6 +8,8 @@
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::job::Step;
 
+use crate::colocation::forecast_error::Curve;
+use crate::colocation::forecast_error::Record;
 use crate::colocation::load::Deviation;
 use crate::colocation::measurement::Headroom;
 
@@ -120,6 +122,10 @@
     pub(crate) measurement: u32,
     /// Headroom forecast of a latency-critical task, once it was measured.
     pub(crate) headroom: Option<Headroom>,
+    /// Forecast of that headroom over the next seconds, if the feature is on.
+    pub(crate) curve: Option<Box<Curve>>,
+    /// Its earlier forecasts, to be compared with measurements.
+    pub(crate) forecasts: Option<Box<Record>>,
     /// Deviation of its load from that of its step.
     pub(crate) deviation: Deviation,
     /// Since when a latency-critical task has violated its latency target.
@@ -163,6 +169,8 @@
             progressed_at: now,
             measurement: 0,
             headroom: None,
+            curve: None,
+            forecasts: None,
             deviation: Deviation::default(),
             over_target_since: None,
             throttled_since: None,
--- a/crates/planner/src/workers/worker.rs
+++ b/crates/planner/src/workers/worker.rs
@@ -81,6 +81,9 @@
     pub(crate) deviation: f64,
     /// Cost of the margin by itself ([`crate::colocation::risk::cost`]).
     pub(crate) cost: f64,
+    /// Index of its horizon ([`crate::colocation::forecast_error::HORIZONS`]), if the feature is
+    /// on.
+    pub(crate) horizon: Option<usize>,
 }
 
 /// Conditions for a best-effort task on a worker. Placement passes read them many times between two
@@ -93,6 +96,8 @@
     pub(crate) best_effort_room: i64,
     /// Start of the longest current violation of a latency target.
     pub(crate) over_target_since: Option<Time>,
+    /// When the forecasts were made.
+    pub(crate) measured_at: Time,
 }
 
 /// An end that the worker reports until it is acknowledged.
--- a/crates/planner/tests/learnt.rs
+++ b/crates/planner/tests/learnt.rs
@@ -3,8 +3,8 @@
 use cowslipchute_planner::estimates::Estimates;
 use cowslipchute_planner::record;
 
-/// Size of the last field in bytes: one number for each of eight periods.
-const LAST_FIELD: usize = 8 * size_of::<f64>();
+/// Size of the last field in bytes: one number for each of four horizons.
+const LAST_FIELD: usize = 4 * size_of::<f64>();
 
 #[test]
 fn what_an_earlier_version_left_is_refused_and_not_misread() {
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -42,7 +42,7 @@
 //! - `untold name=w`: the worker doesn't report its start time.
 //! - `former name=w`: the directory entry of the worker's previous incarnation is delivered again.
 //! - `foreign name=e at=w [service=S]`: an entry of another writer at a worker's address.
-//! - `load name=w [percent=N] [swing=N] [period=MS] [rough=N] [press=(I, W, ..)]`: load on the
+//! - `load name=w [percent=N] [swing=N] [period=MS] [phase=MS] [rough=N] [press=(I, W, ..)]`: load on the
 //!   worker's latency-critical tasks by their own users, and what an image adds to it when its
 //!   best-effort tasks use all processors.
 //! - `lose_upkeep [answers=N]`: responses to maintenance requests are lost.
@@ -63,6 +63,9 @@
 //! - `waves`: the progress of rollouts, and how many tasks of a step were unavailable at once.
 //! - `harm stretch=MS all=MS`: whether best-effort tasks made a latency-critical task violate its
 //!   target for no longer than this.
+//! - `colocated [violated=MS] [limits=N] [work=MS]`: whether violations because of best-effort tasks
+//!   took no longer, no more speed limits were sent, and best-effort tasks did at least this much
+//!   work, in milliseconds of a whole worker.
 //! - `ratings most=N`: whether the owner computed no more worker scores per second.
 //! - `served id=H jobs=N within=MS least=N`: whether enough jobs of a stream were done in time.
 //! - `waits`: how many service tasks have waited for long, and how many were placed again, by the
@@ -371,6 +374,7 @@
         "machines" => world.machines.list_unavailable = arg(case, "state") == Some("down"),
         "ratings" => return scores(world, case),
         "harm" => return interference(world, case),
+        "colocated" => return colocated(world, case),
         "notes" => return notes(world, case),
         other => run_worker_directive(world, case, other),
     }
@@ -563,6 +567,9 @@
     serving.load = number(case, "percent").unwrap_or(serving.load);
     serving.amplitude = number(case, "swing").unwrap_or(serving.amplitude);
     serving.error_percent = number(case, "rough").unwrap_or(serving.error_percent);
+    if let Some(phase) = number(case, "phase") {
+        serving.phase = Duration::from_millis(phase);
+    }
     if let Some(period) = number(case, "period") {
         serving.period = Duration::from_millis(period);
     }
@@ -589,6 +596,20 @@
     format!("{} ms at a stretch, {} ms in all", longest.as_millis(), harmed.as_millis())
 }
 
+/// Returns whether the cell did enough best-effort work with few violations and speed limits.
+fn colocated(world: &World, case: &TestCase) -> String {
+    let servings = || world.workers.values().map(|worker| &worker.serving);
+    let violated = servings().map(|serving| serving.total_violation).sum::<Duration>().as_millis();
+    let work = servings().map(|serving| serving.best_effort_work * 1e3).sum::<f64>();
+    let is_within = number(case, "violated").is_none_or(|most: u128| violated <= most)
+        && number(case, "limits").is_none_or(|most: u64| world.speed_limits <= most)
+        && number(case, "work").is_none_or(|least: f64| work >= least);
+    if is_within {
+        return String::from("within");
+    }
+    format!("{violated} ms violated, {} speed limits, {work:.0} ms of work", world.speed_limits)
+}
+
 fn job_id(case: &TestCase) -> JobId {
     JobId::from_str_radix(arg(case, "id").expect("`id` is given"), 16).expect("`id` is hexadecimal")
 }
--- a/crates/planner/tests/world/commands.rs
+++ b/crates/planner/tests/world/commands.rs
@@ -100,6 +100,7 @@
         else {
             return;
         };
+        self.speed_limits += u64::from(matches!(action, Action::Throttle { .. }));
         let name = target.name.clone();
         let epoch = target.epoch;
         let spec = match &action {
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -125,6 +125,8 @@
     pub allowed: BTreeSet<String>,
     pub log_lines: Vec<String>,
     pub starts: u64,
+    /// Speed limits that owners have sent.
+    pub speed_limits: u64,
     pub machines: machines::Machines,
     pub crashes: Crashes,
     pub restarts: restarts::Restarts,
@@ -171,6 +173,7 @@
             allowed: BTreeSet::new(),
             log_lines: Vec::new(),
             starts: 0,
+            speed_limits: 0,
             machines: machines::Machines::default(),
             crashes: Crashes::default(),
             restarts: restarts::Restarts::default(),
--- a/crates/standin/src/site/serving.rs
+++ b/crates/standin/src/site/serving.rs
@@ -27,6 +27,8 @@
     pub amplitude: u32,
     /// The period of the sine wave.
     pub period: Duration,
+    /// How much later the sine wave begins than the clock.
+    pub phase: Duration,
     /// The error of reported tail latencies, alternately above and below, in percent.
     pub error_percent: u32,
     /// The fraction of capacity that a best-effort image adds to the load of the worker's tasks if
@@ -41,6 +43,8 @@
     pub longest_violation: Duration,
     /// The total time of all violations.
     pub total_violation: Duration,
+    /// The work of best-effort tasks, in seconds of the worker's processors.
+    pub best_effort_work: f64,
 }
 
 impl Default for Serving {
@@ -49,12 +53,14 @@
             load: DEFAULT_LOAD_PERCENT,
             amplitude: 0,
             period: Duration::from_secs(20),
+            phase: Duration::ZERO,
             error_percent: 0,
             interference_weights: BTreeMap::new(),
             reported: BTreeMap::new(),
             violating: BTreeMap::new(),
             longest_violation: Duration::ZERO,
             total_violation: Duration::ZERO,
+            best_effort_work: 0.0,
         }
     }
 }
@@ -62,7 +68,8 @@
 impl Serving {
     /// Returns the load by the tasks' own users, as a fraction of their capacity.
     fn own_load(&self, now: Time) -> f64 {
-        let turn = now.as_secs_f64() / self.period.as_secs_f64() * std::f64::consts::TAU;
+        let elapsed = now.as_secs_f64() - self.phase.as_secs_f64();
+        let turn = elapsed / self.period.as_secs_f64() * std::f64::consts::TAU;
         (f64::from(self.load) + f64::from(self.amplitude) * turn.sin()) / 100.0
     }
 
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -389,6 +389,8 @@
 
     fn advance_serving(&mut self, now: Time, elapsed: Duration) {
         let best_effort = self.best_effort_usage();
+        let fraction: f64 = best_effort.iter().map(|(_, fraction)| fraction).sum();
+        self.serving.best_effort_work += fraction * elapsed.as_secs_f64();
         for (run, active) in &self.active {
             if let Some(target) = active.step.latency_target {
                 self.serving.advance(*run, target, &best_effort, now, elapsed);
