--- a/crates/planner/src/colocation/forecast_error.rs
+++ b/crates/planner/src/colocation/forecast_error.rs
@@ -65,6 +65,11 @@
 }
 
 impl Factors {
+    /// Returns the factor of each horizon, in thousandths.
+    pub(crate) fn per_mille(&self) -> [i64; HORIZON_COUNT] {
+        self.0.map(|factor| (factor * 1e3) as i64)
+    }
+
     /// Applies the factors to a forecast.
     pub(crate) fn widen(&self, curve: Curve) -> Curve {
         std::array::from_fn(|index| Point {
--- a/crates/planner/src/colocation/throttle.rs
+++ b/crates/planner/src/colocation/throttle.rs
@@ -48,6 +48,13 @@
 /// the last checkpoint, which is half an interval on average.
 const MOVE_DELAY_FRACTION: f64 = 0.4;
 
+/// Numbers of speed limits that were decided.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct SpeedChanges {
+    pub(crate) lowered: u64,
+    pub(crate) raised: u64,
+}
+
 impl Planner {
     /// Computes the speed limits on a worker and schedules commands for those that have changed.
     pub(crate) fn set_speed_limits(&mut self, worker: WorkerId) {
@@ -120,6 +127,8 @@
             return;
         }
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
+        self.speed_changes.lowered += u64::from(limit < hosted.speed_limit);
+        self.speed_changes.raised += u64::from(limit > hosted.speed_limit);
         hosted.speed_limit = limit;
         if limit >= MIN_USEFUL_SPEED {
             hosted.throttled_since = None;
--- a/crates/planner/src/owner/census.rs
+++ b/crates/planner/src/owner/census.rs
@@ -2,6 +2,9 @@
 
 use cowslipchute_base::id;
 
+use crate::colocation::forecast_error::HORIZON_COUNT;
+use crate::colocation::forecast_error::HORIZONS;
+use crate::colocation::throttle::SpeedChanges;
 use crate::planner::Planner;
 use crate::queue::job::Place;
 use crate::service::service_wait::Returned;
@@ -39,6 +42,9 @@
     /// Service tasks that have waited for long: those that have run before, and new ones.
     overdue: [i64; 2],
     returned: Returned,
+    speed_changes: SpeedChanges,
+    /// Factors of forecasts' deviations by horizon, if budgets are forecast.
+    forecast_factors: Option<[i64; HORIZON_COUNT]>,
 }
 
 impl Census {
@@ -80,6 +86,19 @@
         self.returned.by_bound().into_iter()
     }
 
+    /// Returns how many speed limits were decided since the ownership began, by direction.
+    pub fn speed_changes(&self) -> impl Iterator<Item = (&'static str, u64)> + use<> {
+        let SpeedChanges { lowered, raised } = self.speed_changes;
+        [("lowered", lowered), ("raised", raised)].into_iter()
+    }
+
+    /// Returns the learnt factor of forecasts' deviations in thousandths, by horizon in
+    /// milliseconds, if budgets are forecast.
+    pub fn forecast_factors(&self) -> impl Iterator<Item = (String, i64)> + use<> {
+        let horizons = HORIZONS.iter().map(|horizon| horizon.as_millis().to_string());
+        horizons.zip(self.forecast_factors.into_iter().flatten())
+    }
+
     /// Returns how many times a worker was scored for a waiting step since the ownership began.
     pub fn scores(&self) -> u64 {
         self.scores
@@ -97,8 +116,16 @@
         let evacuated = self.evacuated_runs();
         let returned = self.service_waits.returned;
         let contacts = self.contacts();
-        let mut census =
-            Census { scores: self.scores, evacuated, returned, contacts, ..Census::default() };
+        let foresees = self.settings.features.colocation_forecast;
+        let mut census = Census {
+            scores: self.scores,
+            evacuated,
+            returned,
+            contacts,
+            speed_changes: self.speed_changes,
+            forecast_factors: foresees.then(|| self.forecast_factors.per_mille()),
+            ..Census::default()
+        };
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.end.is_none()) {
             *if job.started { &mut census.active } else { &mut census.queued } += 1;
             for (step, state) in job.steps(*id) {
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -27,6 +27,7 @@
 use crate::colocation::forecast_error::Factors;
 use crate::colocation::interference::Model;
 use crate::colocation::load::Periodicity;
+use crate::colocation::throttle::SpeedChanges;
 use crate::event::Event;
 use crate::faults::crash::Crash;
 use crate::faults::probation::Isolation;
@@ -111,6 +112,8 @@
     pub(crate) interference: Model,
     /// Learnt accuracy of forecasts of headrooms.
     pub(crate) forecast_factors: Factors,
+    /// Speed limits decided during this ownership.
+    pub(crate) speed_changes: SpeedChanges,
     /// Periodicity of the loads.
     pub(crate) periodicity: Periodicity,
     /// Work of best-effort tasks that found no worker in the last placement pass, in seconds of the
@@ -180,6 +183,7 @@
             isolation_priority: None,
             interference: Model::default(),
             forecast_factors: Factors::default(),
+            speed_changes: SpeedChanges::default(),
             periodicity: Periodicity::default(),
             best_effort_backlog: 0.0,
             start_window: Window::default(),
