Scheduler: metrics of speed limits and forecast errors

An operator can't see whether best-effort work is held to a forecast, nor how good it is. Two families, six series at most, computed when they are read.

--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -125,6 +125,10 @@
         "Runs left in each evacuated failure domain, at the cell's owner.";
     RATINGS Gauge "cowslipchute_worker_ratings" []
         "How often a worker was scored for a waiting step since this process became the owner of the cell; most of an owner's work.";
+    SPEED_CHANGES Gauge "cowslipchute_speed_limits_decided" ["direction"]
+        "Speed limits of best-effort tasks decided since this process became the owner of the cell, lowered and raised ones.";
+    FORECAST_FACTORS Gauge "cowslipchute_forecast_factor_permille" ["ahead_ms"]
+        "Learnt factor of the deviation of headroom forecasts in thousandths, by horizon, at the cell's owner; only with --colocation-forecast on.";
     CONFIG_VERSION Gauge "cowslipchute_config_version" []
         "Version of the operator's configuration in force.";
     CONFIG_AGE Gauge "cowslipchute_config_age_seconds" []
@@ -163,6 +167,8 @@
     returned: IntGaugeVec,
     evacuated: IntGaugeVec,
     ratings: IntGauge,
+    speed_changes: IntGaugeVec,
+    forecast_factors: IntGaugeVec,
     config_version: IntGauge,
     config_age: IntGauge,
     config_applied_at: Arc<Mutex<Option<Time>>>,
@@ -241,6 +247,8 @@
             returned: gauges(&registry, RETURNED)?,
             evacuated: gauges(&registry, EVACUATED)?,
             ratings: gauge(&registry, RATINGS)?,
+            speed_changes: gauges(&registry, SPEED_CHANGES)?,
+            forecast_factors: gauges(&registry, FORECAST_FACTORS)?,
             config_version: gauge(&registry, CONFIG_VERSION)?,
             config_age: gauge(&registry, CONFIG_AGE)?,
             config_applied_at: Arc::default(),
@@ -346,6 +354,8 @@
         self.overdue.reset();
         self.returned.reset();
         self.evacuated.reset();
+        self.speed_changes.reset();
+        self.forecast_factors.reset();
         for (state, count) in census.iter().flat_map(Census::jobs) {
             self.jobs.with_label_values(&[state]).set(count);
         }
@@ -365,6 +375,13 @@
         for (domain, runs) in census.iter().flat_map(Census::evacuated) {
             self.evacuated.with_label_values(&[&**domain]).set(*runs);
         }
+        for (direction, count) in census.iter().flat_map(Census::speed_changes) {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.speed_changes.with_label_values(&[direction]).set(count);
+        }
+        for (ahead, factor) in census.iter().flat_map(Census::forecast_factors) {
+            self.forecast_factors.with_label_values(&[&ahead]).set(factor);
+        }
         let ratings = census.map_or(0, |census| census.scores());
         self.ratings.set(i64::try_from(ratings).unwrap_or(i64::MAX));
         if let Some(since) = *lock(&self.config_applied_at) {
