--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -144,6 +144,10 @@
         "Rejected jobs that were given a time at which to return, at the cell's owner.";
     DURATION_RATIO Gauge "cowslipchute_task_duration_ratio" ["queue", "kind", "quantile"]
         "Quantiles of the learnt ratio of actual to estimated duration of tasks by queue and kind, at the cell's owner; none without --learned-durations.";
+    SPEED_CHANGES Gauge "cowslipchute_speed_limits_decided" ["direction"]
+        "Speed limits of best-effort tasks decided since this process became the owner of the cell, lowered and raised ones.";
+    FORECAST_FACTORS Gauge "cowslipchute_forecast_factor_permille" ["ahead_ms"]
+        "Learnt factor of the deviation of headroom forecasts in thousandths, by horizon, at the cell's owner; only with --colocation-forecast on.";
     CONFIG_VERSION Gauge "cowslipchute_config_version" []
         "Version of the operator's configuration in force.";
     CONFIG_AGE Gauge "cowslipchute_config_age_seconds" []
@@ -191,6 +195,8 @@
     backlog_rate: GaugeVec,
     retries: IntGauge,
     duration_ratio: GaugeVec,
+    speed_changes: IntGaugeVec,
+    forecast_factors: IntGaugeVec,
     config_version: IntGauge,
     config_age: IntGauge,
     config_applied_at: Arc<Mutex<Option<Time>>>,
@@ -284,6 +290,8 @@
             backlog_rate: float_gauges(&registry, BACKLOG_RATE)?,
             retries: gauge(&registry, RETRIES)?,
             duration_ratio: float_gauges(&registry, DURATION_RATIO)?,
+            speed_changes: gauges(&registry, SPEED_CHANGES)?,
+            forecast_factors: gauges(&registry, FORECAST_FACTORS)?,
             config_version: gauge(&registry, CONFIG_VERSION)?,
             config_age: gauge(&registry, CONFIG_AGE)?,
             config_applied_at: Arc::default(),
@@ -418,6 +426,8 @@
         self.returned.reset();
         self.evacuated.reset();
         self.duration_ratio.reset();
+        self.speed_changes.reset();
+        self.forecast_factors.reset();
         for (state, count) in census.iter().flat_map(Census::jobs) {
             self.jobs.with_label_values(&[state]).set(count);
         }
@@ -441,6 +451,13 @@
             self.duration_ratio.with_label_values(&[queue, kind, quantile]).set(ratio);
         }
         self.render_shares(census.as_ref());
+        for (direction, count) in census.iter().flat_map(Census::speed_changes) {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.speed_changes.with_label_values(&[direction]).set(count);
+        }
+        for (ahead, factor) in census.iter().flat_map(Census::forecast_factors) {
+            self.forecast_factors.with_label_values(&[&ahead]).set(factor);
+        }
         let ratings = census.map_or(0, |census| census.scores());
         self.ratings.set(i64::try_from(ratings).unwrap_or(i64::MAX));
         if let Some(since) = *lock(&self.config_applied_at) {
--- a/crates/planner/src/owner/census.rs
+++ b/crates/planner/src/owner/census.rs
@@ -4,6 +4,9 @@
 
 use cowslipchute_base::id;
 
+use crate::colocation::forecast_error::HORIZON_COUNT;
+use crate::colocation::forecast_error::HORIZONS;
+use crate::colocation::throttle::SpeedChanges;
 use crate::planner::Planner;
 use crate::queue::durations::Kind;
 use crate::queue::durations::TAIL_RANK;
@@ -50,6 +53,9 @@
     returned: Returned,
     durations: Vec<(Arc<str>, Kind, [f64; 3])>,
     shares: Vec<(Arc<str>, Class, Status)>,
+    speed_changes: SpeedChanges,
+    /// Factors of forecasts' deviations by horizon, if budgets are forecast.
+    forecast_factors: Option<[i64; HORIZON_COUNT]>,
 }
 
 impl Census {
@@ -102,6 +108,17 @@
     /// Returns the accounts of queues and size classes, which are none if the feature is off.
     pub fn shares(&self) -> &[(Arc<str>, Class, Status)] {
         &self.shares
+    /// Returns how many speed limits were decided since the ownership began, by direction.
+    pub fn speed_changes(&self) -> impl Iterator<Item = (&'static str, u64)> + use<> {
+        let SpeedChanges { lowered, raised } = self.speed_changes;
+        [("lowered", lowered), ("raised", raised)].into_iter()
+    }
+
+    /// Returns the learnt factor of forecasts' deviations in thousandths, by horizon in
+    /// milliseconds, if budgets are forecast.
+    pub fn forecast_factors(&self) -> impl Iterator<Item = (String, i64)> + use<> {
+        let horizons = HORIZONS.iter().map(|horizon| horizon.as_millis().to_string());
+        horizons.zip(self.forecast_factors.into_iter().flatten())
     }
 
     /// Returns how many times a worker was scored for a waiting step since the ownership began.
@@ -125,6 +142,17 @@
             contacts: self.contacts(),
             durations: self.durations.quantiles(DURATION_QUANTILES.map(|(_, rank)| rank)),
             shares: self.shares.statuses(self.now),
+        let evacuated = self.evacuated_runs();
+        let returned = self.service_waits.returned;
+        let contacts = self.contacts();
+        let foresees = self.settings.features.colocation_forecast;
+        let mut census = Census {
+            scores: self.scores,
+            evacuated,
+            returned,
+            contacts,
+            speed_changes: self.speed_changes,
+            forecast_factors: foresees.then(|| self.forecast_factors.per_mille()),
             ..Census::default()
         };
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.end.is_none()) {
--- a/crates/planner/src/records/estimates.rs
+++ b/crates/planner/src/records/estimates.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::colocation::forecast_error::Factors;
 use crate::colocation::interference::Model;
 use crate::colocation::load::Periodicity;
 use crate::planner::Planner;
@@ -28,6 +29,7 @@
     /// being misread.
     periodicity: Periodicity,
     durations: Snapshot,
+    forecast_factors: Factors,
 }
 
 impl Planner {
@@ -39,6 +41,7 @@
             log_speed: self.log_speed,
             periodicity: self.periodicity.clone(),
             durations: self.durations.snapshot(),
+            forecast_factors: self.forecast_factors,
         }
     }
 
@@ -50,5 +53,6 @@
         if self.settings.features.learned_durations {
             self.durations = Durations::restore(&estimates.durations, self.now);
         }
+        self.forecast_factors = estimates.forecast_factors;
     }
 }
