Scenario: a delayed start carried out after its end was acknowledged

Cause: a start goes unanswered, its repetition is done and the end acknowledged; the worker restarts, and the heartbeat that waits there goes on at the next incarnation with the epoch of the delayed start, which is then accepted. Ruled out: the checks of the simulated cell did not see it, since delayed starts were not checked; the directive late_starts prints them now.

--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -59,6 +59,8 @@
 //! - `run ms=N`: prints nothing.
 //! - `show`: the state of each job.
 //! - `notes [of=(Event, ..)]`: the decisions logged since the last `notes`.
+//! - `late_starts`: the delayed starts that were carried out although an end of their task had been
+//!   acknowledged.
 //! - `stored`: the number of jobs and records in the store.
 //! - `waves`: the progress of rollouts, and how many tasks of a step were unavailable at once.
 //! - `harm stretch=MS all=MS`: whether best-effort tasks made a latency-critical task violate its
@@ -215,6 +217,7 @@
     restarted_cut_start = { "restarted_cut_start" },
     restarted_former = { "restarted_former" },
     restarted_lapse = { "restarted_lapse" },
+    restarted_late_done = { "restarted_late_done" },
     restarted_late_hold = { "restarted_late_hold" },
     restarted_late_start = { "restarted_late_start" },
     restarted_owners = { "restarted_owners" },
@@ -372,6 +375,7 @@
         "ratings" => return scores(world, case),
         "harm" => return interference(world, case),
         "notes" => return notes(world, case),
+        "late_starts" => return world.late_starts.join("\n"),
         other => run_worker_directive(world, case, other),
     }
     String::new()
--- a/crates/planner/tests/world/check.rs
+++ b/crates/planner/tests/world/check.rs
@@ -64,6 +64,14 @@
         }
     }
 
+    /// Records a delayed start that was carried out after an end of its task was acknowledged.
+    pub(super) fn record_late_start(&mut self, name: &str, run: Run) {
+        let step = &self.specs[&run.task.job].spec.steps[usize::from(run.task.step)];
+        if !step.long_running && self.acknowledged.contains(&run.task) {
+            self.late_starts.push(format!("{}#{} {name}", run.task, run.attempt));
+        }
+    }
+
     /// Checks the invariants that hold at every moment.
     pub(super) fn check(&mut self) {
         let now = self.now;
--- a/crates/planner/tests/world/commands.rs
+++ b/crates/planner/tests/world/commands.rs
@@ -197,6 +197,7 @@
         let started = matches!(event, Some(Event::StartResult { outcome: Ok(_), .. }));
         if let Some(Event::StartResult { run, outcome: Ok(_), .. }) = &event {
             self.record_service_start(run.task);
+            self.record_late_start(&name, *run);
         }
         if let (true, Some(demand), Some(bound)) = (started, demand, self.bounds.get_mut(&machine))
         {
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -117,6 +117,8 @@
     sequence: u64,
     /// Tasks whose end has been acknowledged for good.
     acknowledged: BTreeSet<TaskId>,
+    /// Delayed starts that were carried out after an end of their task was acknowledged.
+    pub late_starts: Vec<String>,
     /// Tasks of which a run has ended done, on any incarnation.
     finished: BTreeSet<TaskId>,
     /// Optional parts of the planners that are opened from now on.
@@ -166,6 +168,7 @@
             arrivals: BTreeMap::new(),
             sequence: 0,
             acknowledged: BTreeSet::new(),
+            late_starts: Vec::new(),
             finished: BTreeSet::new(),
             features: Features::default(),
             allowed: BTreeSet::new(),
