Planner: raise a worker's epoch after an unanswered start

Cause: commands to one incarnation shared one epoch, so a heartbeat that reached the next incarnation first let it accept a start that was delayed with that epoch, after the task had been completed by the repeated start. The epoch is raised between two heartbeats once a start went unanswered and nothing else is in flight; responses to all epochs of an incarnation count. A silent worker with an outstanding start of a completed task is tried each 25 ms instead of 150 ms. Ruled out: a stop as the first command (it needs as long to arrive as a heartbeat); raising at once (a waiting heartbeat would be refused and its worker taken for silent). Conclusion: what reaches an incarnation before its first command is left (restarted_late_unheard).

--- a/crates/planner/src/owner/takeover.rs
+++ b/crates/planner/src/owner/takeover.rs
@@ -73,13 +73,14 @@
         self.ended_expiry.clear();
         self.workers = Default::default();
         self.workers_by_name.clear();
-        self.incarnations_ended = 0;
+        self.next_generation = 0;
         self.crashed_at.clear();
         self.unconfigured.clear();
         self.pending_query = None;
         self.rollouts = Default::default();
         self.best_effort_due = id::Time::ZERO;
         self.pins.clear();
+        self.late_starts = Default::default();
         self.placements = Default::default();
         self.short_starts = Default::default();
         self.reservations.clear();
@@ -207,7 +208,7 @@
         if let Some(&worker) = self.workers_by_name.get(name) {
             return worker;
         }
-        let generation = self.incarnations_ended;
+        let generation = self.next_generation;
         let worker = self.workers.insert(Worker::unlisted(name.clone(), generation, self.now));
         self.workers_by_name.insert(name.clone(), worker);
         self.timers.insert((self.now + EXPIRY_CHECK_INTERVAL, Timer::LeaseExpiry(worker)));
--- a/crates/planner/src/placement/pin.rs
+++ b/crates/planner/src/placement/pin.rs
@@ -39,7 +39,7 @@
 use crate::workers::worker::WorkerId;
 
 /// Time after sending within which an unanswered start may be carried out.
-const START_EXPIRY: Duration = Duration::from_secs(12);
+pub(crate) const START_EXPIRY: Duration = Duration::from_secs(12);
 
 /// The only worker on which a task may be started until its outstanding start has expired.
 #[derive(Clone, Debug)]
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -46,6 +46,7 @@
 use crate::service::service_wait::Waits;
 use crate::settings::Settings;
 use crate::workers::command::Timer;
+use crate::workers::late_start::LateStarts;
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerId;
 
@@ -75,8 +76,9 @@
     pub(crate) workers: Table<Worker>,
     /// The newest incarnation of each name.
     pub(crate) workers_by_name: HashMap<id::Instance, WorkerId>,
-    /// Number of incarnations that have ended or were removed during this ownership.
-    pub(crate) incarnations_ended: u32,
+    /// Generation of the next incarnation that becomes known; higher than those of all incarnations
+    /// that have ended or were removed during this ownership.
+    pub(crate) next_generation: u32,
     /// Last crash at each address, while it is remembered.
     pub(crate) crashed_at: HashMap<SocketAddr, Crash>,
     /// Directory entries whose service isn't in the configuration.
@@ -125,6 +127,8 @@
     pub(crate) best_effort_due: Time,
     /// Tasks that may be started on one worker only ([`crate::placement::pin`]).
     pub(crate) pins: BTreeMap<TaskId, Pin>,
+    /// Starts that may be carried out after their task has completed.
+    pub(crate) late_starts: LateStarts,
     /// Recent placements.
     pub(crate) placements: Placements,
     /// Number of worker scores computed for waiting steps during this ownership.
@@ -160,7 +164,7 @@
             ended_expiry: VecDeque::new(),
             workers: Table::default(),
             workers_by_name: HashMap::default(),
-            incarnations_ended: 0,
+            next_generation: 0,
             crashed_at: HashMap::default(),
             unconfigured: HashMap::default(),
             mean_work: HashMap::default(),
@@ -183,6 +187,7 @@
             next_pass_at: Time::ZERO,
             best_effort_due: Time::ZERO,
             pins: BTreeMap::new(),
+            late_starts: LateStarts::default(),
             placements: Placements::default(),
             scores: 0,
             passes: 0,
--- a/crates/planner/src/queue/end.rs
+++ b/crates/planner/src/queue/end.rs
@@ -97,6 +97,11 @@
         let failures = counted_task.failed.len() as u32;
         let task = job.task_mut(run.task);
         let starts_exhausted = how == EndReason::Failed && task.count_failed_run(run.attempt);
+        if how == EndReason::Done && !long_running {
+            self.record_outstanding(worker, run, hosted.as_ref());
+        }
+        let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
+        let task = job.task_mut(run.task);
         if how == EndReason::Done && !long_running && gang {
             self.complete_gang(worker, run);
         } else if how == EndReason::Done && !long_running {
--- a/crates/planner/src/workers/command.rs
+++ b/crates/planner/src/workers/command.rs
@@ -181,8 +181,8 @@
     /// a command for an earlier incarnation says nothing about the current one.
     pub(crate) fn find_worker(&self, target: &Target) -> Option<WorkerId> {
         let worker = *self.workers_by_name.get(&target.name)?;
-        let epoch = self.workers.get(worker)?.command_epoch(self.epoch?);
-        (epoch == target.epoch).then_some(worker)
+        let state = self.workers.get(worker)?;
+        state.has_used_epoch(self.epoch?, target.epoch).then_some(worker)
     }
 
     /// Returns the worker that sent a response, and records that it is alive.
@@ -213,6 +213,7 @@
         let stage = hosted.stage;
         if outcome == Err(Failure::Unknown) {
             hosted.start_unanswered = true;
+            self.record_unanswered_start(worker, target.epoch);
             self.mark_dirty(run.task.job);
         } else {
             hosted.starts_in_flight = hosted.starts_in_flight.saturating_sub(1);
--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -34,7 +34,7 @@
 /// Longest time that an idle worker may delay its response.
 const IDLE_HEARTBEAT_WAIT: Duration = Duration::from_millis(2000);
 /// Delay before the heartbeat to a worker that did not respond is retried.
-const SILENT_RETRY_DELAY: Duration = Duration::from_millis(150);
+pub(crate) const SILENT_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Delay before the next heartbeat while reported ends wait to be stored: the worker would respond
 /// immediately with the same ends.
 const ACKNOWLEDGE_RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -107,6 +107,7 @@
     ) {
         let Some(worker) = self.find_worker(target) else { return };
         let Heartbeat::Sent(sent) = self.workers[worker].heartbeat else { return };
+        self.raise_epoch(worker);
         match outcome {
             Ok(report) if self.workers[worker].is_older_than(&report) => {
                 self.replace_from_report(worker, &report);
@@ -124,7 +125,7 @@
             Err(Failure::Refused(Refusal::OtherWorker, _)) => self.end_incarnation(worker),
             Err(_) => {
                 self.mark_silent(worker);
-                self.schedule_heartbeat(worker, self.now + SILENT_RETRY_DELAY);
+                self.schedule_heartbeat(worker, self.now + self.silent_retry_delay(worker));
             }
         }
     }
@@ -246,6 +247,9 @@
         }
         let job = ended.run.task.job;
         self.mark_started(job);
+        if hosted.is_none() {
+            self.log_late_start(worker, ended.run);
+        }
         let detail = how_text(ended.reason);
         self.note(LogEvent::RunEnded, Some(job), Some(ended.run), Some(name), detail);
         self.end_run(worker, ended.run, ended.reason, ended.checkpoint);
@@ -294,6 +298,7 @@
     /// Stops a run that isn't assigned to the worker: its job has ended, or an old start was
     /// carried out late.
     fn stop_orphan(&mut self, worker: WorkerId, run: Run) {
+        self.log_late_start(worker, run);
         let stage = Stage::Running { since: self.now };
         let hosted = match self.jobs.get(&run.task.job).filter(|job| job.task(run.task).is_some()) {
             Some(job) => Hosted::new(job.spec(run.task.step), stage, self.now),
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -183,8 +183,8 @@
         let state = &self.workers[worker];
         let runs = state.runs.iter().filter(|(run, hosted)| may_hold(state, **run, hosted));
         let kept: Vec<Run> = runs.map(|(run, _)| *run).collect();
-        self.incarnations_ended += 1;
-        let mut successor = self.workers[worker].successor(self.incarnations_ended, self.now);
+        self.retire_generation(worker);
+        let mut successor = self.workers[worker].successor(self.next_generation, self.now);
         successor.started_at = started_at;
         let next = self.workers.insert(successor);
         self.workers_by_name.insert(self.workers[next].name.clone(), next);
@@ -273,8 +273,8 @@
 
     /// Forgets a worker that nothing waits for.
     pub(crate) fn forget_incarnation(&mut self, worker: WorkerId) {
+        self.retire_generation(worker);
         let Some(state) = self.workers.remove(worker) else { return };
-        self.incarnations_ended += 1;
         self.workers_by_name.remove(&state.name);
     }
 }
--- a/crates/planner/src/workers/worker.rs
+++ b/crates/planner/src/workers/worker.rs
@@ -112,9 +112,13 @@
     pub(crate) started_at: Option<id::Incarnation>,
     /// Whether an earlier incarnation has reported its start time.
     pub(crate) has_predecessor_with_start: bool,
-    /// Increases from one incarnation of a name to the next; the low bits of the epoch of its
-    /// commands.
+    /// Generation of the first command to it; higher than those of earlier incarnations.
+    pub(crate) first_generation: u32,
+    /// The low bits of the epoch of its commands. Increases from one incarnation of a name to the
+    /// next, and after unanswered starts ([`crate::workers::fence`]).
     pub(crate) generation: u32,
+    /// Whether a start with the current generation went unanswered.
+    pub(crate) start_unanswered: bool,
     /// `None` for a worker that is known from records only.
     pub(crate) address: Option<SocketAddr>,
     pub(crate) service: id::Service,
@@ -178,7 +182,9 @@
             name,
             started_at: None,
             has_predecessor_with_start: false,
+            first_generation: generation,
             generation,
+            start_unanswered: false,
             address: None,
             service: id::Service::from(""),
             domain: id::Domain::from(""),
@@ -247,7 +253,13 @@
     /// Returns the epoch of commands to it, higher than those of previous owners and of earlier
     /// incarnations.
     pub(crate) fn command_epoch(&self, owner_epoch: id::Epoch) -> id::Epoch {
-        (owner_epoch << GENERATION_BITS) | id::Epoch::from(self.generation.min(MAX_GENERATION))
+        epoch_of(owner_epoch, self.generation)
+    }
+
+    /// Returns `true` if a command with this epoch was addressed to this incarnation.
+    pub(crate) fn has_used_epoch(&self, owner_epoch: id::Epoch, epoch: id::Epoch) -> bool {
+        let first = epoch_of(owner_epoch, self.first_generation);
+        (first..=self.command_epoch(owner_epoch)).contains(&epoch)
     }
 
     /// Estimates the current time of the worker's clock.
@@ -358,3 +370,7 @@
         self.runs.values().any(|hosted| hosted.best_effort)
     }
 }
+
+fn epoch_of(owner_epoch: id::Epoch, generation: u32) -> id::Epoch {
+    (owner_epoch << GENERATION_BITS) | id::Epoch::from(generation.min(MAX_GENERATION))
+}
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -220,6 +220,7 @@
     restarted_late_done = { "restarted_late_done" },
     restarted_late_hold = { "restarted_late_hold" },
     restarted_late_start = { "restarted_late_start" },
+    restarted_late_unheard = { "restarted_late_unheard" },
     restarted_owners = { "restarted_owners" },
     restarted_quick_end = { "restarted_quick_end" },
     restarted_rack = { "restarted_rack" },
