--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -128,6 +128,8 @@
     sequence: u64,
     /// Tasks whose end has been acknowledged for good.
     acknowledged: BTreeSet<TaskId>,
+    /// Delayed starts that were carried out after an end of their task was acknowledged.
+    pub late_starts: Vec<String>,
     /// Tasks of which a run has ended done, on any incarnation.
     finished: BTreeSet<TaskId>,
     /// The instances that accept jobs, if they control admission.
@@ -184,6 +186,7 @@
             arrivals: BTreeMap::new(),
             sequence: 0,
             acknowledged: BTreeSet::new(),
+            late_starts: Vec::new(),
             finished: BTreeSet::new(),
             instances: None,
             features: Features::default(),
