Planner: one order of overdue service tasks, with an age that survives owners

Cause: the reserve, reservations, slow workers, quarantine and probation each kept service tasks waiting by rules of their own. They followed one another, new tasks had no way past the reserve at all, and the age of a wait began anew with each owner and each attempt that never began.

Now the age is kept: an attempt that never began leaves it, and the job's record (version 4, with a decoder of version 3) holds when each wait began. Overdue tasks of all steps compete in one place, the oldest first, and each restriction gives way once an observer has seen room for two for a stated time. Slow and quarantined workers are told apart from workers that are closed for safety. Tasks on probation of one step share a worker after two seconds: a crash there still counts against their job alone. A machine whose maintenance is refused takes tasks again after two seconds if a service task is overdue.

Ruled out: releasing pins, and runs held on workers that are gone, by age, since their starts may still be carried out; a check every 200 ms, which changed more lines of service_wait.test than the age does.

--- a/crates/planner/src/capacity/idle.rs
+++ b/crates/planner/src/capacity/idle.rs
@@ -53,8 +53,6 @@
     /// `true` if there has been free capacity for two for much of the time, so that a returning
     /// task may be placed.
     has_frequent_pair: bool,
-    /// Number of overdue tasks that may be placed beside what an observer sees as free.
-    overdue_slots: u32,
 }
 
 impl Spare {
@@ -66,10 +64,7 @@
         if self.slots > 0 {
             return Some(Way::Windows);
         }
-        if urgency != Urgency::New && self.has_frequent_pair {
-            return Some(Way::Pair);
-        }
-        (urgency == Urgency::Overdue && self.overdue_slots > 0).then_some(Way::Overdue)
+        (urgency != Urgency::New && self.has_frequent_pair).then_some(Way::Pair)
     }
 
     /// Returns the millicores beyond the reserve for short tasks.
@@ -90,7 +85,6 @@
         }
         self.slots = self.slots.saturating_sub(1);
         self.has_frequent_pair = false;
-        self.overdue_slots = self.overdue_slots.saturating_sub(1);
         true
     }
 }
@@ -221,7 +215,6 @@
         spec: &Step,
         choice: Choice<'_>,
         rooms: &mut Rooms,
-        seen: &mut Rooms,
     ) -> Spare {
         if !spec.long_running {
             return Spare::default();
@@ -230,8 +223,7 @@
         let slots = self.update_idle(step, slots);
         let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
         let has_frequent_pair = state.is_some_and(|state| state.idle.has_frequent_pair());
-        let overdue_slots = self.update_watch(step, spec, seen);
-        Spare { milli: self.spare_milli(choice.workers), slots, has_frequent_pair, overdue_slots }
+        Spare { milli: self.spare_milli(choice.workers), slots, has_frequent_pair }
     }
 
     /// Records that a service task was placed on the reserve for short tasks. For its step the
--- a/crates/planner/src/faults/crash.rs
+++ b/crates/planner/src/faults/crash.rs
@@ -171,9 +171,9 @@
     }
 
     /// Returns `true` if a task on probation has begun on the worker too recently for anything else
-    /// to begin, except for other members of its gang.
-    pub(crate) fn has_recent_probation_start(&self, step: StepId, gang: bool, now: Time) -> bool {
-        let is_member = |run: &Run| gang && run.task.step_id() == step;
+    /// to begin, except for other tasks of its step if they share their probation.
+    pub(crate) fn has_recent_probation_start(&self, step: StepId, shares: bool, now: Time) -> bool {
+        let is_member = |run: &Run| shares && run.task.step_id() == step;
         let is_recent = |hosted: &Hosted| {
             is_on_probation(hosted.crashes) && !hosted.has_run_for(PROBATION_ISOLATION, now)
         };
--- a/crates/planner/src/faults/probation.rs
+++ b/crates/planner/src/faults/probation.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use cowslipchute_base::id::Time;
+use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::StepId;
 
@@ -50,6 +51,28 @@
         self.isolated_for.is_some_and(|isolation| isolation.step != step && now < isolation.until)
     }
 
+    /// Records that a start of a step's task was sent.
+    pub(crate) fn record_start(&mut self, step: StepId, now: Time) {
+        if self.last_start_step != Some(step) {
+            self.last_start_step = Some(step);
+            self.other_start_sent = self.last_start_sent;
+        }
+        self.last_start_sent = now;
+    }
+
+    /// Returns `true` if no suspect of another step is on the worker and nothing else has begun
+    /// there recently.
+    fn has_only_begun(&self, step: StepId, now: Time) -> bool {
+        let others_sent = match self.last_start_step == Some(step) {
+            true => self.other_start_sent,
+            false => self.last_start_sent,
+        };
+        let is_other = |(run, hosted): (&Run, &Hosted)| {
+            run.task.step_id() != step && (hosted.crashes > 0 || hosted.is_starting())
+        };
+        now >= others_sent + START_CRASH_WINDOW && !self.runs.iter().any(is_other)
+    }
+
     /// Returns `true` if the worker is isolated for a step, or was last.
     pub(crate) fn is_isolated_for(&self, step: StepId) -> bool {
         self.isolated_for.is_some_and(|isolation| isolation.step == step)
@@ -64,7 +87,8 @@
         since: Time,
         open: &[WorkerId],
     ) -> Option<WorkerId> {
-        let scored = self.probation_workers(since, open).into_iter().filter_map(|id| {
+        let workers = self.probation_workers(since, open, request.shared_probation());
+        let scored = workers.into_iter().filter_map(|id| {
             let score = self.score(&self.workers[id], request)?;
             Some((score, id))
         });
@@ -72,14 +96,20 @@
     }
 
     /// Returns the workers on which a crash can be attributed to a task that has waited for its
-    /// probation since `since`.
-    pub(crate) fn probation_workers(&self, since: Time, open: &[WorkerId]) -> Vec<WorkerId> {
+    /// probation since `since`. Beside tasks of the step `shared` it is attributed to their job.
+    pub(crate) fn probation_workers(
+        &self,
+        since: Time,
+        open: &[WorkerId],
+        shared: Option<StepId>,
+    ) -> Vec<WorkerId> {
         let now = self.now;
         let since = self.stable_wait_since(since, open);
         let is_suitable = |worker: &Worker| {
-            worker.suspects == 0
+            let is_alone = worker.suspects == 0
                 && now >= worker.last_start_sent + START_CRASH_WINDOW
-                && !worker.runs.values().any(Hosted::is_starting)
+                && !worker.runs.values().any(Hosted::is_starting);
+            (is_alone || shared.is_some_and(|step| worker.has_only_begun(step, now)))
                 && self.is_stable(worker, since, now)
         };
         open.iter().copied().filter(|&id| is_suitable(&self.workers[id])).collect()
--- a/crates/planner/src/faults/progress.rs
+++ b/crates/planner/src/faults/progress.rs
@@ -131,8 +131,8 @@
         let now = self.now;
         let until = now + SLOW_WORKER_PAUSE;
         let state = &mut self.workers[worker];
-        let was_open = state.closed_until <= now;
-        state.closed_until = state.closed_until.max(until);
+        let was_open = state.slow_until <= now;
+        state.slow_until = until;
         let name = state.name.clone();
         self.timers.insert((until, Timer::Place));
         if was_open {
--- a/crates/planner/src/maintenance/rollout.rs
+++ b/crates/planner/src/maintenance/rollout.rs
@@ -40,7 +40,8 @@
 /// Time to wait for short and best-effort tasks before they are stopped. With a longer one, service
 /// tasks would wait too long beside capacity that is kept free.
 const DRAIN_GRACE: Duration = Duration::from_millis(600);
-/// Maximum time for which a machine is kept free if its tasks can't be spared after all.
+/// Maximum time for which a machine is kept free if its tasks can't be spared after all, or if its
+/// maintenance is refused while a service task is overdue.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(2000);
 /// Time for which a machine takes tasks as usual before it is drained again: what waits beside free
 /// capacity for three seconds counts as lost.
@@ -59,11 +60,11 @@
 enum Phase {
     /// Being drained since this time.
     Draining(Time),
-    /// Maintenance requested at this time.
+    /// Maintenance requested, of a machine that has been kept free since this time.
     Requested(Time),
-    /// The request wasn't confirmed and is repeated at this time. Maintenance has not begun, except
-    /// perhaps if `may_have_begun`.
-    Retry { at: Time, may_have_begun: bool },
+    /// The request wasn't confirmed and is repeated at the time `at`. Maintenance has not begun,
+    /// except perhaps if `may_have_begun`.
+    Retry { at: Time, free_since: Time, may_have_begun: bool },
     /// Maintenance begun, under this owner or a previous one: the response arrived at this time,
     /// and no list since.
     Begun(Time),
@@ -71,6 +72,18 @@
     Down,
 }
 
+impl Phase {
+    /// Returns since when the machine has been kept free, if its maintenance isn't known to have
+    /// begun.
+    fn free_since(&self) -> Option<Time> {
+        match *self {
+            Phase::Draining(since) | Phase::Requested(since) => Some(since),
+            Phase::Retry { free_since, .. } => Some(free_since),
+            Phase::Begun(_) | Phase::Down => None,
+        }
+    }
+}
+
 /// A rollout whose machines aren't all back.
 #[derive(Clone, Debug)]
 pub(crate) struct Rollout {
@@ -263,12 +276,17 @@
             }
             Err(failure) => {
                 let may_have_begun = failure == Failure::Unknown;
-                rollout.phases.insert(
-                    name.clone(),
-                    Phase::Retry { at: now + REQUEST_RETRY_PAUSE, may_have_begun },
-                );
+                let free_since = rollout.phases.get(name).and_then(Phase::free_since);
+                let free_since = free_since.unwrap_or(now);
+                let at = now + REQUEST_RETRY_PAUSE;
+                let phase = Phase::Retry { at, free_since, may_have_begun };
+                rollout.phases.insert(name.clone(), phase);
                 let detail = format!("wave {number}: {name}: {failure}");
                 self.note(LogEvent::UpkeepDelayed, None, None, None, detail);
+                let is_held_for_long = at >= free_since + DRAIN_TIMEOUT;
+                if !may_have_begun && is_held_for_long && self.has_overdue_task() {
+                    self.abort_drain(number, name);
+                }
             }
         }
         self.schedule_rollouts(now);
@@ -315,7 +333,7 @@
                 Phase::Draining(since) if self.now >= since + DRAIN_TIMEOUT => {
                     self.abort_drain(number, &name)
                 }
-                Phase::Retry { at, may_have_begun }
+                Phase::Retry { at, may_have_begun, .. }
                     if (may_shut_down || may_have_begun) && at <= self.now =>
                 {
                     self.request_maintenance(number, &name)
@@ -400,7 +418,8 @@
     fn request_maintenance(&mut self, number: RolloutNumber, name: &Name) {
         let now = self.now;
         let Some(rollout) = self.rollouts.by_number.get_mut(&number) else { return };
-        rollout.phases.insert(name.clone(), Phase::Requested(now));
+        let free_since = rollout.phases.get(name).and_then(Phase::free_since).unwrap_or(now);
+        rollout.phases.insert(name.clone(), Phase::Requested(free_since));
         if let Some(worker) = self.worker_of(name) {
             self.workers[worker].maintenance_ordered = true;
         }
--- a/crates/planner/src/owner/takeover.rs
+++ b/crates/planner/src/owner/takeover.rs
@@ -142,6 +142,7 @@
         for (run, worker) in placed {
             self.restore_run(run, &worker);
         }
+        self.restore_waits(job, &record.waits);
     }
 
     /// Restores a run on the incarnation that its record names. Whichever incarnation answers
--- a/crates/planner/src/placement/fit.rs
+++ b/crates/planner/src/placement/fit.rs
@@ -5,6 +5,7 @@
 use cowslipchute_base::amount::Amount;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::Step;
+use cowslipchute_ports::job::StepId;
 use cowslipchute_ports::job::TaskId;
 use smallvec::SmallVec;
 
@@ -88,6 +89,15 @@
     }
 }
 
+/// Restrictions of workers that give way to a task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Precedence {
+    /// Workers that are reserved for other steps take it.
+    pub(crate) over_reservations: bool,
+    /// Workers on which tasks of its step are on probation take it.
+    pub(crate) shares_probation: bool,
+}
+
 /// A task of a step to be placed, with the values that are the same for all workers.
 pub(crate) struct Request<'a> {
     task: TaskId,
@@ -95,6 +105,7 @@
     reserved: Amount,
     /// Interference with latency-critical images, if it is a best-effort task.
     profile: Option<Profile>,
+    precedence: Precedence,
 }
 
 impl<'a> Request<'a> {
@@ -104,7 +115,17 @@
             let image = step.image.clone().unwrap_or_else(|| NO_IMAGE.into());
             model.profile(&image)
         });
-        Request { task, step, reserved, profile }
+        Request { task, step, reserved, profile, precedence: Precedence::default() }
+    }
+
+    /// Returns the request with a precedence.
+    pub(crate) fn with(self, precedence: Precedence) -> Request<'a> {
+        Request { precedence, ..self }
+    }
+
+    /// Returns the step whose tasks on probation the task may share a worker with, if it may.
+    pub(crate) fn shared_probation(&self) -> Option<StepId> {
+        self.precedence.shares_probation.then(|| self.task.step_id())
     }
 
     /// Makes this a request for another task of the same step.
@@ -138,6 +159,8 @@
         self.is_usable(worker)
             && !worker.draining_for_maintenance
             && worker.closed_until <= self.now
+            && worker.slow_until <= self.now
+            && worker.quarantined_until <= self.now
     }
 
     /// Returns `true` if a worker may take a task.
@@ -153,7 +176,7 @@
 
     /// Returns the first reason why a worker can't take a task, if there is one.
     pub(crate) fn misfit(&self, worker: &Worker, request: &Request<'_>) -> Option<Misfit> {
-        let Request { task, step, reserved, .. } = request;
+        let Request { task, step, reserved, precedence, .. } = request;
         let id = task.step_id();
         if !reserved.fits_within(worker.room()) {
             return Some(Misfit::Room);
@@ -162,6 +185,7 @@
         // is reserved for could wait for each other.
         let is_reserved = worker.reserved_for.is_some_and(|other| other != id)
             && !step.best_effort
+            && !precedence.over_reservations
             && !worker.is_isolated_for(id);
         if is_reserved {
             return Some(Misfit::Reserved);
@@ -169,7 +193,8 @@
         if worker.is_isolated_for_other(id, self.now) {
             return Some(Misfit::Isolated);
         }
-        if worker.has_recent_probation_start(id, step.gang, self.now) {
+        let shares = step.gang || precedence.shares_probation;
+        if worker.has_recent_probation_start(id, shares, self.now) {
             return Some(Misfit::Probation);
         }
         self.ineligibility(worker, request)
--- a/crates/planner/src/placement/gang.rs
+++ b/crates/planner/src/placement/gang.rs
@@ -14,7 +14,7 @@
 use crate::placement::fit::Request;
 use crate::planner::Planner;
 use crate::queue::job::Place;
-use crate::service::service_wait::Gate;
+use crate::service::decision::Gate;
 use crate::service::way::Way;
 use crate::workers::host::Reason;
 use crate::workers::worker::WorkerId;
@@ -34,7 +34,7 @@
             return Some(Gate::GangMembers);
         }
         let since = self.probation_since(step);
-        let suitable = since.map(|since| self.probation_workers(since, open));
+        let suitable = since.map(|since| self.probation_workers(since, open, None));
         let usable = suitable.as_deref().unwrap_or(open);
         if self.count_slots(step, spec, usable, is_starving) < u64::from(spec.count) {
             let Some(since) = since else { return Some(Gate::GangRoom) };
--- a/crates/planner/src/placement/pin.rs
+++ b/crates/planner/src/placement/pin.rs
@@ -26,6 +26,7 @@
 use cowslipchute_ports::job::TaskId;
 
 use crate::owner::rate_limit::START_RETRY;
+use crate::placement::fit::Precedence;
 use crate::placement::fit::Request;
 use crate::planner::Planner;
 use crate::queue::job::Place;
@@ -201,10 +202,13 @@
             self.query_advice(task.step_id(), step, advice, &[worker]);
             return;
         }
-        if !self.may_start(task, worker) {
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let shares_probation = state.is_some_and(|state| self.shares_probation(step, state));
+        let precedence = Precedence { shares_probation, ..Precedence::default() };
+        let request = Request::new(&self.interference, task, step).with(precedence);
+        if !self.may_start(task, worker, request.shared_probation()) {
             return;
         }
-        let request = Request::new(&self.interference, task, step);
         if self.has_room(&self.workers[worker], &request) {
             self.assign(task, worker);
             self.log_service_placement(task, worker, Way::Pin);
@@ -227,11 +231,12 @@
     }
 
     /// Returns `true` unless a task is on probation and the worker isn't suitable for that.
-    fn may_start(&self, task: TaskId, worker: WorkerId) -> bool {
+    fn may_start(&self, task: TaskId, worker: WorkerId, shared: Option<StepId>) -> bool {
         let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
         let on_probation = state.filter(|state| state.is_on_probation());
-        on_probation
-            .is_none_or(|state| !self.probation_workers(state.waiting_since, &[worker]).is_empty())
+        on_probation.is_none_or(|state| {
+            !self.probation_workers(state.waiting_since, &[worker], shared).is_empty()
+        })
     }
 }
 
--- a/crates/planner/src/placement/place.rs
+++ b/crates/planner/src/placement/place.rs
@@ -6,6 +6,7 @@
 
 use cowslipchute_base::event::Event as LogEvent;
 use cowslipchute_base::id;
+use cowslipchute_base::id::Time;
 use cowslipchute_ports::deployment::Queue;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::JobId;
@@ -19,17 +20,18 @@
 use crate::capacity::idle::Spare;
 use crate::capacity::reservation::Unplaced;
 use crate::owner::rate_limit::START_RETRY;
+use crate::placement::fit::Precedence;
 use crate::placement::fit::Request;
 use crate::placement::refused::Refused;
 use crate::planner::Planner;
 use crate::queue::bypass::BYPASS_INTERVAL;
 use crate::queue::bypass::Placement;
 use crate::queue::job::Place;
+use crate::service::decision::Decision;
+use crate::service::decision::Gate;
+use crate::service::decision::Outcome;
 use crate::service::overdue::Urgency;
 use crate::service::reclaim::Reclaim;
-use crate::service::service_wait::Decision;
-use crate::service::service_wait::Gate;
-use crate::service::service_wait::Outcome;
 use crate::service::way::Way;
 use crate::workers::command::Timer;
 use crate::workers::host::Hosted;
@@ -56,8 +58,6 @@
     places_best_effort: bool,
     /// Free capacity of each worker of a service, filled in when a service step first needs it.
     rooms: Rooms,
-    /// The same as an observer sees it ([`crate::service::overdue`]).
-    seen: Rooms,
     /// Steps for which a worker may be reserved.
     unplaced: Vec<Unplaced>,
     /// Services whose jobs yield to service tasks ([`crate::service::reclaim`]).
@@ -79,13 +79,14 @@
         self.place_pinned();
         self.drop_reservations();
         self.use_reservations();
+        self.update_watches();
+        self.place_overdue();
         let mut pass = Pass {
             refused: Vec::new(),
             open,
             mostly_free,
             places_best_effort,
             rooms: Vec::new(),
-            seen: Vec::new(),
             unplaced: Vec::new(),
             reclaiming: Vec::new(),
         };
@@ -170,7 +171,6 @@
             pass.unplaced.extend(Unplaced::of(self, step, spec));
             if spec.long_running {
                 self.update_idle(step, 0);
-                self.update_watch(step, spec, &mut pass.seen);
             }
             return decision;
         }
@@ -193,11 +193,8 @@
             return decision;
         }
         let choice = Choice { workers: &open, is_narrowed: decision.near < decision.open };
-        let mut spare = self.spare(step, spec, choice, &mut pass.rooms, &mut pass.seen);
+        let mut spare = self.spare(step, spec, choice, &mut pass.rooms);
         decision.outcome = self.place_tasks(step, spec, &open, &mut spare);
-        if spec.long_running && decision.outcome.placed > 0 {
-            pass.seen.clear();
-        }
         if decision.outcome.gate != Some(Gate::NoWorker) {
             if let Some(since) = self.probation_since(step) {
                 self.isolate_workers(step, spec, since, &open);
@@ -282,16 +279,16 @@
         let mut outcome = Outcome::default();
         let Some(state) = self.jobs[&step.job].step(step) else { return outcome };
         // A service task that has run before may get its capacity back, so those come first.
-        let mut tasks: Vec<(u32, Urgency)> = state
+        let mut tasks: Vec<(u32, Urgency, Time)> = state
             .tasks
             .iter()
             .enumerate()
             .map(|(index, task)| (index as u32, task))
             .filter(|(index, task)| task.is_ready(self.now) && !self.is_pinned(step.task(*index)))
-            .map(|(index, task)| (index, self.urgency(task)))
+            .map(|(index, task)| (index, self.urgency(task), task.waiting_since))
             .collect();
-        tasks.sort_by_key(|&(_, urgency)| urgency);
-        let first = tasks.first().map_or(Urgency::New, |&(_, urgency)| urgency);
+        tasks.sort_by_key(|&(_, urgency, since)| (urgency, since));
+        let first = tasks.first().map_or(Urgency::New, |&(_, urgency, _)| urgency);
         if spec.long_running && self.service_way(spec, spare, first).is_none() {
             self.wait_for_spare();
             return outcome.refused(Gate::Reserve(*spare));
@@ -299,7 +296,7 @@
         let mut request = Request::new(&self.interference, step.task(0), spec);
         self.scores += open.len() as u64;
         let mut candidates = self.candidates(&request, open);
-        for (index, urgency) in tasks {
+        for (index, urgency, _) in tasks {
             if !self.start_window.admits(step.job) {
                 return outcome.refused(Gate::StartWindow);
             }
@@ -319,6 +316,8 @@
             let task = step.task(index);
             request.set_task(task);
             let state = self.jobs[&task.job].task(task);
+            let shares_probation = state.is_some_and(|state| self.shares_probation(spec, state));
+            request = request.with(Precedence { shares_probation, ..Precedence::default() });
             let avoided = state.and_then(|task| task.avoided_worker);
             let suspected = state.is_some_and(|task| !task.crashed.is_empty());
             let probation =
--- a/crates/planner/src/queue/end.rs
+++ b/crates/planner/src/queue/end.rs
@@ -107,7 +107,10 @@
             if latest_checkpoint.is_some() {
                 task.checkpoint = latest_checkpoint;
             }
-            task.waiting_since = now;
+            let never_began = hosted.as_ref().is_some_and(Hosted::never_began);
+            if !long_running || !never_began {
+                task.waiting_since = now;
+            }
             task.not_before = restart_time(now, how);
             if how == EndReason::Failed {
                 task.avoided_worker = Some(worker);
@@ -175,7 +178,7 @@
         let now = self.now;
         let Some(state) = self.workers.get_mut(worker) else { return };
         let Some(until) = state.health.record_failure(now) else { return };
-        state.closed_until = state.closed_until.max(until);
+        state.quarantined_until = state.quarantined_until.max(until);
         let name = state.name.clone();
         let detail = format!("for {} ms", (until - now).as_millis());
         self.note(LogEvent::WorkerQuarantined, None, None, Some(name), detail);
--- a/crates/planner/src/queue/job.rs
+++ b/crates/planner/src/queue/job.rs
@@ -20,8 +20,8 @@
 use crate::records::record;
 use crate::records::record::Attempts;
 use crate::records::record::Record;
+use crate::service::decision::Decision;
 use crate::service::overdue::Watch;
-use crate::service::service_wait::Decision;
 use crate::workers::worker::WorkerId;
 
 /// Number of failed runs after which a job fails if the configuration doesn't name its queue.
@@ -455,6 +455,7 @@
             occurrences: unfinished().map(|occurrence| occurrence.record(&incarnation)).collect(),
             crashes: unfinished().flat_map(Occurrence::crashes).collect(),
             outstanding: Vec::new(),
+            waits: Vec::new(),
         }
     }
 }
--- a/crates/planner/src/queue/occurrence.rs
+++ b/crates/planner/src/queue/occurrence.rs
@@ -45,9 +45,14 @@
     }
 
     /// Converts a wall-clock time to the monotonic clock.
-    fn monotonic_time(&self, wall: Duration) -> Option<Time> {
+    pub(crate) fn monotonic_time(&self, wall: Duration) -> Option<Time> {
         Some(wall.saturating_sub(self.base?))
     }
+
+    /// Converts a monotonic time to the wall clock.
+    pub(crate) fn wall_time(&self, time: Time) -> Option<Duration> {
+        Some(self.base? + time)
+    }
 }
 
 impl Planner {
--- a/crates/planner/src/queue/starvation.rs
+++ b/crates/planner/src/queue/starvation.rs
@@ -62,7 +62,7 @@
         let trusted = tasks().find(|(_, task)| !task.is_on_probation());
         let Some((index, task)) = trusted.or_else(|| tasks().next()) else { return };
         let probation_workers =
-            task.is_on_probation().then(|| self.probation_workers(task.waiting_since, open));
+            task.is_on_probation().then(|| self.probation_workers(task.waiting_since, open, None));
         let open = probation_workers.as_deref().unwrap_or(open);
         let id = step.task(index);
         if let Some(worker) =
--- a/crates/planner/src/records/record.rs
+++ b/crates/planner/src/records/record.rs
@@ -5,6 +5,8 @@
 
 mod v1;
 
+use std::time::Duration;
+
 use cowslipchute_base::id;
 use cowslipchute_ports::executor::Incarnation;
 use cowslipchute_ports::job;
@@ -17,7 +19,9 @@
 /// read.
 const VALUE_VERSION: u8 = 1;
 /// First byte of a job's record.
-const RECORD_VERSION: u8 = 3;
+const RECORD_VERSION: u8 = 4;
+/// First byte of a record that holds outstanding starts, unlike version 2, but no waits.
+const RECORD_VERSION_3: u8 = 3;
 /// First byte of a record that names incarnations of workers, unlike version 1, but holds no
 /// outstanding starts.
 const RECORD_VERSION_2: u8 = 2;
@@ -65,6 +69,25 @@
     pub crashes: Vec<Crashes>,
     /// Starts that went unanswered and may still be carried out.
     pub outstanding: Vec<Outstanding>,
+    /// Waits of service tasks.
+    pub waits: Vec<Wait>,
+}
+
+/// A record of version 3, which holds no waits.
+#[derive(Deserialize)]
+struct RecordV3 {
+    started: bool,
+    opened: u32,
+    occurrences: Vec<Occurrence>,
+    crashes: Vec<Crashes>,
+    outstanding: Vec<Outstanding>,
+}
+
+impl From<RecordV3> for Record {
+    fn from(record: RecordV3) -> Record {
+        let RecordV3 { started, opened, occurrences, crashes, outstanding } = record;
+        Record { started, opened, occurrences, crashes, outstanding, waits: Vec::new() }
+    }
 }
 
 /// A record of version 2, which holds no outstanding starts.
@@ -79,7 +102,8 @@
 impl From<RecordV2> for Record {
     fn from(record: RecordV2) -> Record {
         let RecordV2 { started, opened, occurrences, crashes } = record;
-        Record { started, opened, occurrences, crashes, outstanding: Vec::new() }
+        let (outstanding, waits) = (Vec::new(), Vec::new());
+        Record { started, opened, occurrences, crashes, outstanding, waits }
     }
 }
 
@@ -108,6 +132,32 @@
     }
 }
 
+/// Wait of a service task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Wait {
+    /// The occurrence of its job.
+    pub occurrence: job::Occurrence,
+    /// Its step.
+    pub step: job::StepIndex,
+    /// Index of the task in the step.
+    pub index: id::TaskIndex,
+    /// When it began, in Unix milliseconds.
+    pub since_ms: u64,
+}
+
+impl Wait {
+    pub(crate) fn new(task: job::TaskId, since: Duration) -> Wait {
+        let job::TaskId { occurrence, step, index, .. } = task;
+        Wait { occurrence, step, index, since_ms: since.as_millis() as u64 }
+    }
+
+    /// Returns when it began, as time since the Unix epoch.
+    pub(crate) fn since(&self) -> Duration {
+        Duration::from_millis(self.since_ms)
+    }
+}
+
 /// Crashes counted against a task that may crash its workers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -136,6 +186,7 @@
     pub fn decode(bytes: &[u8]) -> Result<Record, Error> {
         match bytes.split_first() {
             Some((&RECORD_VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+            Some((&RECORD_VERSION_3, rest)) => Ok(postcard::from_bytes::<RecordV3>(rest)?.into()),
             Some((&RECORD_VERSION_2, rest)) => Ok(postcard::from_bytes::<RecordV2>(rest)?.into()),
             Some((&VALUE_VERSION, rest)) => Ok(v1::decode(rest)?),
             _ => Err(Error::Version),
--- a/crates/planner/src/records/write.rs
+++ b/crates/planner/src/records/write.rs
@@ -120,7 +120,11 @@
     }
 
     fn record(&self, id: JobId, job: &Job) -> Record {
-        Record { outstanding: self.outstanding_starts(id), ..job.record(|id| self.incarnation(id)) }
+        Record {
+            outstanding: self.outstanding_starts(id),
+            waits: self.waits(id),
+            ..job.record(|id| self.incarnation(id))
+        }
     }
 
     fn incarnation(&self, worker: WorkerId) -> Option<Incarnation> {
--- a/crates/planner/src/service/overdue.rs
+++ b/crates/planner/src/service/overdue.rs
@@ -6,10 +6,10 @@
 //! none. A task that waits beside such capacity for three seconds counts as lost, although the
 //! owner never had any to give.
 //!
-//! So for a service task that has run before and has waited for long, capacity that starts of short
-//! tasks are on their way to counts as free too. Once there has been enough for two all the time
-//! for a while, the task takes the next worker with room for it, before the short tasks, or has one
-//! reserved.
+//! So for a service task that has waited for long, capacity that starts of short tasks are on their
+//! way to counts as free too. Once there has been enough for two all the time for a while, the task
+//! takes the next worker with room for it, before the short tasks ([`crate::service::order`]), or
+//! has one reserved.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -18,7 +18,6 @@
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::executor::Run;
-use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::StepId;
 
 use crate::capacity::idle;
@@ -27,23 +26,25 @@
 use crate::planner::Planner;
 use crate::queue::job::Place;
 use crate::queue::job::Task;
-use crate::service::service_wait::LONG_WAIT;
+use crate::service::age::LONG_WAIT;
+use crate::service::order::Restriction;
+use crate::workers::command::Timer;
 use crate::workers::host::Stage;
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerId;
 
-/// Time for which there has been capacity for two before an overdue task takes the next. Longer than
-/// a pause between two short jobs, which leaves such capacity too, and short compared with the time
-/// between two looks of an observer.
-const PAIR_DELAY: Duration = Duration::from_millis(400);
+/// Age from which the capacity beside a waiting task is watched: early enough for the longest of the
+/// times after which the reserve gives way to an overdue task.
+const WATCH_DELAY: Duration = Duration::from_secs(1);
+/// Maximum interval at which capacity for two that waiting tasks are beside is checked again:
+/// shorter than [`MAX_UPDATE_GAP`], after which it would count as seen for the first time.
+const PAIR_CHECK_INTERVAL: Duration = Duration::from_millis(1000);
 /// Number of pending starts up to which settled ones aren't removed.
 const MIN_PRUNED_STARTS: usize = 64;
 
 /// Urgency of a waiting service task, the most urgent first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Urgency {
-    /// It has run before and has waited for long.
-    Overdue,
     /// It has run before.
     Returning,
     /// It has never run.
@@ -75,9 +76,20 @@
         self.slots
     }
 
-    /// Returns `true` if there has been capacity for two for long enough.
-    fn is_due(&self, now: Time) -> bool {
-        now < self.updated + MAX_UPDATE_GAP && self.pair_time(now) >= PAIR_DELAY
+    /// Returns `true` if there has been capacity for two for the time `span`.
+    fn has_pair_for(&self, span: Duration, now: Time) -> bool {
+        now < self.updated + MAX_UPDATE_GAP && self.pair_time(now) >= span
+    }
+
+    /// Returns when a restriction may give way next to a task that has waited since `since`, if
+    /// there is capacity for two.
+    fn next_check(&self, since: Time, now: Time) -> Option<Time> {
+        let pair_since = self.pair_since?;
+        let overdue_at = since + LONG_WAIT;
+        let times = Restriction::ALL
+            .map(|restriction| overdue_at.max(pair_since + restriction.pair_time()));
+        let next = times.into_iter().filter(|&at| at > now).min();
+        Some(next.unwrap_or(Time::MAX).min(now + PAIR_CHECK_INTERVAL))
     }
 
     /// Returns for how long there has been capacity for two.
@@ -97,13 +109,7 @@
 impl Planner {
     /// Returns how urgent a waiting service task is.
     pub(crate) fn urgency(&self, task: &Task) -> Urgency {
-        if task.attempt == 0 {
-            Urgency::New
-        } else if self.is_overdue(task) {
-            Urgency::Overdue
-        } else {
-            Urgency::Returning
-        }
+        if task.attempt == 0 { Urgency::New } else { Urgency::Returning }
     }
 
     /// Records that a short task was assigned.
@@ -126,44 +132,58 @@
         self.short_starts = starts;
     }
 
-    /// Updates what an observer has seen beside the waiting tasks of a service step. Returns the
-    /// number of overdue tasks that may be placed because of it.
-    pub(crate) fn update_watch(&mut self, step: StepId, spec: &Step, seen: &mut Rooms) -> u32 {
-        if !self.is_watched(step) {
-            return 0;
+    /// Updates what an observer has seen beside the waiting service tasks of each step.
+    pub(crate) fn update_watches(&mut self) {
+        let mut seen: Rooms = Vec::new();
+        for step in self.watched_steps() {
+            let demand = self.jobs[&step.job].spec(step.step).demand;
+            let service = self.service(step.job);
+            let known = seen.iter().position(|(name, _)| *name == service);
+            let index = known.unwrap_or_else(|| {
+                let rooms = self.seen_rooms(&service);
+                seen.push((service, rooms));
+                seen.len() - 1
+            });
+            let slots = idle::count_slots(&seen[index].1, demand);
+            let now = self.now;
+            let state = self.jobs.get_mut(&step.job).and_then(|job| job.step_mut(step));
+            let Some(state) = state else { continue };
+            state.watch.update(now, slots);
+            let waiting = state.tasks.iter().filter(|task| task.place == Place::Waiting);
+            let oldest = waiting.map(|task| task.waiting_since).min();
+            if let Some(at) = oldest.and_then(|since| state.watch.next_check(since, now)) {
+                self.timers.insert((at, Timer::Place));
+            }
         }
-        let service = self.service(step.job);
-        let known = seen.iter().position(|(name, _)| *name == service);
-        let index = known.unwrap_or_else(|| {
-            let rooms = self.seen_rooms(&service);
-            seen.push((service, rooms));
-            seen.len() - 1
-        });
-        let slots = idle::count_slots(&seen[index].1, spec.demand);
-        let now = self.now;
-        let state = self.jobs.get_mut(&step.job).and_then(|job| job.step_mut(step));
-        let Some(state) = state else { return 0 };
-        state.watch.update(now, slots);
-        if state.watch.is_due(now) { slots.saturating_sub(1) } else { 0 }
     }
 
-    /// Returns `true` if a task is overdue beside capacity that an observer sees as free.
+    /// Returns `true` if a task is overdue beside capacity that an observer sees as free, so that
+    /// the reserve for short tasks gives way to it.
     pub(crate) fn is_overdue_beside_room(&self, step: StepId, task: &Task) -> bool {
         let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
-        let is_due = state.is_some_and(|state| state.watch.is_due(self.now));
-        is_due && self.urgency(task) == Urgency::Overdue
+        let span = Restriction::reserve_for(task).pair_time();
+        self.is_overdue(task) && state.is_some_and(|state| state.watch.has_pair_for(span, self.now))
     }
 
-    /// Returns `true` if a task of a step may be overdue before there can have been capacity for
-    /// two for long enough.
-    fn is_watched(&self, step: StepId) -> bool {
-        let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
-        let mut tasks = state.into_iter().flat_map(|state| &state.tasks);
-        tasks.any(|task| {
-            task.place == Place::Waiting
-                && task.attempt > 0
-                && self.now + PAIR_DELAY >= task.waiting_since + LONG_WAIT
-        })
+    /// Returns the service steps with a task that has waited for long enough to watch the capacity
+    /// beside it. Gangs are placed as a whole.
+    pub(crate) fn watched_steps(&self) -> Vec<StepId> {
+        let mut watched = Vec::new();
+        for &id in &self.waiting {
+            let Some(job) = self.jobs.get(&id).filter(|job| job.has_service_step()) else {
+                continue;
+            };
+            let is_watched = |step: &StepId| {
+                let spec = job.spec(step.step);
+                let mut tasks = job.step(*step).into_iter().flat_map(|state| &state.tasks);
+                spec.long_running
+                    && !spec.gang
+                    && tasks
+                        .any(|task| task.place == Place::Waiting && self.age(task) >= WATCH_DELAY)
+            };
+            watched.extend(job.waiting_steps(id).into_iter().filter(is_watched));
+        }
+        watched
     }
 
     /// Returns the capacity of each worker of a service that an observer sees as free, the most CPU
--- a/crates/planner/src/workers/command.rs
+++ b/crates/planner/src/workers/command.rs
@@ -156,7 +156,7 @@
         };
         self.actions.push(Action::Start { target, start });
         let state = &mut self.workers[worker];
-        state.last_start_sent = self.now;
+        state.record_start(run.task.step_id(), self.now);
         if let Some(hosted) = state.runs.get_mut(&run) {
             hosted.start_first_sent.get_or_insert(self.now);
             hosted.starts_sent += 1;
--- a/crates/planner/src/workers/worker.rs
+++ b/crates/planner/src/workers/worker.rs
@@ -157,6 +157,10 @@
     pub(crate) suspects: u32,
     /// When a start was last sent to it.
     pub(crate) last_start_sent: Time,
+    /// The step of that start.
+    pub(crate) last_start_step: Option<StepId>,
+    /// When a start of another step was last sent to it.
+    pub(crate) other_start_sent: Time,
     /// `None` if something has changed since it was computed.
     pub(crate) colocation: Option<Colocation>,
     /// CPU use of best-effort images at the last measurement.
@@ -165,6 +169,10 @@
     pub(crate) measured_at: Time,
     /// Earliest time of the next placement on it.
     pub(crate) closed_until: Time,
+    /// Until when nothing is placed on it since its runs are slow.
+    pub(crate) slow_until: Time,
+    /// Until when nothing is placed on it since runs there have failed.
+    pub(crate) quarantined_until: Time,
     /// The step for whose next task it is reserved.
     pub(crate) reserved_for: Option<StepId>,
     /// The step on probation for which it is isolated, so that nothing else is started on it.
@@ -205,10 +213,14 @@
             health: Health::default(),
             suspects: 0,
             last_start_sent: Time::ZERO,
+            last_start_step: None,
+            other_start_sent: Time::ZERO,
             colocation: None,
             shares: Shares::new(),
             measured_at: Time::ZERO,
             closed_until: Time::ZERO,
+            slow_until: Time::ZERO,
+            quarantined_until: Time::ZERO,
             reserved_for: None,
             isolated_for: None,
         }
--- a/crates/planner/tests/record.rs
+++ b/crates/planner/tests/record.rs
@@ -6,6 +6,7 @@
 use cowslipchute_planner::record::Outstanding;
 use cowslipchute_planner::record::Record;
 use cowslipchute_planner::record::Task;
+use cowslipchute_planner::record::Wait;
 use cowslipchute_ports::executor::Incarnation;
 
 fn incarnation(born: Option<id::Incarnation>) -> Incarnation {
@@ -34,6 +35,24 @@
     assert_eq!(Record::decode(&record.encode()).unwrap(), record);
 }
 
+#[test]
+fn waits_are_kept() {
+    let wait = Wait { occurrence: 0, step: 0, index: 0, since_ms: 1_780_000_000_000 };
+    let record = Record { waits: vec![wait], ..started_record() };
+    assert_eq!(Record::decode(&record.encode()).unwrap(), record);
+}
+
+/// The record above with an outstanding start, as version 3 encoded it.
+const RECORD_V3: &[u8] =
+    b"\x03\x01\x01\x01\x00\x01\x01\x02\x00\x00\x01\x02w1\x01\x80\x90\x92\x82\xe73\x00\x00\x01\x00\x00\x00\x02w1";
+
+#[test]
+fn a_record_of_before_waits_were_kept_has_none() {
+    let start = Outstanding { occurrence: 0, step: 0, index: 0, worker: "w1".into() };
+    let record = Record { outstanding: vec![start], ..started_record() };
+    assert_eq!(Record::decode(RECORD_V3).unwrap(), record);
+}
+
 /// The record above, as version 2 encoded it.
 const RECORD_V2: &[u8] =
     b"\x02\x01\x01\x01\x00\x01\x01\x02\x00\x00\x01\x02w1\x01\x80\x90\x92\x82\xe73\x00\x00";
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -183,6 +183,7 @@
     lasting_start_lost = { "lasting_start_lost" },
     lasting_start_on_the_way = { "lasting_start_on_the_way" },
     lasting_upkeep_down = { "lasting_upkeep_down" },
+    lasting_upkeep_refused = { "lasting_upkeep_refused" },
     lasting_waits = { "lasting_waits" },
     lost_start = { "lost_start" },
     many_fills_wait = { "many_fills_wait" },
