--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -206,6 +206,7 @@
     probation_busy = { "probation_busy" },
     probation_fills = { "probation_fills" },
     probation_gang = { "probation_gang" },
+    probation_shared = { "probation_shared" },
     rack_lost = { "rack_lost" },
     rebirth = { "rebirth" },
     reserve = { "reserve" },
