--- a/crates/planner/src/owner/census.rs
+++ b/crates/planner/src/owner/census.rs
@@ -108,6 +108,8 @@
     /// Returns the accounts of queues and size classes, which are none if the feature is off.
     pub fn shares(&self) -> &[(Arc<str>, Class, Status)] {
         &self.shares
+    }
+
     /// Returns how many speed limits were decided since the ownership began, by direction.
     pub fn speed_changes(&self) -> impl Iterator<Item = (&'static str, u64)> + use<> {
         let SpeedChanges { lowered, raised } = self.speed_changes;
@@ -135,6 +137,7 @@
 
     /// Counts the jobs, tasks and workers of the cell.
     pub fn census(&self) -> Census {
+        let foresees = self.settings.features.colocation_forecast;
         let mut census = Census {
             scores: self.scores,
             evacuated: self.evacuated_runs(),
@@ -142,15 +145,6 @@
             contacts: self.contacts(),
             durations: self.durations.quantiles(DURATION_QUANTILES.map(|(_, rank)| rank)),
             shares: self.shares.statuses(self.now),
-        let evacuated = self.evacuated_runs();
-        let returned = self.service_waits.returned;
-        let contacts = self.contacts();
-        let foresees = self.settings.features.colocation_forecast;
-        let mut census = Census {
-            scores: self.scores,
-            evacuated,
-            returned,
-            contacts,
             speed_changes: self.speed_changes,
             forecast_factors: foresees.then(|| self.forecast_factors.per_mille()),
             ..Census::default()
--- a/crates/planner/src/queue/job.rs
+++ b/crates/planner/src/queue/job.rs
@@ -318,6 +318,7 @@
             occurrences: unfinished().map(|occurrence| occurrence.record(&incarnation)).collect(),
             crashes: unfinished().flat_map(Occurrence::crashes).collect(),
             outstanding: Vec::new(),
+            waits: Vec::new(),
         }
     }
 }
--- a/crates/planner/src/queue/step.rs
+++ b/crates/planner/src/queue/step.rs
@@ -13,8 +13,8 @@
 use crate::queue::task::Place;
 use crate::queue::task::Task;
 use crate::records::record;
+use crate::service::decision::Decision;
 use crate::service::overdue::Watch;
-use crate::service::service_wait::Decision;
 use crate::workers::worker::WorkerId;
 
 /// A step of a job.
