--- a/crates/planner/tests/learnt.rs
+++ b/crates/planner/tests/learnt.rs
@@ -3,8 +3,6 @@
 use cowslipchute_planner::estimates::Estimates;
 use cowslipchute_planner::record;
 
-/// Size in bytes of the last field without content: the number of its classes.
-const LAST_FIELD: usize = 1;
 /// Size of the last field in bytes: one number for each of four horizons.
 const LAST_FIELD: usize = 4 * size_of::<f64>();
 
--- a/crates/planner/tests/world/tail.rs
+++ b/crates/planner/tests/world/tail.rs
@@ -15,7 +15,7 @@
     /// Returns the factor by which a task takes longer.
     pub fn factor(self, task: TaskId) -> u32 {
         let position = u64::from(task.step) << 32 | u64::from(task.index);
-        let hash = scramble(scramble(task.job as u64) ^ position);
+        let hash = scramble(scramble(task.job) ^ position);
         if hash % 1000 < self.thousandths { self.factor } else { 1 }
     }
 }
