--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -166,9 +166,9 @@
     304 ConfigConflict Info "An operator's change was based on another revision and was refused.";
     305 ConfigSettled Info "A read of the store showed whether a change whose answer was lost had been made.";
     306 ConfigInvalid Warning "A stored resource can't be parsed; the last valid revision stays in force.";
-    318 DurationsLearnt Info "Actual durations of a queue's tasks, as a multiple of their estimates, are known or have changed; median and tail are given.";
     315 ShareBehind Info "Jobs of a queue and size go ahead of their rank, since less of their work was in time than their share for longer than a second; the inputs are given.";
     316 ShareRestored Info "Jobs of a queue and size don't go ahead any more, since their share is reached or they are too few; the inputs are given.";
+    318 DurationsLearnt Info "Actual durations of a queue's tasks, as a multiple of their estimates, are known or have changed; median and tail are given.";
     323 StartOutstanding Info "A task has completed while one of its starts is unanswered; the worker that may still carry it out and for how long are given.";
     324 StartedLate Warning "A worker has carried out a start after its task had completed; how long ago that was, and since when the worker's incarnation is known, are given.";
 }
