--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -1,5 +1,7 @@
 //! Runs the cell while this process owns it: passes events to the planner and executes its actions.
 
+mod calls;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -11,7 +13,6 @@
 use cowslipchute_planner::action::Change as RecordChange;
 use cowslipchute_planner::action::Note;
 use cowslipchute_planner::backpressure::Load;
-use cowslipchute_planner::estimates::Estimates;
 use cowslipchute_planner::event::BatchNumber;
 use cowslipchute_planner::event::Event;
 use cowslipchute_planner::planner::Contacts;
@@ -28,14 +29,11 @@
 use crate::config::Current;
 use crate::directory;
 use crate::election::Notice;
-use crate::evacuations::Evacuations;
 use crate::event;
 use crate::inbox;
 use crate::inbox::Queued;
-use crate::keys;
 use crate::lease::Lease;
 use crate::log::Log;
-use crate::recovery;
 use crate::retention;
 use crate::rollouts;
 use crate::rollouts::Status;
@@ -44,15 +42,8 @@
 use crate::turn::Summary;
 use crate::turn::Turn;
 use crate::turn::millis;
-use crate::watcher;
-use crate::watcher::Change;
-use crate::writer::Fenced;
 use crate::writer::Writer;
 
-/// Delay before a failed read of the cell's state is retried.
-const RECOVERY_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Interval between writes of the estimates; short compared to the time that learning them takes.
-const ESTIMATES_INTERVAL: Duration = Duration::from_secs(2);
 /// Fraction of the workers that may be unanswered when a takeover counts as done: a few are gone and
 /// never answer.
 const MAX_UNANSWERED_FRACTION: f64 = 0.1;
@@ -127,7 +118,8 @@
 ) {
     let began = clock::now();
     let store_thread = store_thread::open(&context.log);
-    let loading = store_thread.runtime().spawn(load(context.store.clone(), context.log.clone()));
+    let loading =
+        store_thread.runtime().spawn(calls::load(context.store.clone(), context.log.clone()));
     let (cell, estimates, evacuations) = match loading.await {
         Ok(loaded) => loaded,
         Err(error) => {
@@ -149,7 +141,7 @@
     let mut tasks = JoinSet::new();
     let calls = store_thread.runtime();
     tasks.spawn_on(
-        store_estimates(epoch, writer.clone(), context.planner.clone(), notices.clone()),
+        calls::store_estimates(epoch, writer.clone(), context.planner.clone(), notices.clone()),
         calls,
     );
     tasks.spawn_on(retention::run(store.clone(), epoch, retention, log.clone()), calls);
@@ -160,10 +152,10 @@
         calls,
     );
     tasks.spawn_on(
-        write_batches(epoch, writer, write_receiver, sender.clone(), notices.clone()),
+        calls::write_batches(epoch, writer, write_receiver, sender.clone(), notices.clone()),
         calls,
     );
-    tasks.spawn_on(follow_jobs(store, cell.revision, sender.clone(), log.clone()), calls);
+    tasks.spawn_on(calls::follow_jobs(store, cell.revision, sender.clone(), log.clone()), calls);
     let machines = context.machines.clone();
     tasks.spawn(rollouts::list_machines(machines, context.planner.clone(), sender.clone(), log));
     follow_directory(&context, &sender, &mut tasks);
@@ -190,44 +182,6 @@
     owner.serve(initial_events, receiver).await;
 }
 
-/// Reads what a new owner needs, retrying until the store answers.
-async fn load<S: Store>(store: S, log: Log) -> (recovery::Cell, Option<Estimates>, Evacuations) {
-    let cell = loop {
-        match recovery::read_cell(&store).await {
-            Ok(cell) => break cell,
-            Err(error) => {
-                event!(log, LogEvent::StoreLost, "reason" => error.to_string());
-                tokio::time::sleep(RECOVERY_RETRY_DELAY).await;
-            }
-        }
-    };
-    let estimates = recovery::read_estimates(&store, &log).await;
-    let evacuations = Evacuations::read(&store, &log).await;
-    (cell, estimates, evacuations)
-}
-
-/// Sends the jobs that are stored or changed after a revision.
-async fn follow_jobs<S: Store>(store: S, after: Revision, events: inbox::Sender, log: Log) {
-    let mut changes = watcher::spawn(store, keys::JOBS, Some(after), None, log.clone());
-    while let Some(change) = changes.recv().await {
-        let entries = match change {
-            Change::Snapshot(snapshot) => snapshot.entries,
-            Change::Put(entry) => vec![entry],
-            // Only scheduler processes remove jobs, once they have ended.
-            Change::Deleted { .. } => continue,
-        };
-        for entry in entries {
-            match recovery::decode_job(&entry) {
-                Ok(Some((job, accepted))) => events.send(Event::Job { job, accepted }),
-                Ok(None) => {}
-                Err(error) => {
-                    event!(log, LogEvent::ConfigInvalid, "reason" => error.to_string());
-                }
-            }
-        }
-    }
-}
-
 /// Follows the workers' directory on a separate thread, or on this one if the system refuses a
 /// thread.
 fn follow_directory<S: Store, F, A, M>(
@@ -242,53 +196,6 @@
     }
 }
 
-/// Stores the estimates for the next owner every few seconds, if they have changed.
-async fn store_estimates<S: Store>(
-    epoch: Revision,
-    writer: Writer<S>,
-    planner: SharedPlanner,
-    notices: mpsc::UnboundedSender<Notice>,
-) {
-    let mut stored = None;
-    loop {
-        tokio::time::sleep(ESTIMATES_INTERVAL).await;
-        let estimates = lock(&planner).estimates();
-        if stored.as_ref() == Some(&estimates) {
-            continue;
-        }
-        if writer.write_estimates(&estimates).await.is_err() {
-            // The receiver is dropped only when the process exits.
-            let _ = notices.send(Notice::WriteFenced { epoch });
-            return;
-        }
-        stored = Some(estimates);
-    }
-}
-
-/// Writes batches concurrently as they arrive; overlapping batches are about different jobs.
-async fn write_batches<S: Store>(
-    epoch: Revision,
-    writer: Writer<S>,
-    mut batches: mpsc::UnboundedReceiver<(BatchNumber, Vec<RecordChange>)>,
-    events: inbox::Sender,
-    notices: mpsc::UnboundedSender<Notice>,
-) {
-    let mut writes = JoinSet::new();
-    while let Some((batch, changes)) = batches.recv().await {
-        let writer = writer.clone();
-        let events = events.clone();
-        let notices = notices.clone();
-        writes.spawn(async move {
-            // The receiver of notices is dropped only when the process exits.
-            match writer.write(&changes).await {
-                Ok(()) => events.send(Event::Written { batch }),
-                Err(Fenced) => drop(notices.send(Notice::WriteFenced { epoch })),
-            }
-        });
-        while writes.try_join_next().is_some() {}
-    }
-}
-
 struct Owner<S, F, A, M> {
     context: Context<S, F, A, M>,
     epoch: Revision,
--- a/crates/planner/src/queue/job.rs
+++ b/crates/planner/src/queue/job.rs
@@ -10,7 +10,6 @@
 use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
-use smallvec::SmallVec;
 
 use crate::queue::durations::Queue;
 use crate::queue::policy::Policy;
@@ -67,8 +66,8 @@
             stored_version: 0,
             end: None,
         };
-        job.work = job.accepted.spec.steps.iter().map(step_work).sum();
-        job.critical_path = job.critical_path_without(|_| false);
+        job.work = job.accepted.spec.work();
+        job.critical_path = job.accepted.spec.critical_path();
         if job.accepted.spec.schedule.is_none() {
             job.open_occurrence(since);
         }
@@ -217,7 +216,7 @@
             .iter()
             .flat_map(|occurrence| occurrence.steps.iter().zip(&self.accepted.spec.steps));
         let open = steps.filter(|(state, step)| state.open && step.best_effort);
-        open.map(|(state, step)| f64::from(state.waiting) * task_work(step)).sum()
+        open.map(|(state, step)| f64::from(state.waiting) * step.task_work()).sum()
     }
 
     /// Returns the core-seconds of the tasks that aren't placed, in open steps and later ones.
@@ -249,7 +248,7 @@
     pub(crate) fn remaining_work(&self) -> f64 {
         let Some(occurrence) = self.occurrences.first() else { return 0.0 };
         let steps = occurrence.steps.iter().zip(&self.accepted.spec.steps);
-        steps.map(|(state, step)| f64::from(step.count - state.done) * task_work(step)).sum()
+        steps.map(|(state, step)| f64::from(step.count - state.done) * step.task_work()).sum()
     }
 
     /// Returns the remaining critical path of its oldest open occurrence, by the client's estimate.
@@ -266,7 +265,7 @@
     /// durations of its queue. Tasks that are done no longer count for the longest of a step.
     pub(crate) fn expected_remaining_path(&self, learnt: &Queue) -> Duration {
         let occurrence = self.occurrences.first();
-        self.critical_path_with(|index, step| {
+        self.accepted.spec.critical_path_by(|index, step| {
             let done = occurrence.map_or(0, |occurrence| occurrence.steps[index].done);
             expected_duration(step, step.count.saturating_sub(done), learnt)
         })
@@ -274,7 +273,7 @@
 
     /// Returns the expected critical path of an occurrence.
     pub(crate) fn expected_path(&self, learnt: &Queue) -> Duration {
-        self.critical_path_with(|_, step| expected_duration(step, step.count, learnt))
+        self.accepted.spec.critical_path_by(|_, step| expected_duration(step, step.count, learnt))
     }
 
     /// Returns the critical path of its oldest occurrence by the durations of its runs, if some of
@@ -282,7 +281,7 @@
     pub(crate) fn actual_path(&self) -> Option<Duration> {
         let steps = &self.occurrences.first()?.steps;
         let is_known = steps.iter().all(|step| !step.longest_run.is_zero());
-        is_known.then(|| self.critical_path_with(|index, _| steps[index].longest_run))
+        is_known.then(|| self.accepted.spec.critical_path_by(|index, _| steps[index].longest_run))
     }
 
     /// Returns the expected time within which an occurrence should be done: clients compute it from
@@ -297,17 +296,7 @@
             true => Duration::ZERO,
             false => step.estimate,
         };
-        self.critical_path_with(duration)
-    }
-
-    /// Returns the critical path for these durations of the steps.
-    fn critical_path_with(&self, duration: impl Fn(usize, &job::Step) -> Duration) -> Duration {
-        let mut end_times: SmallVec<[Duration; 8]> = SmallVec::new();
-        for (index, step) in self.accepted.spec.steps.iter().enumerate() {
-            let start = step.after.iter().map(|&earlier| end_times[usize::from(earlier)]).max();
-            end_times.push(start.unwrap_or_default() + duration(index, step));
-        }
-        end_times.into_iter().max().unwrap_or_default()
+        self.accepted.spec.critical_path_by(duration)
     }
 
     pub(crate) fn record(&self, incarnation: impl Fn(WorkerId) -> Option<Incarnation>) -> Record {
@@ -333,11 +322,3 @@
         _ => step.estimate,
     }
 }
-
-fn step_work(step: &job::Step) -> f64 {
-    f64::from(step.count) * task_work(step)
-}
-
-fn task_work(step: &job::Step) -> f64 {
-    step.estimate.as_secs_f64() * f64::from(step.demand.cpu_milli) / 1e3
-}
