--- a/crates/e2e/tests/settings.rs
+++ b/crates/e2e/tests/settings.rs
@@ -56,6 +56,20 @@
     assert!(found == expected, "docs/SETTINGS.md lags behind the binaries");
 }
 
+#[parameterized(
+    admission = { "--admission" },
+    queue_shares = { "--queue-shares" },
+    learned_durations = { "--learned-durations" },
+    colocation_forecast = { "--colocation-forecast" },
+)]
+fn a_part_that_is_neither_on_nor_off_is_refused(flag: &str) {
+    let output = run("cowslipchute-scheduler", &["--settings=/none", flag, "maybe"]);
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(text.starts_with("error 3000 BadSetting: "), "{text}");
+    assert!(text.contains("`maybe` is neither `on` nor `off`"), "{text}");
+}
+
 #[parameterized(
     entry = { "cowslipchute-entry" },
     placer = { "cowslipchute-placer" },
