--- a/bin/scheduler/src/api.rs
+++ b/bin/scheduler/src/api.rs
@@ -7,7 +7,6 @@
 
 use cowslipchute_admission::demand::Demand;
 use cowslipchute_base::code::Code;
-use cowslipchute_base::code::Outcome;
 use cowslipchute_base::event::Event;
 use cowslipchute_base::id::Time;
 use cowslipchute_planner::record;
@@ -43,8 +42,11 @@
 const PENDING_REFRESH_AGE: Duration = Duration::from_millis(500);
 /// Largest age of the counts that are returned while the cell has no owner.
 const PENDING_MAX_AGE: Duration = Duration::from_millis(2500);
-/// Time for which a client of a request without a timeout of its own is taken to wait.
-const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Assumed timeout of clients whose requests don't state one.
+const DEFAULT_CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Retry-after time of an instance that has too many jobs on their way to the store, or that got no
+/// answer from the owner: a change of the owner takes longer than a second in all.
+const BUSY_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Retry-after time of a process without a configuration where no other process is known. The
 /// operator's first configuration comes within a second of the start.
 const STARTUP_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -62,7 +64,7 @@
     queues: HashMap<Arc<str>, u32>,
 }
 
-/// What the client API uses.
+/// Components that the client API calls.
 #[derive(Clone, Debug)]
 pub struct Dependencies<S> {
     /// Client of the store.
@@ -107,13 +109,13 @@
     async fn get(&self, prefix: &str, job: JobId) -> Result<Option<kv::Entry>, Rejection> {
         let key = keys::for_job(prefix, job);
         if self.dependencies.health.access(clock::now()) == Access::Refuse {
-            return Err(self.unavailable(CLIENT_TIMEOUT).await);
+            return Err(self.unavailable(DEFAULT_CLIENT_TIMEOUT).await);
         }
         let snapshot = match self.dependencies.store.read(&key).await {
             Ok(snapshot) => snapshot,
             Err(error) => {
                 let rejection = Rejection::new(Code::StoreDown, error.to_string());
-                return Err(rejection.retry_after(self.store_retry_after(CLIENT_TIMEOUT)));
+                return Err(rejection.retry_after(self.store_retry_after(DEFAULT_CLIENT_TIMEOUT)));
             }
         };
         Ok(snapshot.entries.into_iter().find(|entry| entry.key == key))
@@ -185,6 +187,17 @@
         }
     }
 
+    /// Returns `true` unless the store answers that it holds neither a job nor its final state. A
+    /// client may repeat a submission that was accepted, and must not be told that it won't run.
+    async fn may_be_stored(&self, job: JobId) -> bool {
+        for prefix in [keys::JOBS, keys::FINAL_STATES] {
+            if !matches!(self.get(prefix, job).await, Ok(None)) {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Attempts once to cancel a job; returns `None` if the job changed meanwhile.
     async fn try_cancel(&self, job: JobId) -> Result<Option<()>, Rejection> {
         let Some(entry) = self.get(keys::JOBS, job).await? else {
@@ -234,7 +247,7 @@
             Err(kv::Error::Unknown(_)) => Ok(None),
             Err(error) => {
                 let rejection = Rejection::new(Code::StoreDown, error.to_string());
-                Err(rejection.retry_after(self.store_retry_after(CLIENT_TIMEOUT)))
+                Err(rejection.retry_after(self.store_retry_after(DEFAULT_CLIENT_TIMEOUT)))
             }
         }
     }
@@ -280,7 +293,10 @@
         if let Some(admission) = &self.dependencies.admission
             && let Some(demand) = Demand::of(job, queue, &spec)
         {
-            admission.decide(&demand)?;
+            match admission.decide(&demand) {
+                Err(rejection) if !self.may_be_stored(job).await => return Err(rejection),
+                _ => {}
+            }
         }
         let accepted = Accepted {
             queue: queue.name.clone(),
@@ -289,9 +305,10 @@
             cancelled: false,
         };
         let written = self.dependencies.submissions.submit(job, &accepted, within).await;
-        written.map_err(|rejection| match rejection.code.outcome() {
-            Outcome::NotRun => rejection.retry_after(self.store_retry_after(within)),
-            Outcome::Answered | Outcome::Unknown => rejection,
+        written.map_err(|rejection| match rejection.code {
+            Code::StoreDown => rejection.retry_after(self.store_retry_after(within)),
+            Code::Busy => rejection.retry_after(BUSY_RETRY_DELAY),
+            _ => rejection,
         })
     }
 
@@ -324,7 +341,7 @@
         }
         self.cached_count(&queue.name, PENDING_MAX_AGE).ok_or_else(|| {
             Rejection::new(Code::OwnerUnknown, "the owner of the cell did not answer")
-                .retry_after(self.store_retry_after(CLIENT_TIMEOUT))
+                .retry_after(BUSY_RETRY_DELAY)
         })
     }
 
--- a/bin/scheduler/src/health.rs
+++ b/bin/scheduler/src/health.rs
@@ -87,8 +87,8 @@
         state.outage = Some(Outage { began_at, sent_at, failed_at: now, probed_at });
     }
 
-    /// Returns the time after which a client should retry that was refused because of the store, and
-    /// that waits for at most `client_timeout`.
+    /// Returns the retry time for a client that is refused because the store is unreachable, and that
+    /// waits for at most `client_timeout` in all.
     pub fn retry_after(&self, now: Time, client_timeout: Duration) -> Duration {
         let state = self.lock();
         let elapsed =
--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -291,10 +291,10 @@
             let Lane { service, priority, class } = &backlog.lane;
             let priority = priority.to_string();
             let labels = [&**service, &priority, class.name()];
-            self.backlog.with_label_values(&labels).set(backlog.work_before(0.0));
+            self.backlog.with_label_values(&labels).set(backlog.work());
             self.backlog_rate.with_label_values(&labels).set(f64::from(backlog.rate));
         }
-        let retries = forecast.map_or(0, |forecast| forecast.retries);
+        let retries = forecast.map_or(0, |forecast| forecast.booked_jobs);
         self.retries.set(i64::from(retries));
     }
 
--- a/bin/scheduler/src/rpc.rs
+++ b/bin/scheduler/src/rpc.rs
@@ -44,8 +44,8 @@
     Pending,
     /// Asks whether the receiver reaches the store.
     StoreReachable,
-    /// Asks for the forecast of waiting work, and reports the jobs that were rejected since the last
-    /// request that was answered.
+    /// Asks for the forecast of waiting work, and reports rejected jobs that the owner hasn't
+    /// confirmed.
     Forecast(Vec<Booking>),
 }
 
--- a/crates/admission/src/calendar.rs
+++ b/crates/admission/src/calendar.rs
@@ -5,7 +5,7 @@
 //! has room. The calendar lives at the owner alone: a new owner knows no booking, so jobs that come
 //! back to it count as new once.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use cowslipchute_base::id::Time;
@@ -21,8 +21,7 @@
 use crate::forecast::BOOKED_SECONDS;
 use crate::forecast::MAX_RETURNING;
 
-/// Number of bookings that an owner keeps; those of a few seconds of a burst at any size that one
-/// owner serves. Further ones are dropped, and their jobs count as new.
+/// Maximum number of bookings. Further ones are dropped, and their jobs count as new.
 const MAX_BOOKINGS: usize = 8192;
 /// Time for which a job may come back before or after the time that it was given: retry times are
 /// rounded to seconds, and clients vary them.
@@ -55,7 +54,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Calendar {
     entries: HashMap<JobId, Entry>,
-    by_time: BTreeMap<(Time, JobId), ()>,
+    by_time: BTreeSet<(Time, JobId)>,
 }
 
 impl Calendar {
@@ -69,10 +68,10 @@
         let due_at = now + booking.due_in;
         let (lane, work) = (booking.lane.clone(), f64::from(booking.work));
         self.entries.insert(booking.job, Entry { lane, work, due_at });
-        self.by_time.insert((due_at, booking.job), ());
+        self.by_time.insert((due_at, booking.job));
     }
 
-    /// Removes the booking of a job, for instance since it was admitted.
+    /// Removes the booking of a job, for instance because it was admitted.
     pub fn remove(&mut self, job: JobId) {
         if let Some(entry) = self.entries.remove(&job) {
             self.by_time.remove(&(entry.due_at, job));
@@ -81,7 +80,7 @@
 
     /// Removes the bookings of jobs that did not come back.
     pub fn expire(&mut self, now: Time) {
-        while let Some((&(due_at, job), ())) = self.by_time.first_key_value() {
+        while let Some(&(due_at, job)) = self.by_time.first() {
             if now < due_at + TOLERANCE {
                 return;
             }
@@ -107,7 +106,7 @@
 
     /// Returns the jobs that are due to come back now, those that are due first at the front.
     pub fn returning(&self, now: Time) -> Vec<JobId> {
-        let due = self.by_time.keys().take_while(|&&(due_at, _)| due_at <= now + TOLERANCE);
+        let due = self.by_time.iter().take_while(|&&(due_at, _)| due_at <= now + TOLERANCE);
         due.take(MAX_RETURNING).map(|&(_, job)| job).collect()
     }
 
--- a/crates/admission/src/demand.rs
+++ b/crates/admission/src/demand.rs
@@ -14,13 +14,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub enum Class {
-    /// They reserve it.
+    /// Tasks reserve capacity.
     Short,
-    /// They use what others leave.
+    /// Tasks use capacity that isn't reserved.
     BestEffort,
 }
 
-/// Work that competes for the same capacity in one order.
+/// Jobs that compete for the same capacity: of one service, priority and class.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct Lane {
--- a/crates/admission/src/forecast.rs
+++ b/crates/admission/src/forecast.rs
@@ -1,7 +1,6 @@
 //! What the owner of a cell knows about waiting work, for the instances that accept jobs.
 //!
-//! A forecast is sent in one datagram, so its lists are bounded: lanes by their number in the cell's
-//! configuration that have jobs, the others by constants here.
+//! A forecast is sent in one datagram, so the constants below bound its lists.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,11 +18,11 @@
 pub const MAX_BRACKETS: usize = 8;
 /// Number of seconds for which retries are booked.
 pub const BOOKED_SECONDS: usize = 16;
-/// Number of lanes in a forecast. Lanes beyond it are left out, and their jobs are admitted.
+/// Maximum number of lanes. Further ones are left out, and their jobs are admitted.
 pub const MAX_LANES: usize = 16;
-/// Number of queues whose mean work is given: those of the jobs that the owner knows.
+/// Maximum number of queues whose mean work is sent.
 pub const MAX_QUEUES: usize = 32;
-/// Number of returning jobs that are named.
+/// Maximum number of returning jobs that are named.
 pub const MAX_RETURNING: usize = 64;
 
 /// Waiting work of the jobs with a similar value density.
@@ -42,10 +41,12 @@
 pub struct Backlog {
     /// The lane.
     pub lane: Lane,
-    /// Waiting work that can still be of value, the densest first. Short jobs are served in the
-    /// order of their arrival, so theirs is in one bracket of density zero.
+    /// Waiting work of jobs that can still be of value, in descending order of density. Short jobs
+    /// that can be in time, or have started, have the density zero; late ones, which go after new
+    /// ones, have a lower one.
     pub brackets: SmallVec<[Bracket; MAX_BRACKETS]>,
-    /// Core-seconds that are done per second, at least.
+    /// Throughput in core-seconds per second: recent completions, or the cores of running tasks if
+    /// that is more. It is what the lane can do only while work waits.
     pub rate: f32,
     /// Core-seconds that arrive per second.
     pub arrival_rate: f32,
@@ -61,6 +62,18 @@
         denser.map(|bracket| f64::from(bracket.work)).sum()
     }
 
+    /// Returns all waiting core-seconds.
+    pub fn work(&self) -> f64 {
+        self.work_before(f64::NEG_INFINITY)
+    }
+
+    /// Returns `true` if more work waits than is done in a moment.
+    pub fn is_contended(&self) -> bool {
+        /// Waiting work, in seconds of the lane's rate, that isn't yet a backlog.
+        const MOMENT_SECONDS: f64 = 0.5;
+        self.work() > f64::from(self.rate) * MOMENT_SECONDS
+    }
+
     /// Returns the core-seconds that are booked for one of the next seconds.
     pub fn booked_in(&self, second: usize) -> f64 {
         self.booked.get(second).copied().map_or(0.0, f64::from)
@@ -74,7 +87,7 @@
 pub struct Forecast {
     /// Whether the owner reaches the store; without it nothing starts.
     pub reaches_store: bool,
-    /// How far the owner is behind.
+    /// How late the owner handles events.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub lag: Duration,
     /// The lanes that have jobs.
@@ -84,7 +97,7 @@
     /// Rejected jobs that are due to be submitted again.
     pub returning: Vec<JobId>,
     /// Number of rejected jobs that were given a time at which to return.
-    pub retries: u32,
+    pub booked_jobs: u32,
 }
 
 impl Forecast {
@@ -99,14 +112,9 @@
         known.map(|&(_, work)| f64::from(work))
     }
 
-    /// Returns `true` if a lane has more waiting work than is done in a moment, so that the forecast
-    /// is worth a refresh soon.
+    /// Returns `true` if a lane has a backlog, so that the forecast is worth a refresh soon.
     pub fn is_contended(&self) -> bool {
-        /// Waiting work, in seconds of the lane's rate, that isn't yet a backlog.
-        const MOMENT_SECONDS: f64 = 0.5;
-        self.backlogs
-            .iter()
-            .any(|backlog| backlog.work_before(0.0) > f64::from(backlog.rate) * MOMENT_SECONDS)
+        self.backlogs.iter().any(Backlog::is_contended)
     }
 }
 
--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -21,15 +21,21 @@
 const MAX_AGE: Duration = Duration::from_secs(1);
 /// Interval between two requests for a forecast while work waits.
 const BUSY_INTERVAL: Duration = Duration::from_millis(250);
-/// The same while none does.
+/// Interval between two requests while no work waits.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of jobs admitted here since the last forecast from which a burst may have begun.
+/// Number of jobs submitted here since the last forecast from which a burst may have begun.
 const BUSY_JOBS: usize = 4;
+/// Age that a forecast may have when its owner sends it, since it sends one to several instances.
+const MAX_SENDING_AGE: Duration = Duration::from_millis(150);
+/// Time for which a rejection is kept after its job was due to return.
+const RETURN_TOLERANCE: Duration = Duration::from_millis(1500);
+/// Lowest rate, in core-seconds per second, that says something about a lane.
+const MIN_RATE: f64 = 0.01;
 /// Factor by which the waiting work may be done faster than forecast: estimates are off by up to
 /// this much, and a job that could still be of value must not be rejected.
 const ERROR_FACTOR: f64 = 2.0;
-/// Lag from which the owner is behind. Starts are short then rather than capacity, and each late job
-/// that is admitted makes others late, so only jobs that can be in time are.
+/// Lag from which the owner is behind. Starts are the bottleneck then and not capacity, and each late
+/// job that is admitted makes others late, so only jobs that can be in time are admitted.
 const BEHIND_LAG: Duration = Duration::from_millis(60);
 /// Largest fraction of a lane's rate that is booked for retries, which bounds their load: jobs that
 /// were not rejected before get the rest.
@@ -42,15 +48,16 @@
 /// Number of rejections reported with a request, which is a single datagram.
 const MAX_REPORTED: usize = 64;
 
-/// Why a job is admitted without a comparison.
+/// Why a job is admitted without an estimate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unjudged {
     /// There is no forecast, or it is too old.
     NoForecast,
     /// The owner doesn't reach the store, so that rates say nothing.
     StoreDown,
-    /// The forecast says nothing about the job's lane.
-    UnknownLane,
+    /// The job's lane has no backlog, or its rate isn't known. Without a backlog the rate is that of
+    /// the arrivals and not what the lane could do.
+    NoBacklog,
 }
 
 /// What a verdict is based on.
@@ -73,7 +80,7 @@
 pub enum Verdict {
     /// The job is admitted: it may be done before it is worth nothing.
     Admitted(Estimate),
-    /// The job is admitted, since nothing can be said about it.
+    /// The job is admitted without an estimate.
     Unjudged(Unjudged),
     /// The job is rejected.
     Rejected {
@@ -90,6 +97,7 @@
     lane: Lane,
     density: f64,
     work: f64,
+    at: Time,
 }
 
 /// A job that was rejected here.
@@ -98,12 +106,14 @@
     lane: Lane,
     work: f64,
     due_at: Time,
+    /// Whether the owner knows of it. It is in the bookings of the next forecast.
+    confirmed: bool,
 }
 
 #[derive(Clone, Debug)]
 struct Received {
     forecast: Forecast,
-    /// When it was requested, so that its age is never underestimated.
+    /// When it was requested. The owner may have made it up to [`MAX_SENDING_AGE`] earlier.
     requested_at: Time,
 }
 
@@ -113,7 +123,9 @@
     received: Option<Received>,
     requested_at: Option<Time>,
     admitted: Vec<Admitted>,
-    /// Rejections that the owner has not confirmed yet.
+    /// Number of jobs submitted since the last forecast.
+    submitted: usize,
+    /// Rejections that aren't in the forecast's bookings yet.
     rejected: HashMap<JobId, Rejected>,
 }
 
@@ -123,13 +135,15 @@
         let received = self.received.as_ref().map(|received| &received.forecast);
         let is_busy = received.is_some_and(Forecast::is_contended)
             || !self.rejected.is_empty()
-            || self.admitted.len() >= BUSY_JOBS;
+            || self.submitted >= BUSY_JOBS;
         let interval = if is_busy { BUSY_INTERVAL } else { IDLE_INTERVAL };
         if self.requested_at.is_some_and(|requested_at| now < requested_at + interval) {
             return None;
         }
         self.requested_at = Some(now);
-        let bookings = self.rejected.iter().take(MAX_REPORTED).map(|(&job, rejected)| Booking {
+        self.rejected.retain(|_, rejected| now < rejected.due_at + RETURN_TOLERANCE);
+        let unknown = self.rejected.iter().filter(|(_, rejected)| !rejected.confirmed);
+        let bookings = unknown.take(MAX_REPORTED).map(|(&job, rejected)| Booking {
             job,
             lane: rejected.lane.clone(),
             work: rejected.work as f32,
@@ -138,22 +152,27 @@
         Some(bookings.collect())
     }
 
-    /// Handles the response to a request that was sent at `requested_at` and reported the rejections
-    /// of these jobs. They are in the forecast's bookings from now on.
+    /// Handles the response to the request that was sent at `requested_at`. The owner has recorded the
+    /// rejections in `reported`; the forecast may be older, so they are kept until the next one.
     pub fn receive(&mut self, forecast: Forecast, requested_at: Time, reported: &[JobId]) {
         let is_older = |known: &Received| known.requested_at > requested_at;
         if self.received.as_ref().is_some_and(is_older) {
             return;
         }
+        self.rejected.retain(|_, rejected| !rejected.confirmed);
         for job in reported {
-            self.rejected.remove(job);
+            if let Some(rejected) = self.rejected.get_mut(job) {
+                rejected.confirmed = true;
+            }
         }
-        self.admitted.clear();
+        self.admitted.retain(|admitted| admitted.at + MAX_SENDING_AGE >= requested_at);
+        self.submitted = 0;
         self.received = Some(Received { forecast, requested_at });
     }
 
     /// Decides on a job, and remembers the decision until the next forecast.
     pub fn decide(&mut self, now: Time, demand: &Demand) -> Verdict {
+        self.submitted += 1;
         let (estimate, density) = match self.estimate(now, demand) {
             Ok(estimated) => estimated,
             Err(unjudged) => return Verdict::Unjudged(unjudged),
@@ -161,7 +180,7 @@
         if estimate.earliest_end <= estimate.limit {
             self.rejected.remove(&demand.job);
             let (lane, work) = (demand.lane.clone(), demand.work);
-            self.admitted.push(Admitted { lane, density, work });
+            self.admitted.push(Admitted { lane, density, work, at: now });
             return Verdict::Admitted(estimate);
         }
         let retry_after = self.book(now, demand, &estimate);
@@ -179,10 +198,10 @@
         if !forecast.reaches_store {
             return Err(Unjudged::StoreDown);
         }
-        let backlog = forecast.backlog(&demand.lane).ok_or(Unjudged::UnknownLane)?;
+        let backlog = forecast.backlog(&demand.lane).ok_or(Unjudged::NoBacklog)?;
         let rate = f64::from(backlog.rate);
-        if rate <= 0.0 {
-            return Err(Unjudged::UnknownLane);
+        if !backlog.is_contended() || rate.is_nan() || rate < MIN_RATE {
+            return Err(Unjudged::NoBacklog);
         }
         let density = density(forecast, demand);
         let is_returning = self.is_returning(forecast, demand.job);
@@ -192,14 +211,16 @@
             .filter(|admitted| admitted.lane == demand.lane && admitted.density >= density);
         let own: f64 = own.map(|admitted| admitted.work).sum();
         let retries = if is_returning { 0.0 } else { backlog.booked_in(0) };
-        let done = rate * forecast_age.as_secs_f64();
-        let work_before = (backlog.work_before(density) + own + retries - done).max(0.0);
         let is_behind = forecast.lag >= BEHIND_LAG;
+        // An owner that is behind spends time on whatever waits.
+        let waiting = if is_behind { backlog.work() } else { backlog.work_before(density) };
+        let done = rate * forecast_age.as_secs_f64();
+        let work_before = (waiting + own + retries - done).max(0.0);
         let error_factor = if is_behind { 1.0 } else { ERROR_FACTOR };
-        let wait = Duration::from_secs_f64(work_before / (rate * error_factor));
-        let earliest_end = wait + demand.critical_path;
+        let wait = seconds(work_before / (rate * error_factor));
+        let earliest_end = wait.saturating_add(demand.critical_path);
         let late_factor = if is_behind { 1.0 } else { MAX_LATE_FACTOR };
-        let limit = demand.objective.mul_f64(late_factor);
+        let limit = seconds(demand.objective.as_secs_f64() * late_factor);
         Ok((Estimate { forecast_age, work_before, rate, earliest_end, limit }, density))
     }
 
@@ -225,7 +246,8 @@
         if self.rejected.len() < MAX_BOOKINGS {
             let (lane, work) = (demand.lane.clone(), demand.work);
             let due_at = now + retry_after;
-            self.rejected.insert(demand.job, Rejected { lane, work, due_at });
+            let confirmed = false;
+            self.rejected.insert(demand.job, Rejected { lane, work, due_at, confirmed });
         }
         retry_after
     }
@@ -242,6 +264,11 @@
     }
 }
 
+/// Returns a duration of so many seconds, or the longest one if it can't be represented.
+fn seconds(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
+
 /// Returns the value density by which a job is compared with others of its lane.
 fn density(forecast: &Forecast, demand: &Demand) -> f64 {
     match demand.lane.class {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -10,11 +10,13 @@
 //!
 //! Nothing here does I/O or reads a clock. The invariants are:
 //!
-//! - a job is rejected only on a recent forecast, and only if it would be worth nothing even if
-//!   the waiting work were done in half of the expected time;
-//! - a rejected job has not been stored, so it has not run and never will under that submission;
+//! - a job is rejected only on a forecast that is recent and shows a backlog, and only if its
+//!   estimated earliest end exceeds its limit ([`gate::Estimate`]);
 //! - the loss of any state here makes the gate admit more jobs, never fewer.
 //!
+//! The caller makes sure that a rejected job isn't stored, since a client may repeat a submission
+//! that was accepted.
+//!
 //! `docs/design/admission.md` lists the alternatives that were considered.
 
 pub mod calendar;
--- a/crates/admission/src/meter.rs
+++ b/crates/admission/src/meter.rs
@@ -4,7 +4,7 @@
 
 use cowslipchute_base::id::Time;
 
-/// Time constant of the average: a few jobs long, and short compared to a burst that matters.
+/// Time constant of the average: longer than most tasks, shorter than most bursts.
 const DECAY_TIME: Duration = Duration::from_secs(3);
 
 /// An exponentially decaying rate of work.
--- a/crates/admission/src/outage.rs
+++ b/crates/admission/src/outage.rs
@@ -13,8 +13,8 @@
 const DEFAULT_REMAINING: Duration = Duration::from_secs(1);
 /// Shorter outages are single failed calls.
 const MIN_OUTAGE: Duration = Duration::from_millis(100);
-/// Number of waits that fit into a client's timeout at least, so that some of its retries are left
-/// when the outage ends.
+/// Minimum number of retries that fit into a client's timeout, so that some are left when the outage
+/// ends.
 const MIN_RETRIES: u32 = 3;
 
 /// Durations of the latest outages.
@@ -35,8 +35,8 @@
         self.durations.push(duration);
     }
 
-    /// Returns the time that an outage is likely to last yet: the median over the earlier outages
-    /// that lasted longer than this one has so far.
+    /// Returns the expected remaining time of an outage: the median over the earlier outages that
+    /// lasted longer than `elapsed`.
     pub fn expected_remaining(&self, elapsed: Duration) -> Duration {
         let longer = self.durations.iter().filter(|&&duration| duration > elapsed);
         let mut remaining: SmallVec<[Duration; MAX_OUTAGES]> =
--- a/crates/planner/src/owner/forecast.rs
+++ b/crates/planner/src/owner/forecast.rs
@@ -23,10 +23,13 @@
 use crate::queue::job::Job;
 use crate::workers::host::Stage;
 
-/// Age up to which a forecast is sent to further instances. Making one takes time in proportion to
-/// the jobs of the cell, and each instance asks several times a second.
+/// Maximum age of a forecast that is sent again. Making one takes time in proportion to the jobs of
+/// the cell, and each instance asks several times a second.
 const MAX_AGE: Duration = Duration::from_millis(150);
 
+/// Density of short jobs that are late and haven't started, which go after all others.
+const LATE_DENSITY: f64 = -1.0;
+
 /// What the forecasts are made from.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -59,7 +62,7 @@
 }
 
 impl Planner {
-    /// Returns the forecast, and whether the caller reaches the store in it.
+    /// Returns the current forecast. `reaches_store` says whether this process reaches the store.
     pub fn forecast(&mut self, now: Time, reaches_store: bool) -> Arc<Forecast> {
         let latest = self.forecasts.latest.as_ref();
         if let Some((made_at, forecast)) = latest
@@ -101,6 +104,7 @@
     fn make_forecast(&mut self, now: Time, reaches_store: bool) -> Forecast {
         self.forecasts.calendar.expire(now);
         let mut lanes = self.work_by_lane();
+        lanes.sort_by_key(|work| std::cmp::Reverse(work.waiting.len()));
         lanes.truncate(forecast::MAX_LANES);
         Forecast {
             reaches_store,
@@ -108,7 +112,7 @@
             backlogs: lanes.into_iter().map(|work| self.backlog(now, work)).collect(),
             mean_work: self.known_mean_work(),
             returning: self.forecasts.calendar.returning(now),
-            retries: self.forecasts.calendar.len() as u32,
+            booked_jobs: self.forecasts.calendar.len() as u32,
         }
     }
 
@@ -127,9 +131,7 @@
                 work.waiting.push((self.density_in_lane(job, work.lane.class), waiting));
             }
         }
-        if lanes.iter().any(|work| !work.waiting.is_empty()) {
-            self.add_running(&mut lanes);
-        }
+        self.add_running(&mut lanes);
         lanes
     }
 
@@ -149,6 +151,7 @@
     /// Returns the value density by which a job is compared with others of its lane.
     fn density_in_lane(&self, job: &Job, class: Class) -> f64 {
         match class {
+            Class::Short if self.is_late(job) && !job.started => LATE_DENSITY,
             Class::Short => 0.0,
             Class::BestEffort => self.expected_density(job),
         }
--- a/crates/planner/src/workers/command.rs
+++ b/crates/planner/src/workers/command.rs
@@ -209,11 +209,14 @@
         let Some(worker) = self.record_answer(target, outcome) else { return };
         let name = &target.name;
         let now = self.now;
+        if outcome == Err(Failure::Unknown) {
+            // Also if the run has ended meanwhile: its start may still be carried out.
+            self.record_unanswered_start(worker, target.epoch);
+        }
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         let stage = hosted.stage;
         if outcome == Err(Failure::Unknown) {
             hosted.start_unanswered = true;
-            self.record_unanswered_start(worker, target.epoch);
             self.mark_dirty(run.task.job);
         } else {
             hosted.starts_in_flight = hosted.starts_in_flight.saturating_sub(1);
