--- a/crates/e2e/tests/soak.rs
+++ b/crates/e2e/tests/soak.rs
@@ -59,6 +59,7 @@
     left_beside_load_again = { 61021 },
     left_beside_load_once_more = { 61034 },
     pinned_after_freezes = { 710002 },
+    pinned_beside_hangs = { 64032 },
 )]
 fn a_seed_with_service_tasks_keeps_every_promise(seed: u64) {
     let report = play(seed, FULL, true);
