--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -264,7 +264,7 @@
     }
 }
 
-/// Returns a duration of so many seconds, or the longest one if it can't be represented.
+/// Converts seconds to a duration, or to the longest one if they can't be represented.
 fn seconds(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
 }
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// Returns a forecast of a backlog of so many seconds at the lane's rate.
+/// Returns a forecast whose backlog takes this many seconds at the lane's rate.
 fn forecast(seconds: f32) -> Forecast {
     let backlog = Backlog {
         lane: lane(),
--- a/crates/planner/src/faults/progress.rs
+++ b/crates/planner/src/faults/progress.rs
@@ -49,7 +49,7 @@
 /// Number of runs up to which the tail of their queue explains that all of them are slow. Runs of a
 /// tail of three percent hold a fifth of the capacity in use, so two side by side are common.
 const MAX_TAIL_RUNS: usize = 2;
-/// Lowest speed that is told from none.
+/// Lowest speed that is distinguished from a standstill.
 const MIN_SPEED: f64 = 0.01;
 /// Weight of one run in the cell's speed.
 const SPEED_WEIGHT: f64 = 0.02;
--- a/crates/planner/src/queue/durations.rs
+++ b/crates/planner/src/queue/durations.rs
@@ -20,7 +20,7 @@
 
 /// Resolution of a ratio: histograms hold integers.
 const UNITS_PER_ONE: f64 = 1000.0;
-/// Largest ratio that is told apart.
+/// Largest ratio that is distinguished; larger ones count as this.
 const MAX_RATIO: f64 = 64.0;
 /// Significant decimal digits of a ratio: errors up to 6 percent, in 832 bytes a window.
 const DIGITS: u8 = 1;
