--- a/crates/admission/src/outage.rs
+++ b/crates/admission/src/outage.rs
@@ -1,7 +1,7 @@
 //! How long an outage is likely to last, from the outages before it.
 //!
-//! A client that comes back before the outage is over has spent one of its few retries; one that
-//! comes back much later has waited in vain.
+//! A retry during the outage uses up one of the client's few attempts; a retry long after it delays
+//! the job.
 
 use std::time::Duration;
 
