Planner: log service tasks that keep their places on silent workers

A service task whose worker doesn't answer isn't waiting, so no line said why it doesn't run. Event 296 names the worker, for how long it has been silent, whether it has answered this owner, and how many of its starts may be outstanding, for the eight workers that have been silent for longest, once a second. It tells a task that is held apart from one that isn't given capacity (event 291).

--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -112,6 +112,8 @@
     pub(crate) short_starts: Starts,
     /// Log of the service tasks that wait.
     pub(crate) service_waits: Waits,
+    /// When service tasks on silent workers are logged next.
+    pub(crate) held_log_due: Time,
     /// Workers reserved for waiting tasks.
     pub(crate) reservations: Vec<Reservation>,
     /// The step on probation that needs more isolated workers than the usual fraction of the cell,
@@ -194,6 +196,7 @@
             recent_overrides: Overrides::default(),
             short_starts: Starts::default(),
             service_waits: Waits::default(),
+            held_log_due: Time::ZERO,
             reservations: Vec::new(),
             isolation_priority: None,
             interference: Model::default(),
@@ -237,6 +240,7 @@
             self.place_and_write();
             self.run_timers();
             self.log_due_waits();
+            self.log_held();
             self.forget_ended();
         }
         actions.append(&mut self.actions);
