Planner: owed service tasks count capacity that an observer may have seen

What callers saw: service tasks lost beside capacity for two of them (LOST). An overdue task took capacity once an observer had seen it for 0.4 s on end.

A returning task that has waited for five seconds counts what an observer has seen in the last half second since the last such placement, less one for short tasks, and takes the next worker it fits on.

--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -108,6 +108,8 @@
     pub(crate) reserve_overrides: u64,
     /// Times of the latest of these.
     pub(crate) recent_overrides: Overrides,
+    /// When an overdue service task was last placed beside capacity that an observer saw.
+    pub(crate) overdue_placed_at: Time,
     /// Starts of short tasks that are on their way.
     pub(crate) short_starts: Starts,
     /// Log of the service tasks that wait.
@@ -194,6 +196,7 @@
             quota: Quota::default(),
             reserve_overrides: 0,
             recent_overrides: Overrides::default(),
+            overdue_placed_at: Time::ZERO,
             short_starts: Starts::default(),
             service_waits: Waits::default(),
             held_log_due: Time::ZERO,
--- a/crates/planner/src/service/age.rs
+++ b/crates/planner/src/service/age.rs
@@ -23,6 +23,9 @@
 
 /// Time after which a service task that waits beside free capacity counts as lost.
 pub(crate) const LONG_WAIT: Duration = Duration::from_secs(3);
+/// Age from which a task that has run before is owed: an observer that looks at it at intervals
+/// expects it back. A second less than observers allow, for the next pass and the start.
+const OWED_AGE: Duration = Duration::from_secs(5);
 /// Maximum age that a wait has at a takeover. It makes a task overdue, and leaves most of the time
 /// for which short jobs yield to it, also if the previous owner's clock was behind.
 const MAX_INHERITED_AGE: Duration = Duration::from_secs(10);
@@ -45,6 +48,11 @@
         task.place == Place::Waiting && self.age(task) >= LONG_WAIT
     }
 
+    /// Returns `true` if a waiting task that has run before should be back by now.
+    pub(crate) fn is_owed(&self, task: &Task) -> bool {
+        task.place == Place::Waiting && task.attempt > 0 && self.age(task) >= OWED_AGE
+    }
+
     /// Returns the waits of a job's service tasks, for its record.
     pub(crate) fn waits(&self, id: JobId) -> Vec<Wait> {
         let Some(job) = self.jobs.get(&id) else { return Vec::new() };
--- a/crates/planner/src/service/order.rs
+++ b/crates/planner/src/service/order.rs
@@ -89,8 +89,8 @@
     task: TaskId,
     /// Time for which an observer has seen capacity for two.
     pair_time: Duration,
-    /// Number of tasks of its step for which an observer sees capacity.
-    slots: u32,
+    /// Number of tasks of its step for which overdue tasks may take capacity in this pass.
+    limit: u32,
 }
 
 /// What the overdue tasks of a service have taken, and were refused, in a pass.
@@ -135,13 +135,12 @@
     }
 
     fn place_overdue_task(&mut self, overdue: Overdue, taken: &mut Taken) {
-        let Overdue { task, pair_time, slots, .. } = overdue;
+        let Overdue { task, pair_time, limit, .. } = overdue;
         let accepted = self.jobs[&task.job].accepted.clone();
         let spec = &accepted.spec.steps[usize::from(task.step)];
         let milli = u64::from(spec.demand.cpu_milli);
-        let left = u64::from(slots.saturating_sub(1));
         let is_refused = taken.refused.iter().any(|demand| demand.fits_within(spec.demand));
-        if taken.milli.div_ceil(milli.max(1)) >= left || is_refused {
+        if taken.milli.div_ceil(milli.max(1)) >= u64::from(limit) || is_refused {
             return;
         }
         let open = self.workers_open_to(&taken.service, pair_time);
@@ -155,6 +154,7 @@
         let has_run = self.jobs[&task.job].task(task).is_some_and(|state| state.attempt > 0);
         let is_within_quota = has_run && self.quota.allows(spec);
         taken.milli += milli;
+        self.overdue_placed_at = self.now;
         self.assign(task, worker);
         self.log_service_placement(task, worker, Way::Overdue);
         if !is_within_quota {
@@ -179,13 +179,13 @@
             let due = tasks.filter(|(id, task)| {
                 task.is_ready(self.now)
                     && !self.is_pinned(*id)
-                    && self.is_overdue_beside_room(step, task)
+                    && (self.is_owed(task) || self.is_overdue_beside_room(step, task))
             });
             overdue.extend(due.map(|(id, task)| Overdue {
                 since: task.waiting_since,
                 task: id,
                 pair_time: state.watch.pair_time(self.now),
-                slots: state.watch.slots(),
+                limit: self.overdue_limit(task, &state.watch),
             }));
         }
         overdue.sort_unstable_by_key(|overdue| (overdue.since, overdue.task));
--- a/crates/planner/src/service/overdue.rs
+++ b/crates/planner/src/service/overdue.rs
@@ -39,6 +39,9 @@
 /// Maximum interval at which capacity for two that waiting tasks are beside is checked again:
 /// shorter than [`MAX_UPDATE_GAP`], after which it would count as seen for the first time.
 const PAIR_CHECK_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time for which capacity counts for an owed task that was free for a moment: most of it is free
+/// between two passes, or before the owner hears that a run has ended.
+const SAMPLED_TIME: Duration = Duration::from_millis(500);
 /// Number of pending starts up to which settled ones aren't removed.
 const MIN_PRUNED_STARTS: usize = 64;
 
@@ -57,6 +60,9 @@
     /// Further tasks for which an observer saw capacity at the last look.
     slots: u32,
     pair_since: Option<Time>,
+    /// Most such tasks in the last [`SAMPLED_TIME`], and when that was.
+    sampled: u32,
+    sampled_at: Time,
     updated: Time,
 }
 
@@ -69,6 +75,17 @@
         self.pair_since = if slots >= 2 { Some(self.pair_since.unwrap_or(now)) } else { None };
         self.slots = slots;
         self.updated = now;
+        if slots >= self.sampled || now >= self.sampled_at + SAMPLED_TIME {
+            self.sampled = slots;
+            self.sampled_at = now;
+        }
+    }
+
+    /// Returns the number of tasks for which an observer may have seen capacity at a look a moment
+    /// ago, if that was after the time `since`.
+    fn sampled_slots(&self, now: Time, since: Time) -> u32 {
+        let is_recent = self.sampled_at > since && now < self.sampled_at + SAMPLED_TIME;
+        if is_recent { self.sampled } else { self.slots }
     }
 
     /// Returns the number of tasks for which an observer saw capacity at the last look.
@@ -165,6 +182,16 @@
         self.is_overdue(task) && state.is_some_and(|state| state.watch.has_pair_for(span, self.now))
     }
 
+    /// Returns the number of tasks of a step for which overdue tasks may take capacity in this pass
+    /// because of a task. Capacity for one is left to short tasks.
+    pub(crate) fn overdue_limit(&self, task: &Task, watch: &Watch) -> u32 {
+        let slots = match self.is_owed(task) {
+            true => watch.sampled_slots(self.now, self.overdue_placed_at),
+            false => watch.slots,
+        };
+        slots.saturating_sub(1)
+    }
+
     /// Returns the service steps with a task that has waited for long enough to watch the capacity
     /// beside it. Gangs are placed as a whole.
     pub(crate) fn watched_steps(&self) -> Vec<StepId> {
