Planner: returning service tasks take freed capacity without waiting for the next pass

What callers saw: the same losses, at looks 0.24 to 0.45 s after a service job was cancelled. The job's tasks end one after the other, 0.16 to 0.41 s after the cancel.

Between two passes returning tasks within the quota are placed on the workers whose runs have ended. Where a service task has left, that doesn't wait for the interval between writes either. What they may take, and the order, are as in a pass.

--- a/crates/planner/src/owner/takeover.rs
+++ b/crates/planner/src/owner/takeover.rs
@@ -86,6 +86,7 @@
         self.placements = Default::default();
         self.short_starts = Default::default();
         self.reservations.clear();
+        self.freed = Default::default();
         self.isolation_priority = None;
         self.quota = Default::default();
         self.scores = 0;
--- a/crates/planner/src/placement/place.rs
+++ b/crates/planner/src/placement/place.rs
@@ -30,6 +30,7 @@
 use crate::service::decision::Decision;
 use crate::service::decision::Gate;
 use crate::service::decision::Outcome;
+use crate::service::freed::Freed;
 use crate::service::overdue::Urgency;
 use crate::service::reclaim::Reclaim;
 use crate::service::way::Way;
@@ -69,6 +70,7 @@
         self.passes += 1;
         self.service_waits.begin_pass();
         self.begin_start_window();
+        self.freed = Freed::default();
         let open = self.open_workers();
         let mostly_free = self.is_mostly_free(&open);
         let places_best_effort = self.now >= self.best_effort_due;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -46,6 +46,7 @@
 use crate::queue::occurrence::WallClock;
 use crate::queue::share::Shares;
 use crate::records::write::Writes;
+use crate::service::freed::Freed;
 use crate::service::overdue::Starts;
 use crate::service::service_wait::Overrides;
 use crate::service::service_wait::Waits;
@@ -110,6 +111,8 @@
     pub(crate) recent_overrides: Overrides,
     /// When an overdue service task was last placed beside capacity that an observer saw.
     pub(crate) overdue_placed_at: Time,
+    /// Workers on which runs have ended since the last placement pass.
+    pub(crate) freed: Freed,
     /// Starts of short tasks that are on their way.
     pub(crate) short_starts: Starts,
     /// Log of the service tasks that wait.
@@ -197,6 +200,7 @@
             reserve_overrides: 0,
             recent_overrides: Overrides::default(),
             overdue_placed_at: Time::ZERO,
+            freed: Freed::default(),
             short_starts: Starts::default(),
             service_waits: Waits::default(),
             held_log_due: Time::ZERO,
--- a/crates/planner/src/queue/end.rs
+++ b/crates/planner/src/queue/end.rs
@@ -76,6 +76,9 @@
     ) {
         let hosted = self.workers.get_mut(worker).and_then(|worker| worker.remove_run(run));
         self.room_changed = true;
+        if let Some(hosted) = hosted.as_ref().filter(|hosted| !hosted.best_effort) {
+            self.record_freed(worker, hosted);
+        }
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
         if job.end.is_some() || job.task(run.task).is_none() {
--- a/crates/planner/src/records/write.rs
+++ b/crates/planner/src/records/write.rs
@@ -74,7 +74,8 @@
         let has_dirty_jobs = self.writes.dirty.iter().any(|job| !self.writes.busy.contains(job));
         let write_at = self.writes.next_write_at;
         let pass_at = write_at.max(self.next_pass_at);
-        let due = [has_dirty_jobs.then_some(write_at), self.room_changed.then_some(pass_at)];
+        let has_work = has_dirty_jobs || !self.freed.workers.is_empty();
+        let due = [has_work.then_some(write_at), self.room_changed.then_some(pass_at)];
         let due = due.into_iter().flatten().min();
         due.filter(|_| self.writes.in_flight.len() < MAX_IN_FLIGHT)
     }
@@ -82,13 +83,20 @@
     /// Runs a placement pass if needed, and writes the changed jobs that aren't part of a write in
     /// flight.
     pub(crate) fn place_and_write(&mut self) {
-        if self.writes.in_flight.len() >= MAX_IN_FLIGHT || self.now < self.writes.next_write_at {
+        if self.writes.in_flight.len() >= MAX_IN_FLIGHT {
             return;
         }
-        if self.room_changed && self.now >= self.next_pass_at {
+        if self.now < self.writes.next_write_at {
+            // Capacity that service tasks leave is given back without waiting for the next write.
+            if !self.freed.by_service || self.place_on_freed() == 0 {
+                return;
+            }
+        } else if self.room_changed && self.now >= self.next_pass_at {
             self.room_changed = false;
             self.next_pass_at = self.now + self.pass_interval();
             self.place();
+        } else if !self.freed.workers.is_empty() {
+            self.place_on_freed();
         }
         let busy = &self.writes.busy;
         let (deferred, dirty): (BTreeSet<JobId>, BTreeSet<JobId>) =
--- a/crates/planner/src/service.rs
+++ b/crates/planner/src/service.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod age;
 pub(crate) mod decision;
+pub(crate) mod freed;
 pub(crate) mod held;
 pub(crate) mod order;
 pub(crate) mod overdue;
