--- a/crates/planner/src/records/write.rs
+++ b/crates/planner/src/records/write.rs
@@ -1,6 +1,7 @@
 //! Writes changed jobs to the store, in batches with a bounded number in flight.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use cowslipchute_base::event::Event as LogEvent;
 use cowslipchute_base::id::Time;
@@ -26,6 +27,10 @@
 /// hundred milliseconds each job waits for its own write only.
 const MAX_IN_FLIGHT: usize = 12;
 
+/// Shortest time between two writes while service tasks wait for capacity that other service tasks
+/// leave: an observer sees such capacity as free until the next start has arrived.
+const EXPEDITED_WRITE_INTERVAL: Duration = Duration::from_millis(10);
+
 /// A write in flight.
 #[derive(Debug)]
 struct Write {
@@ -48,6 +53,8 @@
     dirty: BTreeSet<JobId>,
     intents: Vec<(WorkerId, Run)>,
     next_write_at: Time,
+    /// Earliest time of an expedited write.
+    next_expedited_at: Time,
 }
 
 impl Writes {
@@ -75,29 +82,38 @@
         let write_at = self.writes.next_write_at;
         let pass_at = write_at.max(self.next_pass_at);
         let has_work = has_dirty_jobs || !self.freed.workers.is_empty();
-        let due = [has_work.then_some(write_at), self.room_changed.then_some(pass_at)];
+        let expedited = self.freed.by_service.then_some(self.writes.next_expedited_at);
+        let due = [has_work.then_some(write_at), self.room_changed.then_some(pass_at), expedited];
         let due = due.into_iter().flatten().min();
         due.filter(|_| self.writes.in_flight.len() < MAX_IN_FLIGHT)
     }
 
-    /// Runs a placement pass if needed, and writes the changed jobs that aren't part of a write in
-    /// flight.
+    /// Places tasks, and writes the changed jobs that aren't part of a write in flight.
     pub(crate) fn place_and_write(&mut self) {
-        if self.writes.in_flight.len() >= MAX_IN_FLIGHT {
-            return;
+        if self.writes.in_flight.len() < MAX_IN_FLIGHT && self.place_due() {
+            self.write();
         }
+    }
+
+    /// Runs a placement pass if one is due, or places returning service tasks on freed workers.
+    /// Returns `true` if a write is due.
+    fn place_due(&mut self) -> bool {
         if self.now < self.writes.next_write_at {
-            // Capacity that service tasks leave is given back without waiting for the next write.
-            if !self.freed.by_service || self.place_on_freed() == 0 {
-                return;
-            }
-        } else if self.room_changed && self.now >= self.next_pass_at {
+            let is_expedited = self.freed.by_service && self.now >= self.writes.next_expedited_at;
+            return is_expedited && self.place_on_freed() > 0;
+        }
+        if self.room_changed && self.now >= self.next_pass_at {
             self.room_changed = false;
             self.next_pass_at = self.now + self.pass_interval();
             self.place();
         } else if !self.freed.workers.is_empty() {
             self.place_on_freed();
         }
+        true
+    }
+
+    /// Writes the changed jobs that aren't part of a write in flight.
+    fn write(&mut self) {
         let busy = &self.writes.busy;
         let (deferred, dirty): (BTreeSet<JobId>, BTreeSet<JobId>) =
             std::mem::take(&mut self.writes.dirty).into_iter().partition(|job| busy.contains(job));
@@ -116,7 +132,10 @@
             });
         }
         self.writes.last += 1;
-        self.writes.next_write_at = self.now + self.settings.min_write_interval;
+        if self.now >= self.writes.next_write_at {
+            self.writes.next_write_at = self.now + self.settings.min_write_interval;
+        }
+        self.writes.next_expedited_at = self.now + EXPEDITED_WRITE_INTERVAL;
         let batch = self.writes.last;
         let is_written = |&(_, run): &(WorkerId, Run)| jobs.iter().any(|job| job.0 == run.task.job);
         let (intents, deferred) =
--- a/crates/planner/src/service/order.rs
+++ b/crates/planner/src/service/order.rs
@@ -89,7 +89,7 @@
     task: TaskId,
     /// Time for which an observer has seen capacity for two.
     pair_time: Duration,
-    /// Number of tasks of its step for which overdue tasks may take capacity in this pass.
+    /// How many times its demand overdue tasks may take in this pass before it.
     limit: u32,
 }
 
--- a/crates/planner/src/service/overdue.rs
+++ b/crates/planner/src/service/overdue.rs
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Forgets what was seen before the last placement.
+    fn forget_samples(&mut self, placed_at: Time) {
+        if self.sampled_at <= placed_at {
+            self.sampled = 0;
+        }
+    }
+
     /// Returns the number of tasks for which an observer may have seen capacity at a look a moment
     /// ago, if that was after the time `since`.
     fn sampled_slots(&self, now: Time, since: Time) -> u32 {
@@ -162,9 +169,10 @@
                 seen.len() - 1
             });
             let slots = idle::count_slots(&seen[index].1, demand);
-            let now = self.now;
+            let (now, placed_at) = (self.now, self.overdue_placed_at);
             let state = self.jobs.get_mut(&step.job).and_then(|job| job.step_mut(step));
             let Some(state) = state else { continue };
+            state.watch.forget_samples(placed_at);
             state.watch.update(now, slots);
             let waiting = state.tasks.iter().filter(|task| task.place == Place::Waiting);
             let oldest = waiting.map(|task| task.waiting_since).min();
@@ -182,8 +190,8 @@
         self.is_overdue(task) && state.is_some_and(|state| state.watch.has_pair_for(span, self.now))
     }
 
-    /// Returns the number of tasks of a step for which overdue tasks may take capacity in this pass
-    /// because of a task. Capacity for one is left to short tasks.
+    /// Returns how many times the demand of a task overdue tasks may take in this pass before it.
+    /// Capacity for one is left to short tasks.
     pub(crate) fn overdue_limit(&self, task: &Task, watch: &Watch) -> u32 {
         let slots = match self.is_owed(task) {
             true => watch.sampled_slots(self.now, self.overdue_placed_at),
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -187,6 +187,7 @@
     lasting_answer_lost = { "lasting_answer_lost" },
     lasting_back = { "lasting_back" },
     lasting_before_lost = { "lasting_before_lost" },
+    lasting_beyond_quota = { "lasting_beyond_quota" },
     lasting_beside_near = { "lasting_beside_near" },
     lasting_beside_reserved = { "lasting_beside_reserved" },
     lasting_end_unwritten = { "lasting_end_unwritten" },
