Records say which starts are settled and how old outstanding ones are

What callers saw: after a change of owner, service tasks of a worker that restarted in the meantime waited for up to 12 s beside an empty worker, though their starts had been answered long before. Pins began their 12 s anew with each owner.

Cause: a run of a previous owner was assumed to have an outstanding start until the worker listed it, and the record held neither settled starts nor the age of outstanding ones.

Change: record version 5. Service tasks whose run the worker's incarnation has reported, and whose starts are all accounted for, are recorded as settled, in one write for a job half a second after the first of them. The age of an outstanding start is written with it and again each second; it is zero while the start may be sent again without another write. A run that isn't recorded as settled stays assumed outstanding. Records of versions 1 to 4 are still read.

An answer alone doesn't settle a start: it may come from a later incarnation than the record names.

--- a/crates/planner/src/owner/takeover.rs
+++ b/crates/planner/src/owner/takeover.rs
@@ -1,5 +1,6 @@
 //! Takeover of a cell, and updates of its jobs and workers.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -143,30 +144,36 @@
         }
         state.open_steps();
         self.restore_pins(job, &record.outstanding);
+        let settled: HashSet<TaskId> = record.settled.iter().map(|run| run.task(job)).collect();
         for (run, worker) in placed {
-            self.restore_run(run, &worker);
+            self.restore_run(run, &worker, settled.contains(&run.task));
         }
         self.restore_waits(job, &record.waits);
+        self.plan_next_rewrite(job, record);
     }
 
     /// Restores a run on the incarnation that its record names. Whichever incarnation answers
     /// first, its report shows which of the runs it holds.
-    fn restore_run(&mut self, run: Run, host: &Incarnation) {
+    fn restore_run(&mut self, run: Run, host: &Incarnation, settled: bool) {
         let worker = self.ensure_worker(&host.name);
         let state = &mut self.workers[worker];
         state.first_seen = id::Time::ZERO;
         state.started_at = state.started_at.max(host.started_at);
         let now = self.now;
+        let outstanding_since = self.outstanding_sent_at(run.task);
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
         let crashes = job.task(run.task).map_or(0, |task| task.crashed.len());
         // Only starts on workers that may restart are recorded as outstanding.
-        let start_unanswered = self.pins.contains_key(&run.task);
+        let start_unanswered = outstanding_since.is_some();
         self.workers[worker].has_predecessor_with_start |= start_unanswered;
         let learns = self.settings.features.learned_durations;
         let hosted = Hosted {
             crashes,
             start_unanswered,
             starts_in_flight: u32::from(start_unanswered),
+            start_last_sent: outstanding_since.unwrap_or(now),
+            listed: settled,
+            settlement_planned: settled,
             queue: learns.then(|| job.accepted.queue.clone()),
             ..Hosted::inherited(job.spec(run.task.step), now)
         };
--- a/crates/planner/src/placement/pin.rs
+++ b/crates/planner/src/placement/pin.rs
@@ -32,6 +32,7 @@
 use crate::queue::task::Place;
 use crate::queue::task::Task;
 use crate::records::record::Outstanding;
+use crate::records::record::Settled;
 use crate::service::way::Way;
 use crate::workers::command::Timer;
 use crate::workers::host::Hosted;
@@ -54,9 +55,34 @@
     /// Returns `true` if an unanswered start of the run may still be carried out. For a run that a
     /// previous owner placed this is unknown, and assumed, until the worker has listed it.
     pub(crate) fn has_outstanding_start(&self, now: Time) -> bool {
-        let is_unanswered = self.starts_in_flight > 0 || matches!(self.stage, Stage::Inherited);
+        let is_unanswered = self.starts_in_flight > 0 || self.is_unsettled_inherited();
         is_unanswered && now < self.start_last_sent + START_EXPIRY
     }
+
+    /// Returns `true` for a run that a previous owner placed, and that wasn't recorded as settled.
+    pub(crate) fn is_unsettled_inherited(&self) -> bool {
+        matches!(self.stage, Stage::Inherited) && !self.listed
+    }
+
+    /// Returns `true` if this owner may send its start, again or for the first time, without a
+    /// write of the record before.
+    fn may_be_sent(&self) -> bool {
+        matches!(self.stage, Stage::Intended { .. } | Stage::Starting { .. }) || self.needs_probe()
+    }
+
+    /// Returns `true` if none of its starts may be carried out any more. An answer alone doesn't
+    /// show that: it may have come from a later incarnation than the record names.
+    pub(crate) fn is_settled(&self, now: Time) -> bool {
+        self.listed && !self.may_be_sent() && !self.has_outstanding_start(now)
+    }
+
+    /// Returns how long ago its latest start was sent, at least.
+    fn start_age(&self, now: Time) -> Duration {
+        match self.may_be_sent() {
+            true => Duration::ZERO,
+            false => now.saturating_sub(self.start_last_sent),
+        }
+    }
 }
 
 impl Planner {
@@ -112,39 +138,79 @@
     /// Returns the outstanding starts that the record of a job holds.
     pub(crate) fn outstanding_starts(&self, job: JobId) -> Vec<Outstanding> {
         let pins = self.pins.iter().filter(|(task, _)| task.job == job);
-        let pinned = pins.map(|(task, pin)| Outstanding::new(*task, pin.worker.clone()));
+        let pinned = pins.map(|(task, pin)| {
+            Outstanding::new(*task, pin.worker.clone(), self.pin_age(*task, pin))
+        });
         let unanswered =
             self.unanswered_starts(job).filter(|start| !self.is_pinned(start.task(job)));
         pinned.chain(unanswered).collect()
     }
 
-    /// Returns the unanswered starts of runs that are in their places, on workers that may restart
-    /// under their names.
-    fn unanswered_starts(&self, job: JobId) -> impl Iterator<Item = Outstanding> {
+    /// Returns how long ago the latest start of a pinned task was sent, at least.
+    fn pin_age(&self, id: TaskId, pin: &Pin) -> Duration {
+        let age = START_EXPIRY.saturating_sub(pin.until.saturating_sub(self.now));
+        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+        match task.and_then(|task| self.placed_run(id, task)) {
+            Some((_, hosted)) if !hosted.is_settled(self.now) => {
+                age.min(hosted.start_age(self.now))
+            }
+            _ => age,
+        }
+    }
+
+    /// Returns the placed service tasks of a job without an outstanding start.
+    pub(crate) fn settled_tasks(&self, job: JobId) -> Vec<Settled> {
+        let settled = self
+            .placed_runs(job)
+            .filter(|(_, _, hosted)| hosted.long_running && hosted.is_settled(self.now));
+        settled.map(|(task, _, _)| Settled::new(task)).collect()
+    }
+
+    /// Returns the run of a task that is in its place, with its worker.
+    fn placed_run(&self, id: TaskId, task: &Task) -> Option<(&Worker, &Hosted)> {
+        let Place::At(worker) = task.place else { return None };
+        let worker = self.workers.get(worker)?;
+        Some((worker, worker.runs.get(&Run { task: id, attempt: task.attempt })?))
+    }
+
+    /// Returns the runs of a job that are in their places, with their workers.
+    fn placed_runs(&self, job: JobId) -> impl Iterator<Item = (TaskId, &Worker, &Hosted)> {
         let steps = self.jobs.get(&job).into_iter().flat_map(move |state| state.steps(job));
         let tasks = steps
             .flat_map(|(step, state)| (0..).map(move |index| step.task(index)).zip(&state.tasks));
         tasks.filter_map(|(id, task)| {
-            let Place::At(worker) = task.place else { return None };
-            let worker = self.workers.get(worker)?;
-            let hosted = worker.runs.get(&Run { task: id, attempt: task.attempt })?;
+            let (worker, hosted) = self.placed_run(id, task)?;
+            Some((id, worker, hosted))
+        })
+    }
+
+    /// Returns the unanswered starts of runs that are in their places, on workers that may restart
+    /// under their names.
+    fn unanswered_starts(&self, job: JobId) -> impl Iterator<Item = Outstanding> {
+        self.placed_runs(job).filter_map(|(id, worker, hosted)| {
             let is_outstanding = hosted.start_unanswered && hosted.has_outstanding_start(self.now);
             (is_outstanding && worker.may_restart())
-                .then(|| Outstanding::new(id, worker.name.clone()))
+                .then(|| Outstanding::new(id, worker.name.clone(), hosted.start_age(self.now)))
         })
     }
 
-    /// Pins the tasks that a previous owner had pinned. Their starts were sent before this
-    /// ownership.
+    /// Pins the tasks that a previous owner had pinned, for what is left of the time in which
+    /// their starts may be carried out.
     pub(crate) fn restore_pins(&mut self, job: JobId, outstanding: &[Outstanding]) {
-        let until = self.now + START_EXPIRY;
         for start in outstanding {
+            let age = Duration::from_millis(start.age_ms.into());
+            let until = self.now + START_EXPIRY.saturating_sub(age);
             let pin = Pin { worker: start.worker.clone(), until };
             self.pins.insert(start.task(job), pin);
             self.timers.insert((until, Timer::Place));
         }
     }
 
+    /// Returns the latest time at which a previous owner sent the outstanding start of a task.
+    pub(crate) fn outstanding_sent_at(&self, task: TaskId) -> Option<Time> {
+        self.pins.get(&task).map(|pin| pin.until.saturating_sub(START_EXPIRY))
+    }
+
     /// Releases the tasks that are pinned to a worker.
     pub(crate) fn unpin_worker(&mut self, worker: WorkerId) {
         let name = &self.workers[worker].name;
--- a/crates/planner/src/queue/job.rs
+++ b/crates/planner/src/queue/job.rs
@@ -45,6 +45,8 @@
     pub(crate) version: u64,
     /// The latest version that is known to be stored.
     pub(crate) stored_version: u64,
+    /// When its record is written again without a decision about it, if that is planned.
+    pub(crate) rewrite_at: Option<Time>,
     /// Final state, once it is decided.
     pub(crate) end: Option<State>,
 }
@@ -64,6 +66,7 @@
             critical_path: Duration::ZERO,
             version: 0,
             stored_version: 0,
+            rewrite_at: None,
             end: None,
         };
         job.work = job.accepted.spec.work();
@@ -308,6 +311,7 @@
             crashes: unfinished().flat_map(Occurrence::crashes).collect(),
             outstanding: Vec::new(),
             waits: Vec::new(),
+            settled: Vec::new(),
         }
     }
 }
--- a/crates/planner/src/records.rs
+++ b/crates/planner/src/records.rs
@@ -2,4 +2,5 @@
 
 pub mod estimates;
 pub mod record;
+pub(crate) mod rewrite;
 pub(crate) mod write;
--- a/crates/planner/src/records/record.rs
+++ b/crates/planner/src/records/record.rs
@@ -4,6 +4,7 @@
 //! is sent.
 
 mod v1;
+mod v4;
 
 use std::time::Duration;
 
@@ -19,7 +20,10 @@
 /// read.
 const VALUE_VERSION: u8 = 1;
 /// First byte of a job's record.
-const RECORD_VERSION: u8 = 4;
+const RECORD_VERSION: u8 = 5;
+/// First byte of a record that holds waits, unlike version 3, but neither settled starts nor the
+/// ages of outstanding ones.
+const RECORD_VERSION_4: u8 = 4;
 /// First byte of a record that holds outstanding starts, unlike version 2, but no waits.
 const RECORD_VERSION_3: u8 = 3;
 /// First byte of a record that names incarnations of workers, unlike version 1, but holds no
@@ -71,6 +75,8 @@
     pub outstanding: Vec<Outstanding>,
     /// Waits of service tasks.
     pub waits: Vec<Wait>,
+    /// Placed service tasks without an outstanding start.
+    pub settled: Vec<Settled>,
 }
 
 /// A record of version 3, which holds no waits.
@@ -80,13 +86,14 @@
     opened: u32,
     occurrences: Vec<Occurrence>,
     crashes: Vec<Crashes>,
-    outstanding: Vec<Outstanding>,
+    outstanding: Vec<v4::Outstanding>,
 }
 
 impl From<RecordV3> for Record {
     fn from(record: RecordV3) -> Record {
         let RecordV3 { started, opened, occurrences, crashes, outstanding } = record;
-        Record { started, opened, occurrences, crashes, outstanding, waits: Vec::new() }
+        let outstanding = outstanding.into_iter().map(Outstanding::from).collect();
+        Record { started, opened, occurrences, crashes, outstanding, ..Record::default() }
     }
 }
 
@@ -102,8 +109,7 @@
 impl From<RecordV2> for Record {
     fn from(record: RecordV2) -> Record {
         let RecordV2 { started, opened, occurrences, crashes } = record;
-        let (outstanding, waits) = (Vec::new(), Vec::new());
-        Record { started, opened, occurrences, crashes, outstanding, waits }
+        Record { started, opened, occurrences, crashes, ..Record::default() }
     }
 }
 
@@ -119,12 +125,40 @@
     pub index: id::TaskIndex,
     /// Name of the worker that may carry it out, in any incarnation.
     pub worker: id::Instance,
+    /// Age of the task's latest start there when the record was written, in milliseconds; 0 while
+    /// the owner may send another one without writing the record first.
+    pub age_ms: u32,
 }
 
 impl Outstanding {
-    pub(crate) fn new(task: job::TaskId, worker: id::Instance) -> Outstanding {
+    pub(crate) fn new(task: job::TaskId, worker: id::Instance, age: Duration) -> Outstanding {
         let job::TaskId { occurrence, step, index, .. } = task;
-        Outstanding { occurrence, step, index, worker }
+        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        Outstanding { occurrence, step, index, worker, age_ms }
+    }
+
+    pub(crate) fn task(&self, job: job::JobId) -> job::TaskId {
+        job::TaskId { job, occurrence: self.occurrence, step: self.step, index: self.index }
+    }
+}
+
+/// A placed service task none of whose starts may still be carried out: its worker's incarnation
+/// has reported the run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Settled {
+    /// The occurrence of its job.
+    pub occurrence: job::Occurrence,
+    /// Its step.
+    pub step: job::StepIndex,
+    /// Index of the task in the step.
+    pub index: id::TaskIndex,
+}
+
+impl Settled {
+    pub(crate) fn new(task: job::TaskId) -> Settled {
+        let job::TaskId { occurrence, step, index, .. } = task;
+        Settled { occurrence, step, index }
     }
 
     pub(crate) fn task(&self, job: job::JobId) -> job::TaskId {
@@ -186,6 +220,7 @@
     pub fn decode(bytes: &[u8]) -> Result<Record, Error> {
         match bytes.split_first() {
             Some((&RECORD_VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+            Some((&RECORD_VERSION_4, rest)) => Ok(v4::decode(rest)?),
             Some((&RECORD_VERSION_3, rest)) => Ok(postcard::from_bytes::<RecordV3>(rest)?.into()),
             Some((&RECORD_VERSION_2, rest)) => Ok(postcard::from_bytes::<RecordV2>(rest)?.into()),
             Some((&VALUE_VERSION, rest)) => Ok(v1::decode(rest)?),
--- a/crates/planner/src/records/record/v1.rs
+++ b/crates/planner/src/records/record/v1.rs
@@ -59,8 +59,7 @@
     fn from(record: Record) -> super::Record {
         let Record { started, opened, occurrences, crashes } = record;
         let occurrences = occurrences.into_iter().map(super::Occurrence::from).collect();
-        let (outstanding, waits) = (Vec::new(), Vec::new());
-        super::Record { started, opened, occurrences, crashes, outstanding, waits }
+        super::Record { started, opened, occurrences, crashes, ..super::Record::default() }
     }
 }
 
--- a/crates/planner/src/records/write.rs
+++ b/crates/planner/src/records/write.rs
@@ -102,10 +102,14 @@
         for job in dirty {
             let Some(state) = self.jobs.get(&job) else { continue };
             jobs.push((job, state.version, state.end));
-            changes.push(match state.end {
+            let change = match state.end {
                 Some(state) => Change::End { job, state },
                 None => Change::Progress { job, record: self.record(job, state) },
-            });
+            };
+            if let Change::Progress { record, .. } = &change {
+                self.plan_next_rewrite(job, record);
+            }
+            changes.push(change);
         }
         self.writes.last += 1;
         self.writes.next_write_at = self.now + self.settings.min_write_interval;
@@ -123,6 +127,7 @@
         Record {
             outstanding: self.outstanding_starts(id),
             waits: self.waits(id),
+            settled: self.settled_tasks(id),
             ..job.record(|id| self.incarnation(id))
         }
     }
--- a/crates/planner/src/workers/command.rs
+++ b/crates/planner/src/workers/command.rs
@@ -46,6 +46,8 @@
     Occurrence(JobId),
     /// A check of the maintenance rollouts.
     Rollouts,
+    /// A planned write of a job's record.
+    Rewrite(JobId),
     /// A placement pass.
     Place,
 }
@@ -64,6 +66,7 @@
                 Timer::LeaseExpiry(worker) => self.check_lease_expiry(worker),
                 Timer::Occurrence(job) => self.open_due(job),
                 Timer::Rollouts => self.advance_rollouts(),
+                Timer::Rewrite(job) => self.rewrite(job),
                 Timer::Place => self.room_changed = true,
             }
         }
--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -19,6 +19,7 @@
 use crate::faults::crash::PROBATION_HEARTBEAT_WAIT;
 use crate::owner::takeover::EXPIRY_CHECK_INTERVAL;
 use crate::planner::Planner;
+use crate::records::rewrite::SETTLED_START_DELAY;
 use crate::workers::command::Timer;
 use crate::workers::host::Command;
 use crate::workers::host::Hosted;
@@ -286,6 +287,10 @@
         }
         hosted.carried_over = false;
         hosted.settle_listed_start();
+        hosted.listed |= now >= hosted.inherited_until;
+        let needs_record =
+            hosted.long_running && !hosted.settlement_planned && hosted.is_settled(now);
+        hosted.settlement_planned |= needs_record;
         if running.checkpoint.is_some() {
             hosted.checkpoint = running.checkpoint;
         }
@@ -298,6 +303,9 @@
         if !was_running {
             self.mark_started(running.run.task.job);
         }
+        if needs_record {
+            self.plan_rewrite(running.run.task.job, SETTLED_START_DELAY);
+        }
     }
 
     /// Stops a run that isn't assigned to the worker: its job has ended, or an old start was
--- a/crates/planner/src/workers/host.rs
+++ b/crates/planner/src/workers/host.rs
@@ -12,6 +12,7 @@
 use crate::colocation::forecast_error::Record;
 use crate::colocation::load::Deviation;
 use crate::colocation::measurement::Headroom;
+use crate::placement::pin::START_EXPIRY;
 
 /// Speed limit of a run that isn't throttled, in percent.
 pub(crate) const FULL_SPEED: u8 = 100;
@@ -106,6 +107,11 @@
     pub(crate) crashes: usize,
     /// Whether its start was repeated as a liveness probe of its worker.
     pub(crate) probed: bool,
+    /// Whether its incarnation has reported it after the starts of previous owners had expired, or
+    /// a previous owner has recorded it as settled.
+    pub(crate) listed: bool,
+    /// Whether a write that records it as settled has been planned.
+    pub(crate) settlement_planned: bool,
     /// When its start was first sent by this owner.
     pub(crate) start_first_sent: Option<Time>,
     /// Number of its starts whose outcome is unknown: the worker's next incarnation may carry them
@@ -118,6 +124,8 @@
     pub(crate) starts_sent: u32,
     /// When its latest start was sent. For a start of a previous owner, the latest possible time.
     pub(crate) start_last_sent: Time,
+    /// When the starts of previous owners have expired.
+    pub(crate) inherited_until: Time,
     /// Whether it was started on an earlier incarnation, if at all, and the current one hasn't
     /// reported it yet.
     pub(crate) carried_over: bool,
@@ -173,11 +181,14 @@
             checkpoint: None,
             crashes: 0,
             probed: false,
+            listed: false,
+            settlement_planned: false,
             start_first_sent: None,
             starts_in_flight: 0,
             start_unanswered: false,
             starts_sent: 0,
             start_last_sent: Time::ZERO,
+            inherited_until: Time::ZERO,
             carried_over: false,
             progress: 0,
             first_progress: 0,
@@ -205,7 +216,14 @@
     /// Returns a run that a previous owner assigned.
     pub(crate) fn inherited(step: &Step, now: Time) -> Hosted {
         let hosted = Hosted::new(step, Stage::Inherited, now);
-        Hosted { confirmed_speed_limit: None, starts_sent: 1, start_last_sent: now, ..hosted }
+        let inherited_until = now + START_EXPIRY;
+        Hosted {
+            confirmed_speed_limit: None,
+            starts_sent: 1,
+            start_last_sent: now,
+            inherited_until,
+            ..hosted
+        }
     }
 
     /// Returns `true` if its speed limit has to be sent.
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -76,7 +76,7 @@
     /// unanswered, or one of a previous owner that this incarnation hasn't been told to refuse.
     fn may_start_late(&self, hosted: &Hosted, now: Time) -> bool {
         let unfenced = matches!(self.contact, Contact::Unfenced { .. });
-        hosted.has_outstanding_start(now) || (unfenced && matches!(hosted.stage, Stage::Inherited))
+        hosted.has_outstanding_start(now) || (unfenced && hosted.is_unsettled_inherited())
     }
 
     /// Returns the next incarnation at the same address, whose directory entry has yet to arrive.
@@ -212,6 +212,8 @@
         let hosted = Hosted {
             stage,
             carried_over: true,
+            listed: false,
+            settlement_planned: false,
             is_whole: false,
             confirmed_speed_limit: None,
             throttle_in_flight: false,
--- a/crates/planner/tests/record.rs
+++ b/crates/planner/tests/record.rs
@@ -5,6 +5,7 @@
 use cowslipchute_planner::record::Occurrence;
 use cowslipchute_planner::record::Outstanding;
 use cowslipchute_planner::record::Record;
+use cowslipchute_planner::record::Settled;
 use cowslipchute_planner::record::Task;
 use cowslipchute_planner::record::Wait;
 use cowslipchute_ports::executor::Incarnation;
@@ -20,6 +21,11 @@
     Record { started: true, opened: 1, occurrences: vec![occurrence], ..Record::default() }
 }
 
+/// An outstanding start that was sent this long before the record was written.
+fn start(age_ms: u32) -> Outstanding {
+    Outstanding { occurrence: 0, step: 0, index: 0, worker: "w1".into(), age_ms }
+}
+
 #[test]
 fn crashes_are_kept() {
     let crashes =
@@ -30,8 +36,7 @@
 
 #[test]
 fn outstanding_starts_are_kept() {
-    let start = Outstanding { occurrence: 0, step: 0, index: 0, worker: "w1".into() };
-    let record = Record { outstanding: vec![start], ..started_record() };
+    let record = Record { outstanding: vec![start(2500)], ..started_record() };
     assert_eq!(Record::decode(&record.encode()).unwrap(), record);
 }
 
@@ -42,14 +47,32 @@
     assert_eq!(Record::decode(&record.encode()).unwrap(), record);
 }
 
+#[test]
+fn settled_starts_are_kept() {
+    let settled = Settled { occurrence: 0, step: 0, index: 0 };
+    let record = Record { settled: vec![settled], ..started_record() };
+    assert_eq!(Record::decode(&record.encode()).unwrap(), record);
+}
+
+/// The record above with an outstanding start and a wait, as version 4 encoded it.
+const RECORD_V4: &[u8] =
+    b"\x04\x01\x01\x01\x00\x01\x01\x02\x00\x00\x01\x02w1\x01\x80\x90\x92\x82\xe73\x00\x00\x01\x00\x00\x00\x02w1\x01\x00\x00\x00\x80\x90\x92\x82\xe73";
+
+#[test]
+fn a_record_of_before_ages_were_kept_has_outstanding_starts_of_no_age() {
+    let wait = Wait { occurrence: 0, step: 0, index: 0, since_ms: 1_780_000_000_000 };
+    let outstanding = vec![start(0)];
+    let record = Record { outstanding, waits: vec![wait], ..started_record() };
+    assert_eq!(Record::decode(RECORD_V4).unwrap(), record);
+}
+
 /// The record above with an outstanding start, as version 3 encoded it.
 const RECORD_V3: &[u8] =
     b"\x03\x01\x01\x01\x00\x01\x01\x02\x00\x00\x01\x02w1\x01\x80\x90\x92\x82\xe73\x00\x00\x01\x00\x00\x00\x02w1";
 
 #[test]
 fn a_record_of_before_waits_were_kept_has_none() {
-    let start = Outstanding { occurrence: 0, step: 0, index: 0, worker: "w1".into() };
-    let record = Record { outstanding: vec![start], ..started_record() };
+    let record = Record { outstanding: vec![start(0)], ..started_record() };
     assert_eq!(Record::decode(RECORD_V3).unwrap(), record);
 }
 
