Overdue service tasks take workers that are isolated for another step

What callers saw: a service task waits for 5.3 s beside three free processors.

Cause: four tasks of a job that crashes workers are on probation one after another, each alone on the only worker with room. The worker stays isolated for their step from one to the next, and isolation gave way to nothing. ServiceTaskWaits names it: 'isolated for others; an observer sees 3, two for 4115 ms'.

Isolation now gives way together with reservations, once an observer has seen capacity for two for 1.5 s. Nothing of the isolating step has begun at that time, so a crash can still be attributed: its task starts when nothing else has begun for half a second, as before. The second after the start of a task on probation still gives way to nothing.

Ruled out: pins (no start was outstanding) and the reserve for short tasks (it gives way after 2 s).

--- a/crates/planner/src/placement/fit.rs
+++ b/crates/planner/src/placement/fit.rs
@@ -92,7 +92,7 @@
 /// Restrictions of workers that give way to a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Precedence {
-    /// Workers that are reserved for other steps take it.
+    /// Workers that are reserved or isolated for other steps take it.
     pub(crate) over_reservations: bool,
     /// Workers on which tasks of its step are on probation take it.
     pub(crate) shares_probation: bool,
@@ -190,7 +190,8 @@
         if is_reserved {
             return Some(Misfit::Reserved);
         }
-        if worker.is_isolated_for_other(id, self.now) {
+        // Nothing of the other step has begun yet, so its task on probation only starts later.
+        if worker.is_isolated_for_other(id, self.now) && !precedence.over_reservations {
             return Some(Misfit::Isolated);
         }
         let shares = step.gang || precedence.shares_probation;
--- a/crates/planner/tests/interleavings.rs
+++ b/crates/planner/tests/interleavings.rs
@@ -765,11 +765,28 @@
     ]
 }
 
+/// Four tasks of a job are on probation after one another on the same worker, which stays isolated
+/// for them meanwhile. A service task waits beside it for 5.3 s.
+fn isolation_by_turns() -> Vec<Step> {
+    vec![
+        Step::KillOwner,
+        Step::Service(2, 2, Kind::Plain),
+        Step::Load { jobs: 108, every: 59, time: 200, processors: 3 },
+        Step::Wait(500),
+        Step::Leave(11),
+        Step::Wait(10),
+        Step::Calm(8000),
+        Step::CrashingJob { width: 4, at: 0, after: 111, kind: 0 },
+        Step::Service(9, 1, Kind::Plain),
+    ]
+}
+
 #[parameterized(
     crash_counted_twice = { crash_counted_by_two_owners() },
     crash_of_another = { crash_of_a_later_start() },
     culprit_started_late = { late_start_of_a_crashing_task() },
     culprits_beside_waves = { crashing_jobs_during_rollouts() },
+    isolated_by_turns = { isolation_by_turns() },
     pinned_over_owners = { pins_kept_over_owners() },
     quarantined_sound = { quarantine_of_a_sound_worker() },
     restarted_in_upkeep = { restart_during_upkeep() },
