Rollouts move service tasks only if they run and have room elsewhere

What callers saw: during a rollout, a service task waits for 5.7 s beside room for two, and is then started and stopped every half second, 25 attempts within 13 s.

Cause: a machine runs more tasks of a step than may be unavailable at once, so the rollout moves one of them off. It chose a run whose start had been sent 10 ms before, and the stop took 2.6 s. No other worker had room beside service tasks, so the task came back to the same machine and was moved again. Runs that are starting on the machine weren't counted as unavailable either.

Now only an available task is moved, runs that aren't available count against the disruption budget, and another worker has to have room for the task once its short tasks have ended.

--- a/crates/planner/src/maintenance/disruption.rs
+++ b/crates/planner/src/maintenance/disruption.rs
@@ -41,21 +41,46 @@
     }
 
     /// Moves a task off a worker that runs more tasks of one step than may be unavailable at once.
+    /// It has to be able to run elsewhere: otherwise it would be started there again and moved again,
+    /// and the worker would be no closer to its maintenance.
     pub(crate) fn move_excess_service_task(&mut self, worker: Option<WorkerId>) {
         let Some(worker) = worker else { return };
         for (step, runs) in self.service_runs_by_step(worker) {
             let max_tasks = self.max_unavailable(step);
-            let Some(&run) = runs.last().filter(|_| runs.len() > max_tasks) else { continue };
+            if runs.len() <= max_tasks || !self.has_place_elsewhere(step, worker) {
+                continue;
+            }
             let moving = runs.iter().any(|run| {
                 self.workers[worker].runs.get(run).is_some_and(|hosted| hosted.is_stopping())
             });
-            if !moving && self.unavailable_elsewhere(step, worker) < max_tasks {
+            let available =
+                |run: &&Run| self.is_available(run.task, Place::At(worker), run.attempt);
+            // Before a start is answered, a stop takes seconds: the run has to be missing from the reports.
+            let Some(&run) = runs.iter().rfind(available) else { continue };
+            let unavailable_here = runs.len() - runs.iter().filter(available).count();
+            let unavailable = self.unavailable_elsewhere(step, worker) + unavailable_here;
+            if !moving && unavailable < max_tasks {
                 self.avoid_worker(worker, run);
                 self.stop_run(worker, run, Reason::WorkerDraining);
             }
         }
     }
 
+    /// Returns `true` if a worker other than `except` has room for a task of a service step once its
+    /// short tasks have ended.
+    fn has_place_elsewhere(&self, step: StepId, except: WorkerId) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return false };
+        let demand = job.spec(step.step).demand;
+        let service = self.service(step.job);
+        self.workers.iter().any(|(id, worker)| {
+            id != except
+                && worker.service == service
+                && self.is_usable(worker)
+                && !worker.draining_for_maintenance
+                && demand.fits_within(worker.capacity.minus(worker.reserved_by_services))
+        })
+    }
+
     /// Returns how many tasks of a step its client allows to be unavailable at once.
     fn max_unavailable(&self, step: StepId) -> usize {
         let job = self.jobs.get(&step.job);
--- a/crates/planner/tests/interleavings.rs
+++ b/crates/planner/tests/interleavings.rs
@@ -781,12 +781,37 @@
     ]
 }
 
+/// A rollout moves a task off a worker that runs too many of its step, while its start is in flight
+/// and no other worker has room for it. It comes back there and is moved again every half second.
+fn move_without_a_place() -> Vec<Step> {
+    vec![
+        Step::Wait(826),
+        Step::Submit { width: 3, chain: 2, time: 1281, kind: 0 },
+        Step::Load { jobs: 35, every: 124, time: 1076, processors: 1 },
+        Step::Leave(4),
+        Step::Submit { width: 2, chain: 3, time: 861, kind: 0 },
+        Step::Leave(1),
+        Step::Wait(1251),
+        Step::Submit { width: 1, chain: 1, time: 50, kind: 0 },
+        Step::Service(3, 2, Kind::Plain),
+        Step::Wait(71),
+        Step::Wait(311),
+        Step::Wait(211),
+        Step::Submit { width: 2, chain: 1, time: 50, kind: 5 },
+        Step::Cancel(2),
+        Step::Service(7, 1, Kind::Plain),
+        Step::Rollout(12, 1),
+        Step::Wait(41),
+    ]
+}
+
 #[parameterized(
     crash_counted_twice = { crash_counted_by_two_owners() },
     crash_of_another = { crash_of_a_later_start() },
     culprit_started_late = { late_start_of_a_crashing_task() },
     culprits_beside_waves = { crashing_jobs_during_rollouts() },
     isolated_by_turns = { isolation_by_turns() },
+    moved_without_place = { move_without_a_place() },
     pinned_over_owners = { pins_kept_over_owners() },
     quarantined_sound = { quarantine_of_a_sound_worker() },
     restarted_in_upkeep = { restart_during_upkeep() },
