--- a/crates/planner/src/records/rewrite.rs
+++ b/crates/planner/src/records/rewrite.rs
@@ -22,7 +22,7 @@
 pub(crate) const SETTLED_START_DELAY: Duration = Duration::from_millis(500);
 /// Interval at which a job with outstanding starts is written. A change of owner loses up to this
 /// much of their age.
-const OUTSTANDING_START_INTERVAL: Duration = Duration::from_secs(1);
+const OUTSTANDING_START_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Planner {
     /// Plans a write of a job's record, unless an earlier one is planned.
