Planner: reservations are used before returning tasks take what is left

What callers saw: the same as before, capacity of a service job that has ended at three looks in a row. The freed workers were reserved for short jobs. A reservation keeps a whole worker from others until its task is placed, which happened in a pass only, so that returning tasks got 5 of 12 places that a job had left on three workers (trace of lasting_job_ends). Between two passes reservations are used first now.

--- a/crates/planner/src/service/freed.rs
+++ b/crates/planner/src/service/freed.rs
@@ -53,6 +53,8 @@
         if tasks.is_empty() {
             return 0;
         }
+        // What is left of a worker that is reserved for another step is free once that is placed.
+        self.use_reservations();
         let open = self.open_workers();
         self.update_quota(open.iter().flat_map(|(_, workers)| workers).copied());
         let mut placed = 0;
