Planner: a task that a reservation places isn't placed again on freed capacity

Between two passes the list of returning tasks was made before reservations were used, so that a task which a reservation placed was assigned a second time.

Reservations are used first, then the list is made. Assigning a task that is placed already is a bug wherever it happens, and every test of the planner now stops there.

--- a/crates/planner/src/placement/place.rs
+++ b/crates/planner/src/placement/place.rs
@@ -397,6 +397,7 @@
             self.quota.take(job.spec(task.step));
         }
         let state = job.task_mut(task);
+        debug_assert!(state.place == Place::Waiting, "a placed task isn't assigned again");
         state.attempt += 1;
         let run = Run { task, attempt: state.attempt };
         let checkpoint = state.checkpoint.clone();
--- a/crates/planner/src/service/freed.rs
+++ b/crates/planner/src/service/freed.rs
@@ -49,12 +49,13 @@
         if freed.is_empty() {
             return 0;
         }
+        // What is left of a worker that is reserved for another step is free once that is placed.
+        // The task that is placed may itself be a returning one.
+        self.use_reservations();
         let tasks = self.returning_tasks();
         if tasks.is_empty() {
             return 0;
         }
-        // What is left of a worker that is reserved for another step is free once that is placed.
-        self.use_reservations();
         let open = self.open_workers();
         self.update_quota(open.iter().flat_map(|(_, workers)| workers).copied());
         let mut placed = 0;
