--- a/crates/planner/src/service/freed.rs
+++ b/crates/planner/src/service/freed.rs
@@ -26,8 +26,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Freed {
     pub(crate) workers: Vec<WorkerId>,
-    /// Whether one of the runs was that of a service task. The tasks of a service job that ends
-    /// leave their workers within a moment of each other.
+    /// Whether one of the runs was that of a service task, however it ended. The tasks of a service
+    /// job that ends leave their workers within a moment of each other.
     pub(crate) by_service: bool,
 }
 
--- a/crates/planner/src/service/order.rs
+++ b/crates/planner/src/service/order.rs
@@ -5,7 +5,9 @@
 //! follow one another, and a task that waits beside free capacity for three seconds counts as lost
 //! whatever the reasons were. So overdue tasks of all steps compete for free capacity in one
 //! place, those that have waited longest first, and each [`Restriction`] gives way to them once an
-//! observer has seen capacity for two for a stated time.
+//! observer has seen capacity for two for a stated time. A task that is owed
+//! ([`Planner::is_owed`]) takes capacity that was seen for a moment, since an observer may look at
+//! just these moments.
 //!
 //! What keeps a task from running twice never gives way: pins ([`crate::placement::pin`]), runs on
 //! workers that can't be reached, and the time until stopped runs are gone.
@@ -62,7 +64,7 @@
     pub(crate) fn pair_time(self) -> Duration {
         match self {
             // Longer than a pause between two short jobs, which leaves such capacity too, and short
-            // compared with the time between two looks of an observer.
+            // compared with the time between two looks of an observer. It doesn't hold for owed tasks.
             Restriction::ReserveForReturning => Duration::from_millis(400),
             Restriction::SlowWorker => Duration::from_millis(1000),
             Restriction::Reservation => Duration::from_millis(1500),
