--- a/crates/e2e/tests/soak.rs
+++ b/crates/e2e/tests/soak.rs
@@ -54,6 +54,7 @@
     probation_by_turns = { 3 },
     // A start on its way to a worker that restarted again and again is carried out after its task is done.
     started_after_completion = { 61003 },
+    started_after_second_restart = { 65001 },
     // Service tasks that are pinned to a worker which has left wait beside room until their starts have expired.
     left_beside_load = { 61004 },
     left_beside_load_again = { 61021 },
