--- a/review/harness/src/bin/review-ends.rs
+++ b/review/harness/src/bin/review-ends.rs
@@ -15,10 +15,7 @@
 use cowslipchute_ports::job::TaskId;
 use cowslipchute_review::Deployment;
 use cowslipchute_review::Record;
-
-fn var(name: &str, default: u64) -> u64 {
-    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-}
+use cowslipchute_review::var;
 
 #[tokio::main]
 async fn main() -> ExitCode {
