--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -290,6 +290,16 @@
         Ok(())
     }
 
+    /// Returns the first line about a panic in the logs of a process.
+    pub fn panic_of(&self, name: &str) -> Option<String> {
+        let starts = self.members.get(name)?.starts;
+        let logs = (1..=starts).map(|start| self.directory.join(format!("{name}-{start}.log")));
+        let texts = logs.filter_map(|path| std::fs::read_to_string(path).ok());
+        texts
+            .flat_map(|text| text.lines().map(str::to_owned).collect::<Vec<_>>())
+            .find(|line| line.contains("panicked"))
+    }
+
     /// Returns the process that owns the cell, as the store holds it.
     pub fn owner(&self) -> Option<String> {
         let state = self.site.lock();
@@ -334,6 +344,9 @@
             if let Some(label) = &step.required_label {
                 value["required-label"] = json!(&**label);
             }
+            if step.long_running {
+                value["long-running"] = json!(true);
+            }
             if step.checkpointing {
                 value["checkpointing"] = json!(true);
             }
