--- a/review/harness/src/bin/review-flap.rs
+++ b/review/harness/src/bin/review-flap.rs
@@ -19,6 +19,8 @@
 
 /// The executor that goes down and up, the only one of its rack.
 const FLAPPING: &str = "w9";
+/// Time for which the directory keeps the entry of a crashed executor: three heartbeat intervals.
+const STALE_ENTRY_TIME: Duration = Duration::from_millis(1500);
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -59,6 +61,7 @@
     let mut submitted = BTreeMap::new();
     let mut is_up = true;
     let mut failures = 0;
+    let mut stale: Vec<(Duration, String)> = Vec::new();
     let mut shown: BTreeMap<u64, String> = BTreeMap::new();
     let mut runs: BTreeMap<String, ()> = BTreeMap::new();
     let members: Vec<String> = deployment.members.keys().cloned().collect();
@@ -94,6 +97,14 @@
                 record.line(&format!("{FLAPPING} is back as a new executor"));
             } else {
                 let mut state = deployment.site.lock();
+                // The entry stays for three heartbeat intervals.
+                let key = format!("servers/{}", state.workers[FLAPPING].name);
+                let entry = state.store.value(&key).map(|value| value.to_vec());
+                if let Some(entry) = entry {
+                    let entry = String::from_utf8(entry)?;
+                    state.foreign_entries.insert(key.clone(), entry);
+                    stale.push((at + STALE_ENTRY_TIME, key));
+                }
                 let worker = state.workers.get_mut(FLAPPING).context("it exists")?;
                 worker.up = false;
                 let lost = worker.active.len();
@@ -104,7 +115,10 @@
             }
         }
         {
-            let state = deployment.site.lock();
+            let mut state = deployment.site.lock();
+            for (_, key) in stale.extract_if(.., |(until, _)| *until <= at) {
+                state.foreign_entries.remove(&key);
+            }
             for (name, worker) in &state.workers {
                 for run in worker.active.keys() {
                     let text = format!("{} runs {} run {}", worker.name, run.task, run.attempt);
