--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -12,6 +12,7 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -143,6 +144,66 @@
     }
 }
 
+/// A proxy before an executor that records the starts it is told.
+struct StartProxy {
+    executor: SocketAddr,
+    name: String,
+    client: reqwest::Client,
+    starts: Starts,
+    record: Record,
+    cut: Arc<AtomicBool>,
+}
+
+/// Starts that executors were told: task, run and spec.
+pub type Starts = Arc<Mutex<Vec<(String, u64, String)>>>;
+
+impl Endpoint for StartProxy {
+    type Output = Response;
+
+    async fn call(&self, mut request: Request) -> poem::Result<Response> {
+        let url = format!("http://{}{}", self.executor, request.original_uri());
+        let is_start = request.original_uri().path() == "/v1/run-start";
+        let expected = request.header("Expected-Instance").unwrap_or_default().to_owned();
+        let method = request.method().clone();
+        let body = request.take_body().into_bytes().await?;
+        if self.cut.load(Ordering::Relaxed) {
+            // Nothing gets through, and nothing is answered.
+            tokio::time::sleep(Duration::from_secs(30)).await;
+            return Ok(Response::builder().status(poem::http::StatusCode::BAD_GATEWAY).finish());
+        }
+        if is_start {
+            let command: Value = serde_json::from_slice(&body).unwrap_or_default();
+            let task = command["task"].as_str().unwrap_or_default().to_owned();
+            let spec = command["spec"].as_str().unwrap_or_default().to_owned();
+            let run = command["run-id"].as_u64().unwrap_or_default();
+            self.record.line(&format!(
+                "{} is told to start {task} run {run} with spec {spec:?}",
+                self.name
+            ));
+            self.starts.lock().expect("no writer has panicked").push((task, run, spec));
+        }
+        let sent = self.client.request(method, url).header("Content-Type", "application/json");
+        let sent = sent.header("Expected-Instance", expected).body(body.to_vec()).send().await;
+        let fail = || Response::builder().status(poem::http::StatusCode::BAD_GATEWAY).finish();
+        let Ok(answer) = sent else { return Ok(fail()) };
+        let status = answer.status();
+        let Ok(bytes) = answer.bytes().await else { return Ok(fail()) };
+        Ok(Response::builder()
+            .status(status)
+            .content_type("application/json")
+            .body(Body::from_bytes(bytes)))
+    }
+}
+
+/// Serves an endpoint on a free loopback port.
+fn spawn_proxy<E: Endpoint + 'static>(endpoint: E) -> Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    tokio::spawn(Server::new_with_acceptor(TcpAcceptor::from_std(listener)?).run(endpoint));
+    Ok(address)
+}
+
 fn largest_value(body: &[u8]) -> u64 {
     let txn: Value = serde_json::from_slice(body).unwrap_or_default();
     let keys = txn["set-keys"].as_array().cloned().unwrap_or_default();
@@ -170,6 +231,9 @@
     pub site: Site,
     /// The disturbance of the store.
     pub disturbance: Arc<Disturbance>,
+    /// The starts that executors were told.
+    pub starts: Starts,
+    cuts: BTreeMap<String, Arc<AtomicBool>>,
     /// The processes by name.
     pub members: BTreeMap<String, Member>,
     /// The client of all members.
@@ -211,10 +275,23 @@
             disturbance: disturbance.clone(),
             record: record.clone(),
         };
-        let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        listener.set_nonblocking(true)?;
-        let store = listener.local_addr()?;
-        tokio::spawn(Server::new_with_acceptor(TcpAcceptor::from_std(listener)?).run(proxy));
+        let store = spawn_proxy(proxy)?;
+        let starts = Starts::default();
+        let mut cuts = BTreeMap::new();
+        for (name, _) in workers {
+            let executor = site.address(name).context("the executor was added")?;
+            let cut = Arc::new(AtomicBool::new(false));
+            cuts.insert(String::from(*name), cut.clone());
+            let proxy = StartProxy {
+                cut,
+                executor,
+                name: String::from(*name),
+                client: reqwest::Client::builder().no_proxy().build()?,
+                starts: starts.clone(),
+                record: record.clone(),
+            };
+            site.set_address(name, spawn_proxy(proxy)?);
+        }
         let directory =
             std::env::temp_dir().join(format!("cowslipchute-review-{}", std::process::id()));
         std::fs::create_dir_all(&directory)?;
@@ -222,6 +299,8 @@
         let mut deployment = Deployment {
             site,
             disturbance,
+            starts,
+            cuts,
             members: BTreeMap::new(),
             client,
             record: record.clone(),
@@ -290,6 +369,11 @@
         Ok(())
     }
 
+    /// Cuts an executor off from all processes, or heals the cut.
+    pub fn cut(&self, name: &str, is_cut: bool) {
+        self.cuts[name].store(is_cut, Ordering::Relaxed);
+    }
+
     /// Returns the first line about a panic in the logs of a process.
     pub fn panic_of(&self, name: &str) -> Option<String> {
         let starts = self.members.get(name)?.starts;
