--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -21,7 +21,6 @@
 use anyhow::Context as _;
 use anyhow::Result;
 use cowslipchute_base::amount::Amount;
-use cowslipchute_e2e::port::free;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::Spec;
 use cowslipchute_standin::site;
@@ -412,6 +411,22 @@
     }
 }
 
+/// Ports handed out lie below those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 20_000..30_000;
+
+/// Returns a loopback address whose port is free for TCP and UDP.
+fn free() -> Result<SocketAddr> {
+    for _ in 0..1000 {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS)));
+        if std::net::TcpListener::bind(address).is_ok()
+            && std::net::UdpSocket::bind(address).is_ok()
+        {
+            return Ok(address);
+        }
+    }
+    anyhow::bail!("no port is free")
+}
+
 /// Renders a job as clients do.
 pub fn body(spec: &Spec) -> Value {
     let steps: Vec<Value> = spec
