review: no port is handed out twice to the processes of a script

One of 14 runs from a clean clone couldn't run (exit 2, a process wasn't ready within 20 s). Its logs were gone, so the cause isn't shown; ports were drawn at random, so one may have been drawn twice. The script now prints the last log lines if a process isn't ready.

--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -11,8 +11,10 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::sync::LazyLock;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -360,7 +362,10 @@
                 if answer.is_ok_and(|answer| answer.status().is_success()) {
                     break;
                 }
-                anyhow::ensure!(Instant::now() < until, "a process isn't ready");
+                if Instant::now() >= until {
+                    let logs = self.members.keys().map(|name| self.last_line(name));
+                    anyhow::bail!("a process isn't ready: {:?}", logs.collect::<Vec<_>>());
+                }
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
@@ -373,14 +378,10 @@
         self.cuts[name].store(is_cut, Ordering::Relaxed);
     }
 
-    /// Returns the first line about a panic in the logs of a process.
-    pub fn panic_of(&self, name: &str) -> Option<String> {
-        let starts = self.members.get(name)?.starts;
-        let logs = (1..=starts).map(|start| self.directory.join(format!("{name}-{start}.log")));
-        let texts = logs.filter_map(|path| std::fs::read_to_string(path).ok());
-        texts
-            .flat_map(|text| text.lines().map(str::to_owned).collect::<Vec<_>>())
-            .find(|line| line.contains("panicked"))
+    /// Returns the last line that a process has logged.
+    fn last_line(&self, name: &str) -> Option<String> {
+        let log = self.directory.join(format!("{name}-{}.log", self.members.get(name)?.starts));
+        std::fs::read_to_string(log).ok()?.lines().last().map(str::to_owned)
     }
 
     /// Returns the process that owns the cell, as the store holds it.
@@ -411,13 +412,18 @@
     }
 }
 
-/// Ports handed out lie below those that the system gives to outgoing connections.
-const PORTS: std::ops::Range<u16> = 20_000..30_000;
+/// First of the ports handed out. They lie below those that the system gives to outgoing connections.
+const PORT_FIRST: u16 = 20_000;
+/// Number of ports handed out before starting over.
+const PORTS: u16 = 10_000;
 
-/// Returns a loopback address whose port is free for TCP and UDP.
+/// Returns a loopback address whose port is free for TCP and UDP, and wasn't returned before.
 fn free() -> Result<SocketAddr> {
-    for _ in 0..1000 {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS)));
+    static NEXT: LazyLock<AtomicU16> =
+        LazyLock::new(|| AtomicU16::new(rand::random_range(0..PORTS)));
+    for _ in 0..PORTS {
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, PORT_FIRST + offset));
         if std::net::TcpListener::bind(address).is_ok()
             && std::net::UdpSocket::bind(address).is_ok()
         {
