--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the cases start.
 set -eu
 cd "$(dirname "$0")/.."
-cargo build --release --offline --manifest-path review/check/Cargo.toml --target-dir target
+cargo build --release --offline --manifest-path review/standin/Cargo.toml --target-dir target
--- a/review/check/src/bin/review-large.rs
+++ b/review/standin/src/bin/review-large.rs
@@ -87,7 +87,8 @@
     let Ok(txn) = serde_json::from_slice::<serde_json::Value>(call.body) else { return Fate::Pass };
     let puts = txn["set-keys"].as_array().cloned().unwrap_or_default();
     let is_over = puts.iter().any(|put| {
-        let value = base64::engine::general_purpose::STANDARD.decode(put["value"].as_str().unwrap_or_default());
+        let value = base64::engine::general_purpose::STANDARD
+            .decode(put["value"].as_str().unwrap_or_default());
         value.is_ok_and(|value| value.len() > MAX_VALUE_BYTES)
     });
     if is_over { Fate::Refuse(400) } else { Fate::Pass }
@@ -144,7 +145,9 @@
         }
         while let Ok((id, spec, name, answer)) = answered.try_recv() {
             let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
-            let text = answer.as_ref().map_or(String::from("no answer"), |(status, body)| format!("{status} {body}"));
+            let text = answer
+                .as_ref()
+                .map_or(String::from("no answer"), |(status, body)| format!("{status} {body}"));
             record.line(&format!("POST {id:016x} ({tasks} tasks) at {name}: {text}"))?;
             if answer.is_some_and(|(status, _)| (200..300).contains(&status)) {
                 accepted.insert(id, spec);
@@ -176,13 +179,19 @@
     for (index, id) in accepted.keys().enumerate() {
         let (name, address) = &members[index % members.len()];
         let answer = client::call(*address, "GET", *id, "").await;
-        let text = answer.as_ref().map_or(String::from("no answer"), |(status, body)| format!("{status} {body}"));
+        let text = answer
+            .as_ref()
+            .map_or(String::from("no answer"), |(status, body)| format!("{status} {body}"));
         let state = cell.site.lock();
         let done = state.finished.iter().filter(|task| task.job == *id).count();
         drop(state);
         record.line(&format!(
             "GET {id:016x} at {name}: {text}; {done} tasks done{}",
-            if idle.contains(id) { "; nothing of it has run for 3 s beside free capacity" } else { "" }
+            if idle.contains(id) {
+                "; nothing of it has run for 3 s beside free capacity"
+            } else {
+                ""
+            }
         ))?;
         let is_known = answer.is_some_and(|(status, _)| (200..300).contains(&status));
         violations += usize::from(idle.contains(id) || !is_known);
--- a/review/check/src/bin/review-many-ends.rs
+++ b/review/standin/src/bin/review-many-ends.rs
@@ -107,7 +107,8 @@
     record.line(&format!("POST {JOB:016x} ({COUNT} tasks) at m0: {answer:?}"))?;
     if trouble {
         let from = Instant::now() + LOST_AT;
-        window.lock().expect("no holder of the window panics").open = Some((from, from + LOST_TIME));
+        window.lock().expect("no holder of the window panics").open =
+            Some((from, from + LOST_TIME));
     }
     let clients: Vec<_> = cell.clients.values().copied().collect();
     let site = cell.site.clone();
@@ -158,7 +159,9 @@
                         continue;
                     }
                     // Seen done in an earlier tick, so this start came after the end.
-                    if let Some((_, _, ended)) = done.get(&run.task).filter(|(_, _, ended)| ended != run) {
+                    if let Some((_, _, ended)) =
+                        done.get(&run.task).filter(|(_, _, ended)| ended != run)
+                    {
                         again.insert(*run);
                         lines.push(format!(
                             "{} attempt {} starts on {machine}, though attempt {} has ended done",
@@ -172,7 +175,13 @@
                 let counts: Vec<String> = state
                     .workers
                     .iter()
-                    .map(|(name, worker)| format!("{name}: {} run, {} ends listed or waiting", worker.active.len(), worker.ended.len()))
+                    .map(|(name, worker)| {
+                        format!(
+                            "{name}: {} run, {} ends listed or waiting",
+                            worker.active.len(),
+                            worker.ended.len()
+                        )
+                    })
                     .collect();
                 lines.push(counts.join("; "));
             }
@@ -202,7 +211,10 @@
         }
     }
     let window = window.lock().expect("no holder of the window panics");
-    record.line(&format!("{} of {} writes in the window lost their answers; {lapsed} ends by a lapsed lease", window.lost, window.writes))?;
+    record.line(&format!(
+        "{} of {} writes in the window lost their answers; {lapsed} ends by a lapsed lease",
+        window.lost, window.writes
+    ))?;
     let text = match violations {
         0 => String::from("TWICE was kept"),
         count => format!("TWICE was broken: {count} starts after an end that was taken note of"),
--- a/review/check/src/bin/review-reservation.rs
+++ b/review/standin/src/bin/review-reservation.rs
@@ -72,7 +72,11 @@
 fn short(rng: &mut StdRng) -> Spec {
     let step = Step {
         count: rng.random_range(2..6),
-        demand: Amount { cpu_milli: rng.random_range(14..26) * 100, memory_mib: 200, accelerators: 0 },
+        demand: Amount {
+            cpu_milli: rng.random_range(14..26) * 100,
+            memory_mib: 200,
+            accelerators: 0,
+        },
         estimate: Duration::from_millis(rng.random_range(600..1500)),
         ..Step::default()
     };
@@ -93,7 +97,9 @@
             process.set_share(CPU_SHARE);
         }
     }
-    record.line(&format!("{MEMBERS} processes are ready, {WORKERS} workers of {CAPACITY:?}; trouble: {trouble}"))?;
+    record.line(&format!(
+        "{MEMBERS} processes are ready, {WORKERS} workers of {CAPACITY:?}; trouble: {trouble}"
+    ))?;
     let members: Vec<String> = deployment.members.keys().cloned().collect();
     let (answers, mut answered) = mpsc::unbounded_channel();
     let mut accepted: BTreeMap<JobId, Accepted> = BTreeMap::new();
@@ -126,7 +132,8 @@
         let now = Instant::now();
         while let Ok((id, member, status)) = answered.try_recv() {
             let Some(spec) = in_flight.remove(&id) else { continue };
-            let text = status.map_or(String::from("no answer"), |status| status.as_u16().to_string());
+            let text =
+                status.map_or(String::from("no answer"), |status| status.as_u16().to_string());
             let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
             record.line(&format!("POST {id:016x} ({tasks} tasks) at {member}: {text}"))?;
             if status.is_some_and(|status| status.is_success()) {
@@ -166,11 +173,17 @@
             in_flight.insert(next_id, spec);
             next_id += 1;
         }
-        if trouble && now >= next_crash && down.len() < MAX_DOWN && start.elapsed() + DOWN < TRAFFIC {
+        if trouble && now >= next_crash && down.len() < MAX_DOWN && start.elapsed() + DOWN < TRAFFIC
+        {
             next_crash = now + CRASH_INTERVAL;
             let up: Vec<String> = {
                 let state = deployment.site.lock();
-                state.workers.iter().filter(|(_, worker)| worker.up).map(|(name, _)| name.clone()).collect()
+                state
+                    .workers
+                    .iter()
+                    .filter(|(_, worker)| worker.up)
+                    .map(|(name, _)| name.clone())
+                    .collect()
             };
             let chosen = up.into_iter().choose(&mut rng);
             if let Some(machine) = &chosen {
@@ -179,7 +192,10 @@
                 worker.up = false;
                 worker.active.clear();
                 let key = format!("servers/{}", worker.name);
-                let entry = state.store.value(&key).map(|value| String::from_utf8_lossy(value).into_owned());
+                let entry = state
+                    .store
+                    .value(&key)
+                    .map(|value| String::from_utf8_lossy(value).into_owned());
                 if let Some(entry) = entry {
                     state.foreign_entries.insert(key.clone(), entry);
                 }
@@ -259,14 +275,20 @@
         }
         tokio::time::sleep(TICK).await;
     }
-    record.line(&format!("{} of {} accepted jobs have had nothing running for 3 s beside free capacity", idle.len(), accepted.len()))?;
+    record.line(&format!(
+        "{} of {} accepted jobs have had nothing running for 3 s beside free capacity",
+        idle.len(),
+        accepted.len()
+    ))?;
     let mut violations = idle.len();
     let others = accepted.keys().filter(|id| !idle.contains(*id)).step_by(20);
     for (index, id) in idle.iter().take(ASKED).chain(others).enumerate() {
         let is_idle = idle.contains(id);
         let member = &members[index % members.len()];
         let answer = deployment.state(member, *id).await;
-        let text = answer.as_ref().map_or(String::from("no answer"), |(status, state)| format!("{} {state}", status.as_u16()));
+        let text = answer.as_ref().map_or(String::from("no answer"), |(status, state)| {
+            format!("{} {state}", status.as_u16())
+        });
         record.line(&format!(
             "GET {id:016x} at {member}: {text}{}",
             if is_idle { "; nothing of it has run for 3 s beside free capacity" } else { "" }
--- a/review/check/src/cell.rs
+++ b/review/standin/src/cell.rs
@@ -94,8 +94,7 @@
             String::from("--admission"),
             String::from("on"),
         ];
-        let process =
-            Process::spawn("cowslipchute-scheduler", name, &self.directory, &arguments)?;
+        let process = Process::spawn("cowslipchute-scheduler", name, &self.directory, &arguments)?;
         self.processes.insert(name.to_owned(), process);
         Ok(())
     }
--- a/review/check/src/client.rs
+++ b/review/standin/src/client.rs
@@ -12,11 +12,21 @@
 pub const DEADLINE: Duration = Duration::from_millis(3000);
 
 /// Sends a request; returns the status and the body, or nothing without a whole answer in time.
-pub async fn call(address: SocketAddr, method: &str, job: JobId, body: &str) -> Option<(u16, String)> {
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    job: JobId,
+    body: &str,
+) -> Option<(u16, String)> {
     tokio::time::timeout(DEADLINE, exchange(address, method, job, body)).await.ok().flatten()
 }
 
-async fn exchange(address: SocketAddr, method: &str, job: JobId, body: &str) -> Option<(u16, String)> {
+async fn exchange(
+    address: SocketAddr,
+    method: &str,
+    job: JobId,
+    body: &str,
+) -> Option<(u16, String)> {
     let mut stream = TcpStream::connect(address).await.ok()?;
     let request = format!(
         "{method} /q/{job:016x} HTTP/1.1\r\nhost: desk.example\r\ndeadline-ms: {}\r\n\
