--- a/review/standin/src/bin/review-many-ends.rs
+++ b/review/standin/src/bin/review-many-ends.rs
@@ -30,8 +30,8 @@
 const WORKERS: usize = 2;
 const CAPACITY: Amount = Amount { cpu_milli: 32_000, memory_mib: 128_000, accelerators: 0 };
 /// Tasks of the job, which run at once.
-const COUNT: u32 = 3000;
-const CPU_MILLI: u32 = 20;
+const COUNT: u32 = 4000;
+const CPU_MILLI: u32 = 15;
 const TASK_TIME: Duration = Duration::from_millis(2500);
 /// Part of the writes whose answers are lost, at the most, and for how long.
 const LOST_PART: f64 = 0.35;
