Scheduler: a panic is a numbered event; a worker that ends says what it was reserved for

Nothing on the users' platform showed that an owner had panicked: the message went to standard error without an instance, and no metric counted it. Event 8 (Panicked) gives the thread, the place and the message, and is counted by cowslipchute_events_total. WorkerReplaced names the step that the worker was reserved for.

--- a/bin/scheduler/src/lib.rs
+++ b/bin/scheduler/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod log;
 pub mod metrics;
 pub mod owner;
+pub mod panic;
 pub mod precedence;
 pub mod process;
 pub mod recovery;
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -265,8 +265,11 @@
     /// Ends a worker whose place is taken by a worker of another name, or by none: all its runs
     /// have ended.
     pub(crate) fn end_incarnation(&mut self, worker: WorkerId) {
-        let name = self.workers[worker].name.clone();
-        self.note(LogEvent::WorkerReplaced, None, None, Some(name), "");
+        let state = &self.workers[worker];
+        let name = state.name.clone();
+        let reserved_for = state.reserved_for;
+        let detail = reserved_for.map_or(String::new(), |step| format!("was reserved for {step}"));
+        self.note(LogEvent::WorkerReplaced, None, None, Some(name), detail);
         let crashed_jobs = self.count_crash(worker);
         self.end_all_runs(worker);
         self.end_crashed_jobs(crashed_jobs);
