Planner: a reservation ends with its worker

Cause: reservations of workers that had ended were dropped at the start of a placement pass alone, and returning service tasks that take freed capacity use reservations between passes.

Ruled out: a freed worker that has ended (filtered by a lookup), a slot that is used again (ids have generations).

Fix: a worker is removed in one function, which cancels its reservation. Planner::verify checks the tables, and the simulated cell calls it at every moment.

--- a/crates/planner/src/capacity/reservation.rs
+++ b/crates/planner/src/capacity/reservation.rs
@@ -43,11 +43,12 @@
 /// waits beside the reserved capacity counts as lost after three seconds.
 const MAX_RESERVATION_TIME: Duration = Duration::from_millis(2500);
 
-/// A worker that is reserved for a step's next task.
+/// A worker that is reserved for a step's next task. Reservations are used and renewed at different
+/// times, so one is cancelled together with its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Reservation {
-    step: StepId,
-    worker: WorkerId,
+    pub(crate) step: StepId,
+    pub(crate) worker: WorkerId,
     until: Time,
 }
 
@@ -82,7 +83,7 @@
     pub(crate) fn drop_reservations(&mut self) {
         let reservations = std::mem::take(&mut self.reservations);
         for reservation in reservations {
-            let Some(worker) = self.workers.get(reservation.worker) else { continue };
+            let worker = &self.workers[reservation.worker];
             let is_valid = self.is_open(worker) && self.now < reservation.until;
             if is_valid && self.needs_reservation(reservation.step) {
                 self.reservations.push(reservation);
@@ -92,6 +93,17 @@
         }
     }
 
+    /// Cancels the reservation of a worker, if there is one. Its step may reserve another worker in
+    /// the next placement pass.
+    pub(crate) fn cancel_reservation(&mut self, worker: WorkerId) {
+        let before = self.reservations.len();
+        self.reservations.retain(|reservation| reservation.worker != worker);
+        self.room_changed |= self.reservations.len() != before;
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.reserved_for = None;
+        }
+    }
+
     /// Places tasks on workers that are reserved for them and now have the free capacity.
     pub(crate) fn use_reservations(&mut self) {
         let reservations = std::mem::take(&mut self.reservations);
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -24,6 +24,7 @@
 mod records;
 mod service;
 pub mod settings;
+mod verifier;
 mod workers;
 
 pub use owner::backpressure;
--- a/crates/planner/src/placement/pin.rs
+++ b/crates/planner/src/placement/pin.rs
@@ -250,8 +250,9 @@
         let accepted = job.accepted.clone();
         let is_waiting = job.task(task).is_some_and(|state| state.is_ready(self.now));
         let is_open = job.end.is_none() && job.step(task.step_id()).is_some_and(|step| step.open);
+        // The pin may come from a record, which need not match the job.
+        let Some(step) = accepted.spec.steps.get(usize::from(task.step)) else { return };
         // A gang is placed as a whole.
-        let step = &accepted.spec.steps[usize::from(task.step)];
         if is_waiting && is_open && !step.gang {
             self.restart_pinned(task, worker, step);
         }
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -193,7 +193,7 @@
         }
         self.end_all_runs(worker);
         self.end_crashed_jobs(crashed_jobs);
-        self.workers.remove(worker);
+        self.remove_worker(worker);
         self.timers.insert((self.now + EXPIRY_CHECK_INTERVAL, Timer::LeaseExpiry(next)));
         self.schedule_heartbeat(next, self.now);
         next
@@ -280,7 +280,15 @@
     /// Forgets a worker that nothing waits for.
     pub(crate) fn forget_incarnation(&mut self, worker: WorkerId) {
         self.retire_generation(worker);
-        let Some(state) = self.workers.remove(worker) else { return };
+        let Some(state) = self.remove_worker(worker) else { return };
         self.workers_by_name.remove(&state.name);
     }
+
+    /// Removes a worker whose runs have ended, together with what refers to it by its id and isn't
+    /// looked up before each use ([`crate::verifier`]). It is the only way in which a worker is
+    /// removed.
+    fn remove_worker(&mut self, worker: WorkerId) -> Option<Worker> {
+        self.cancel_reservation(worker);
+        self.workers.remove(worker)
+    }
 }
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -249,6 +249,7 @@
     rack_lost = { "rack_lost" },
     rebirth = { "rebirth" },
     reserve = { "reserve" },
+    reserved_worker_ends = { "reserved_worker_ends" },
     restarted = { "restarted" },
     restarted_busy = { "restarted_busy" },
     restarted_counted = { "restarted_counted" },
--- a/crates/planner/tests/world/check.rs
+++ b/crates/planner/tests/world/check.rs
@@ -4,6 +4,7 @@
 
 use cowslipchute_base::amount::Amount;
 use cowslipchute_base::id;
+use cowslipchute_planner::planner::Planner;
 use cowslipchute_ports::executor::EndReason;
 use cowslipchute_ports::executor::Run;
 use cowslipchute_ports::job::TaskId;
@@ -75,6 +76,9 @@
     /// Checks the invariants that hold at every moment.
     pub(super) fn check(&mut self) {
         let now = self.now;
+        if let Some(Err(fault)) = self.planner.as_ref().map(Planner::verify) {
+            panic!("the planner's tables disagree: {fault}");
+        }
         let mut running: BTreeMap<TaskId, &str> = BTreeMap::new();
         for (machine, worker) in self.workers.iter().filter(|(_, worker)| worker.up) {
             let mut sum = Amount::ZERO;
--- a/crates/planner/tests/world/owner.rs
+++ b/crates/planner/tests/world/owner.rs
@@ -64,6 +64,13 @@
         Arc::new(Config { services: services.collect(), ..Config::clone(config) })
     }
 
+    /// Writes a configuration, which the owner learns of.
+    pub fn configure(&mut self, config: &Arc<Config>) {
+        let config = self.with_services(config);
+        self.config = Some(config.clone());
+        self.tell(Event::Config { config });
+    }
+
     /// Lets a new owner take over the cell; commands of the previous one that are in flight
     /// continue.
     pub fn take_over(&mut self, config: &Arc<Config>) {
