A panic ends the process, except in a client's request

Cause: a panic ends one task of the runtime, whose end nobody waits for, and the lease thread takes any other task of the main thread for progress. Ruled out: a lock or a loop, since the lease would be given up after five seconds without progress.

Fix: a panic hook logs event 8 with the instance and ends the process (exit code 101), so the lease lapses by itself. A request of a client costs its connection alone (event 9), unless it leaves a lock behind: locks are taken by one function, which ends the process then.

Soak, tests of real processes and demo fail on a process that has printed a panic.

--- a/bin/scheduler/src/admission.rs
+++ b/bin/scheduler/src/admission.rs
@@ -14,6 +14,7 @@
 use cowslipchute_admission::gate::Gate;
 use cowslipchute_admission::gate::Verdict;
 use cowslipchute_base::code::Code;
+use cowslipchute_base::panic;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::Rejection;
 use tokio::sync::watch;
@@ -80,7 +81,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Gate> {
-        self.gate.lock().expect("no thread panics while it holds the lock on the gate")
+        panic::lock(&self.gate)
     }
 }
 
--- a/bin/scheduler/src/api.rs
+++ b/bin/scheduler/src/api.rs
@@ -9,6 +9,7 @@
 use cowslipchute_base::code::Code;
 use cowslipchute_base::event::Event;
 use cowslipchute_base::id::Time;
+use cowslipchute_base::panic;
 use cowslipchute_planner::record;
 use cowslipchute_ports::deployment::Config;
 use cowslipchute_ports::deployment::Queue;
@@ -28,6 +29,8 @@
 use crate::config::Current;
 use crate::election::Holder;
 use crate::event;
+use crate::fault;
+use crate::fault::Place;
 use crate::health::Access;
 use crate::health::Health;
 use crate::keys;
@@ -253,7 +256,7 @@
     }
 
     fn lock_counts(&self) -> std::sync::MutexGuard<'_, Counts> {
-        self.counts.lock().expect("no thread panics while it holds the lock on the counts")
+        panic::lock(&self.counts)
     }
 
     fn cached_count(&self, queue: &str, max_age: Duration) -> Option<u32> {
@@ -313,6 +316,7 @@
     }
 
     async fn state(&self, job: JobId) -> Result<State, Rejection> {
+        fault::check(Place::Request);
         match self.call_owner(Request::State(job)).await {
             Some(Response::State(Some(state))) => Ok(state),
             _ => self.stored_state(job).await,
--- a/bin/scheduler/src/health.rs
+++ b/bin/scheduler/src/health.rs
@@ -13,6 +13,7 @@
 
 use cowslipchute_admission::outage::History;
 use cowslipchute_base::id::Time;
+use cowslipchute_base::panic;
 
 /// Interval between probing reads during an outage.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -133,6 +134,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no thread panics while it holds the lock on the health")
+        panic::lock(&self.state)
     }
 }
--- a/bin/scheduler/src/lease.rs
+++ b/bin/scheduler/src/lease.rs
@@ -12,6 +12,7 @@
 
 use cowslipchute_base::id::Revision;
 use cowslipchute_base::id::Time;
+use cowslipchute_base::panic;
 use tokio::time::Instant;
 
 use crate::clock;
@@ -70,6 +71,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no thread panics while it holds the lock on the lease")
+        panic::lock(&self.state)
     }
 }
--- a/bin/scheduler/src/log.rs
+++ b/bin/scheduler/src/log.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use cowslipchute_base::event::Event;
+use cowslipchute_base::panic;
 use slog::Drain as _;
 use slog::Logger;
 use slog::o;
@@ -36,8 +37,7 @@
 
 impl Write for Buffer {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        let mut bytes =
-            self.bytes.lock().expect("no thread panics while it holds the lock on the buffer");
+        let mut bytes = panic::lock(&self.bytes);
         if bytes.len() + line.len() > BUFFER_BYTES {
             return Err(io::ErrorKind::WouldBlock.into());
         }
@@ -94,8 +94,7 @@
 
 fn write_out(buffer: &Buffer) {
     let bytes = {
-        let mut bytes =
-            buffer.bytes.lock().expect("no thread panics while it holds the lock on the buffer");
+        let mut bytes = panic::lock(&buffer.bytes);
         std::mem::take(&mut *bytes)
     };
     let mut rest = bytes.as_slice();
@@ -126,8 +125,7 @@
         self.metrics.event(event);
         let second = crate::clock::now().as_secs();
         let dropped = {
-            let mut budget =
-                self.budget.lock().expect("no thread panics while it holds the lock on the budget");
+            let mut budget = panic::lock(&self.budget);
             if budget.second != second {
                 budget.second = second;
                 budget.written.clear();
@@ -145,8 +143,7 @@
     }
 
     fn admit(&self, event: Event) -> bool {
-        let mut budget =
-            self.budget.lock().expect("no thread panics while it holds the lock on the budget");
+        let mut budget = panic::lock(&self.budget);
         let written = budget.written.entry(event).or_insert(0);
         *written += 1;
         if *written <= LINES_PER_SECOND {
--- a/bin/scheduler/src/main.rs
+++ b/bin/scheduler/src/main.rs
@@ -10,7 +10,7 @@
 use cowslipchute_scheduler::event;
 use cowslipchute_scheduler::log;
 use cowslipchute_scheduler::metrics::Metrics;
-use cowslipchute_scheduler::panic;
+use cowslipchute_scheduler::panic_hook;
 use cowslipchute_scheduler::process;
 use cowslipchute_scheduler::settings::settings as parser;
 
@@ -22,7 +22,7 @@
         .unwrap_or_else(|error| exit_with_error(Code::BadSetting, &error.to_string()));
     let log = log::open(&platform.node_name, settings.log_level, metrics)
         .unwrap_or_else(|error| exit_with_error(Code::BindFailed, &error.to_string()));
-    panic::install(log.clone());
+    panic_hook::install(log.clone());
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -15,6 +15,7 @@
 use cowslipchute_admission::forecast::Forecast;
 use cowslipchute_base::event::Event;
 use cowslipchute_base::id::Time;
+use cowslipchute_base::panic;
 use cowslipchute_planner::action::Note;
 use cowslipchute_planner::planner::Census;
 use cowslipchute_ports::job::JobId;
@@ -376,5 +377,5 @@
 }
 
 fn lock<T>(value: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    value.lock().expect("no thread panics while it holds a lock of the metrics")
+    panic::lock(value)
 }
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -9,6 +9,7 @@
 use cowslipchute_base::event::Event as LogEvent;
 use cowslipchute_base::id::Revision;
 use cowslipchute_base::id::Time;
+use cowslipchute_base::panic;
 use cowslipchute_planner::action::Action;
 use cowslipchute_planner::action::Change as RecordChange;
 use cowslipchute_planner::action::Note;
@@ -30,6 +31,8 @@
 use crate::directory;
 use crate::election::Notice;
 use crate::event;
+use crate::fault;
+use crate::fault::Place;
 use crate::inbox;
 use crate::inbox::Queued;
 use crate::lease::Lease;
@@ -106,9 +109,9 @@
 ///
 /// # Panics
 ///
-/// Panics if the planner has panicked before, since its state can't be trusted any more.
+/// Panics if the planner has panicked before, which ends the process.
 pub fn lock(planner: &SharedPlanner) -> std::sync::MutexGuard<'_, Planner> {
-    planner.lock().expect("the planner has not panicked")
+    panic::lock(planner)
 }
 
 /// Runs the cell until the task is aborted, when the ownership ends.
@@ -259,6 +262,7 @@
         let contacts;
         let (pause, lease_until) = {
             let mut planner = lock(&self.context.planner);
+            fault::check(Place::Planner);
             planner.step(now, Event::WallClock { wall: clock::wall() }, &mut actions);
             for queued in events.drain(..) {
                 turn.count(&queued);
--- a/bin/scheduler/src/panic.rs
+++ b/bin/scheduler/src/panic_hook.rs
@@ -1,4 +1,5 @@
-//! Logs and counts panics.
+//! Logs a panic and ends the process, unless the panic concerns one client alone
+//! ([`cowslipchute_base::panic`], `docs/design/panics.md`).
 //!
 //! The panicking thread may hold a lock of the log, so the line is written by a thread of its own,
 //! and the panicking one waits for it for a bounded time.
@@ -8,6 +9,8 @@
 use std::time::Duration;
 
 use cowslipchute_base::event::Event;
+use cowslipchute_base::panic;
+use cowslipchute_daemon::event_loop::PANIC_EXIT_CODE;
 
 use crate::event;
 use crate::log::Log;
@@ -17,16 +20,20 @@
 /// Maximum time for which a panicking thread waits for its line to be written.
 const LOG_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Logs all panics of the process from now on, in addition to what the standard library prints.
+/// Handles all panics of the process from now on, after the standard library has printed them.
 pub fn install(log: Log) {
     let print = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |info| {
         print(info);
-        report(&log, info);
+        let event = if panic::is_contained() { Event::RequestPanicked } else { Event::Panicked };
+        report(&log, event, info);
+        if event == Event::Panicked {
+            std::process::exit(PANIC_EXIT_CODE);
+        }
     }));
 }
 
-fn report(log: &Log, info: &PanicHookInfo<'_>) {
+fn report(log: &Log, event: Event, info: &PanicHookInfo<'_>) {
     let current = std::thread::current();
     let thread = current.name().unwrap_or("unnamed").to_owned();
     if thread == LOG_THREAD {
@@ -37,7 +44,7 @@
     let log = log.clone();
     let (written, is_written) = mpsc::channel();
     let write = move || {
-        event!(log, Event::Panicked, "thread" => thread, "place" => place, "reason" => message);
+        event!(log, event, "thread" => thread, "place" => place, "reason" => message);
         log.flush();
         // The panicking thread may have stopped waiting.
         let _ = written.send(());
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -35,6 +35,7 @@
 use crate::election::Notice;
 use crate::election::Transition;
 use crate::event;
+use crate::fault;
 use crate::health::Health;
 use crate::instrumented::Instrumented;
 use crate::log::Log;
@@ -162,7 +163,10 @@
             _ = terminate.recv() => break,
             // What may change at run time is read from the store; the settings are read once, at
             // the start.
-            _ = reload.recv() => event!(log, Event::ReloadAsked),
+            _ = reload.recv() => {
+                event!(log, Event::ReloadAsked);
+                fault::request();
+            }
         }
     }
     event!(log, Event::Stopping);
--- a/bin/scheduler/src/retry.rs
+++ b/bin/scheduler/src/retry.rs
@@ -11,6 +11,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use cowslipchute_base::panic;
 use tokio::time::Instant;
 
 /// Interval between retries while calls fail. It may delay the first write after an outage by as
@@ -69,6 +70,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no thread panics while it holds the lock on the limiter")
+        panic::lock(&self.state)
     }
 }
--- a/bin/scheduler/src/rpc.rs
+++ b/bin/scheduler/src/rpc.rs
@@ -13,6 +13,7 @@
 
 use cowslipchute_admission::calendar::Booking;
 use cowslipchute_admission::forecast::Forecast;
+use cowslipchute_base::panic;
 use cowslipchute_planner::record;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::State;
@@ -165,6 +166,6 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, oneshot::Sender<Response>>> {
-        self.calls.lock().expect("no thread panics while it holds the lock on the calls")
+        panic::lock(&self.calls)
     }
 }
--- a/bin/scheduler/src/writer.rs
+++ b/bin/scheduler/src/writer.rs
@@ -11,6 +11,7 @@
 
 use cowslipchute_base::event::Event;
 use cowslipchute_base::id::Revision;
+use cowslipchute_base::panic;
 use cowslipchute_planner::action::Change;
 use cowslipchute_planner::estimates::Estimates;
 use cowslipchute_planner::record;
@@ -129,7 +130,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<JobId, Revision>> {
-        self.revisions.lock().expect("no thread panics while it holds the lock on the revisions")
+        panic::lock(&self.revisions)
     }
 
     fn txn(&self, changes: &[Change]) -> kv::Txn {
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -67,7 +67,8 @@
     5 StartRefused Error "A setting or address can't be used, so the process did not start.";
     6 ReloadAsked Info "A reload was requested and has no effect: settings that may change at run time are read from the store.";
     7 MetricsUnreadable Warning "The metrics could not be rendered.";
-    8 Panicked Error "A thread has panicked; its name, the place in the code and the message are given.";
+    8 Panicked Error "A thread has panicked and the process ends; the thread's name, the place in the code and the message are given.";
+    9 RequestPanicked Error "A request of a client has panicked, and its connection is closed; the place in the code and the message are given.";
     10 StoreLost Warning "The platform's store stopped answering.";
     11 StoreBack Info "The platform's store answers again.";
     12 StoreUnsettled Warning "A write got no answer; a read determines whether it was made.";
--- a/crates/e2e/src/cluster.rs
+++ b/crates/e2e/src/cluster.rs
@@ -33,6 +33,7 @@
 use crate::port;
 use crate::process;
 use crate::process::Process;
+use crate::process::panics;
 
 /// What a deployment consists of.
 #[derive(Clone, Debug)]
@@ -431,6 +432,8 @@
             eprintln!("logs are kept in {}", self.directory.display());
             return;
         }
+        let panics = panics(&self.directory);
+        assert!(panics.is_empty(), "processes have panicked: {panics:#?}");
         // Nothing depends on the directory going away.
         let _ = fs::remove_dir_all(&self.directory);
     }
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -27,6 +27,9 @@
 const OWN_TIME: usize = 11;
 const SYSTEM_TIME: usize = 12;
 
+/// What the standard library prints of a panic, behind the name of the thread.
+const PANIC_MARK: &str = "panicked at";
+
 /// A running process; dropping the handle kills it and waits for its end.
 #[derive(Debug)]
 pub struct Process {
@@ -94,6 +97,21 @@
     above.unwrap_or(directory).to_path_buf()
 }
 
+/// Returns what processes whose logs are in a directory have printed of their panics.
+pub fn panics(directory: &Path) -> Vec<String> {
+    let logs = std::fs::read_dir(directory).into_iter().flatten().flatten();
+    let logs = logs.filter(|entry| entry.path().extension().is_some_and(|kind| kind == "log"));
+    let mut found = Vec::new();
+    for log in logs {
+        let name = log.file_name().to_string_lossy().into_owned();
+        let text = std::fs::read(log.path()).unwrap_or_default();
+        let text = String::from_utf8_lossy(&text);
+        let lines = text.lines().filter(|line| line.contains(PANIC_MARK));
+        found.extend(lines.map(|line| format!("{name}: {line}")));
+    }
+    found
+}
+
 impl Process {
     /// Starts a binary of this workspace with its log in `dir`.
     ///
@@ -105,11 +123,27 @@
         name: &str,
         dir: &Path,
         arguments: &[String],
+    ) -> io::Result<Process> {
+        Process::spawn_with(binary, name, dir, arguments, &[])
+    }
+
+    /// Starts a binary of this workspace with variables of the environment.
+    ///
+    /// # Errors
+    ///
+    /// As [`Process::spawn`].
+    pub fn spawn_with(
+        binary: &str,
+        name: &str,
+        dir: &Path,
+        arguments: &[String],
+        environment: &[(String, String)],
     ) -> io::Result<Process> {
         let log = dir.join(format!("{name}.log"));
         let output = File::create(&log)?;
         let child = Command::new(binaries().join(binary))
             .args(arguments)
+            .envs(environment.iter().cloned())
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
             .stderr(output)
@@ -134,6 +168,11 @@
         self.held.lock().signal(Signal::SIGTERM);
     }
 
+    /// Tells the process that its settings have changed.
+    pub fn hang_up(&self) {
+        self.held.lock().signal(Signal::SIGHUP);
+    }
+
     /// Asks for a graceful stop unless the process has ended already.
     pub fn terminate_if_running(&mut self) {
         if self.is_running() {
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -26,6 +26,7 @@
 use crate::await_until::LIMIT;
 use crate::port;
 use crate::process::Process;
+use crate::process::panics;
 use crate::proxy;
 use crate::proxy::Proxy;
 
@@ -68,6 +69,9 @@
     pub workers: BTreeMap<String, Proxy>,
     /// A client of all members.
     pub caller: Caller,
+    environment: Vec<(String, String)>,
+    /// Whether a process may print that it has panicked.
+    pub expects_panics: bool,
     directory: PathBuf,
     /// Whether the directory stays, with the logs of all processes.
     keeps_logs: bool,
@@ -75,6 +79,10 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
+        if !self.expects_panics && !std::thread::panicking() {
+            let panics = panics(&self.directory);
+            assert!(panics.is_empty(), "processes have panicked: {panics:#?}");
+        }
         if !self.keeps_logs {
             // What can't be removed now is in the way of nothing.
             let _ = fs::remove_dir_all(&self.directory);
@@ -89,6 +97,20 @@
     ///
     /// When a binary is missing or a port can't be had.
     pub async fn open(name: &str, members: usize, workers: usize) -> Result<Deployment> {
+        Deployment::open_with(name, members, workers, Vec::new()).await
+    }
+
+    /// Opens a site whose processes have variables of the environment.
+    ///
+    /// # Errors
+    ///
+    /// As [`Deployment::open`].
+    pub async fn open_with(
+        name: &str,
+        members: usize,
+        workers: usize,
+        environment: Vec<(String, String)>,
+    ) -> Result<Deployment> {
         static OPENED: AtomicU32 = AtomicU32::new(0);
         let number = OPENED.fetch_add(1, Ordering::Relaxed);
         let directory = format!("{name}-{}-{number}", std::process::id());
@@ -101,6 +123,8 @@
             members: BTreeMap::new(),
             workers: BTreeMap::new(),
             caller,
+            environment,
+            expects_panics: false,
             directory,
             keeps_logs: false,
         };
@@ -117,6 +141,11 @@
         Ok(deployment)
     }
 
+    /// Returns what processes have printed of their panics.
+    pub fn panics(&self) -> Vec<String> {
+        panics(&self.directory)
+    }
+
     /// Lets the logs of all processes outlive the deployment; returns their directory.
     pub fn keep_logs(&mut self) -> PathBuf {
         self.keeps_logs = true;
@@ -163,7 +192,13 @@
             String::from("on"),
         ];
         let log = format!("{name}-{}", member.starts);
-        let process = Process::spawn("cowslipchute-scheduler", &log, &self.directory, &arguments)?;
+        let process = Process::spawn_with(
+            "cowslipchute-scheduler",
+            &log,
+            &self.directory,
+            &arguments,
+            &self.environment,
+        )?;
         member.process = Some(process);
         Ok(())
     }
--- a/crates/e2e/src/soak.rs
+++ b/crates/e2e/src/soak.rs
@@ -366,6 +366,7 @@
     fn close(mut self) -> Report {
         let state = self.deployment.site.lock();
         self.report.broken.extend(state.violations.iter().cloned());
+        self.report.broken.extend(self.deployment.panics());
         let refused: BTreeSet<JobId> = self
             .jobs
             .iter()
@@ -379,6 +380,8 @@
         self.report.accepted = self.jobs.values().filter(|known| known.accepted).count();
         self.report.refused = refused.len();
         drop(state);
+        // They are part of the report.
+        self.deployment.expects_panics = true;
         if !self.report.broken.is_empty() {
             self.report.logs = Some(self.deployment.keep_logs());
         }
