Planner: runs that are missing from a report are logged beside the ends that it lists

The log couldn't tell whether runs that are taken for gone were missing from a report whose list of ends was cut off.

--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -39,6 +39,8 @@
 /// Delay before the next heartbeat while reported ends wait to be stored: the worker would respond
 /// immediately with the same ends.
 const ACKNOWLEDGE_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Interval between two log lines about the runs that are missing from a worker's reports.
+const MISSING_LOG_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Planner {
     pub(crate) fn send_heartbeat(&mut self, worker: WorkerId) {
@@ -192,6 +194,7 @@
             Contact::Answering { .. } => {}
         }
         let is_prompt = matches!(previous, Contact::Answering { .. });
+        let ends = report.ended.len();
         for ended in report.ended {
             self.handle_ended(worker, ended, is_prompt);
         }
@@ -201,6 +204,7 @@
             self.handle_running(worker, running);
         }
         self.resolve_missing(worker, sent, &listed);
+        self.log_missing(worker, ends);
         self.clear_suspects(worker);
         self.enforce_targets(worker);
         self.check_progress(worker);
@@ -354,6 +358,26 @@
             }
         }
     }
+
+    /// Logs how many runs are missing from a worker's report, from time to time while there are any.
+    fn log_missing(&mut self, worker: WorkerId, ends: usize) {
+        let state = &mut self.workers[worker];
+        if self.now < state.missing_log_due {
+            return;
+        }
+        let missing = state.runs.values().filter(|hosted| hosted.missing_since.is_some()).count();
+        if missing == 0 {
+            return;
+        }
+        state.missing_log_due = self.now + MISSING_LOG_INTERVAL;
+        let name = state.name.clone();
+        let detail = format!(
+            "{missing} of {} runs; {ends} ends listed, up to {} acknowledged",
+            state.runs.len(),
+            state.acknowledged
+        );
+        self.note(LogEvent::RunsMissing, None, None, Some(name), detail);
+    }
 }
 
 fn how_text(how: EndReason) -> &'static str {
--- a/crates/planner/src/workers/worker.rs
+++ b/crates/planner/src/workers/worker.rs
@@ -156,6 +156,8 @@
     pub(crate) acknowledged: EndNumber,
     pub(crate) unacknowledged: VecDeque<Unacknowledged>,
     pub(crate) heartbeat: Heartbeat,
+    /// When missing runs are logged next.
+    pub(crate) missing_log_due: Time,
     pub(crate) runs: BTreeMap<Run, Hosted>,
     /// Sum of the amounts that its runs reserve.
     pub(crate) reserved: Amount,
@@ -218,6 +220,7 @@
             acknowledged: 0,
             unacknowledged: VecDeque::new(),
             heartbeat: Heartbeat::Due(now),
+            missing_log_due: Time::ZERO,
             runs: BTreeMap::new(),
             reserved: Amount::ZERO,
             reserved_by_services: Amount::ZERO,
