Planner: a run is gone only if all ends up to then are known

Cause: a report lists a worker's oldest ends, and the next ones once these are acknowledged, which waits for the store. A run behind them is in neither list; it was taken for gone after the longest duration of a stop (0.4 s), stopped, and its task was placed again. A trace: "1622 of 1624 runs; 500 ends listed, up to 0 acknowledged".

Ruled out: an acknowledgement that is lost or goes back, an end that is read twice.

Fix: a report shows that a run hasn't ended only up to a time: when it was requested, if it lists no ends, or the latest time at which a run whose end it lists was known to be running. A run is gone once it is missing for longer than a stop takes and all ends up to then are known, whatever number of ends a worker lists. The first report of a later incarnation follows the same rule; missing runs count as neither stalled nor slow, and their durations aren't learnt.

--- a/crates/planner/src/faults/progress.rs
+++ b/crates/planner/src/faults/progress.rs
@@ -61,6 +61,9 @@
 
     fn is_stalled(&self, now: Time) -> bool {
         let Stage::Running { .. } = self.stage else { return false };
+        if self.missing_since.is_some() {
+            return false;
+        }
         if self.long_running {
             return self.progress < 100 && now >= self.progressed_at + SERVICE_START_TIMEOUT;
         }
@@ -74,7 +77,7 @@
     fn speed(&self, now: Time) -> Option<f64> {
         let Stage::Running { since } = self.stage else { return None };
         let passed = now.saturating_sub(since);
-        if passed < SPEED_WARMUP || self.estimate.is_zero() {
+        if self.missing_since.is_some() || passed < SPEED_WARMUP || self.estimate.is_zero() {
             return None;
         }
         let done = f64::from(self.progress.saturating_sub(self.first_progress)) / 100.0;
--- a/crates/planner/src/workers.rs
+++ b/crates/planner/src/workers.rs
@@ -6,4 +6,5 @@
 pub(crate) mod host;
 pub(crate) mod incarnations;
 pub(crate) mod late_start;
+pub(crate) mod missing;
 pub(crate) mod worker;
--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -21,7 +21,6 @@
 use crate::planner::Planner;
 use crate::records::rewrite::SETTLED_START_DELAY;
 use crate::workers::command::Timer;
-use crate::workers::host::Command;
 use crate::workers::host::Hosted;
 use crate::workers::host::Reason;
 use crate::workers::host::Stage;
@@ -39,8 +38,6 @@
 /// Delay before the next heartbeat while reported ends wait to be stored: the worker would respond
 /// immediately with the same ends.
 const ACKNOWLEDGE_RETRY_DELAY: Duration = Duration::from_millis(200);
-/// Interval between two log lines about the runs that are missing from a worker's reports.
-const MISSING_LOG_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Planner {
     pub(crate) fn send_heartbeat(&mut self, worker: WorkerId) {
@@ -195,13 +192,14 @@
         }
         let is_prompt = matches!(previous, Contact::Answering { .. });
         let ends = report.ended.len();
+        self.workers[worker].extend_known_ends(sent, &report.ended);
         for ended in report.ended {
             self.handle_ended(worker, ended, is_prompt);
         }
         let mut listed: Vec<Run> = Vec::with_capacity(report.running.len());
         for running in report.running {
             listed.push(running.run);
-            self.handle_running(worker, running);
+            self.handle_running(worker, sent, running);
         }
         self.resolve_missing(worker, sent, &listed);
         self.log_missing(worker, ends);
@@ -249,7 +247,9 @@
                 self.record_worker_failure(worker);
             }
         }
-        if let (EndReason::Done, Some(hosted)) = (ended.reason, &hosted) {
+        // When a run that was missing has ended isn't known.
+        let timed = hosted.as_ref().filter(|hosted| hosted.missing_since.is_none());
+        if let (EndReason::Done, Some(hosted)) = (ended.reason, timed) {
             self.learn_speed(hosted);
             if is_prompt {
                 self.learn_duration(ended.run, hosted);
@@ -268,7 +268,7 @@
         self.workers[worker].unacknowledged.push_back(end);
     }
 
-    fn handle_running(&mut self, worker: WorkerId, running: Running) {
+    fn handle_running(&mut self, worker: WorkerId, sent: Time, running: Running) {
         let now = self.now;
         let Some(hosted) = self.workers[worker].runs.get_mut(&running.run) else {
             self.stop_orphan(worker, running.run);
@@ -290,6 +290,7 @@
             Stage::Intended { .. } | Stage::Running { .. } | Stage::Stopping { .. } => {}
         }
         hosted.carried_over = false;
+        hosted.listed_at = Some(sent);
         hosted.settle_listed_start();
         hosted.listed |= now >= hosted.inherited_until;
         let needs_record =
@@ -325,59 +326,6 @@
         self.pin_to_orphan(worker, run);
         self.stop_run(worker, run, Reason::Obsolete);
     }
-
-    /// Resolves runs that the worker reports neither as running nor as ended, although the
-    /// heartbeat was sent after they must have been there. A run that is ending is in neither list
-    /// while it stops, so a run is considered gone only if it is missing for longer than a stop
-    /// takes.
-    fn resolve_missing(&mut self, worker: WorkerId, sent: Time, listed: &[Run]) {
-        let now = self.now;
-        let max_stop_time = self.settings.max_stop_time;
-        let mut gone: Vec<(Run, Stage)> = Vec::new();
-        for (run, hosted) in &mut self.workers[worker].runs {
-            let is_expected = match hosted.stage {
-                Stage::Inherited => true,
-                Stage::Running { since } => since < sent,
-                Stage::Stopping { command: Command::Done(at), .. } => at < sent,
-                Stage::Intended { .. } | Stage::Starting { .. } | Stage::Stopping { .. } => false,
-            };
-            if listed.contains(run) || !is_expected {
-                hosted.missing_since = None;
-                continue;
-            }
-            let since = *hosted.missing_since.get_or_insert(now);
-            if sent >= since + max_stop_time {
-                gone.push((*run, hosted.stage));
-            }
-        }
-        for (run, stage) in gone {
-            match stage {
-                Stage::Inherited => self.end_run(worker, run, EndReason::LeaseExpired, None),
-                Stage::Running { .. } => self.stop_run(worker, run, Reason::Missing),
-                _ => self.end_run(worker, run, EndReason::Stopped, None),
-            }
-        }
-    }
-
-    /// Logs how many runs are missing from a worker's report, from time to time while there are any.
-    fn log_missing(&mut self, worker: WorkerId, ends: usize) {
-        let state = &mut self.workers[worker];
-        if self.now < state.missing_log_due {
-            return;
-        }
-        let missing = state.runs.values().filter(|hosted| hosted.missing_since.is_some()).count();
-        if missing == 0 {
-            return;
-        }
-        state.missing_log_due = self.now + MISSING_LOG_INTERVAL;
-        let name = state.name.clone();
-        let detail = format!(
-            "{missing} of {} runs; {ends} ends listed, up to {} acknowledged",
-            state.runs.len(),
-            state.acknowledged
-        );
-        self.note(LogEvent::RunsMissing, None, None, Some(name), detail);
-    }
 }
 
 fn how_text(how: EndReason) -> &'static str {
--- a/crates/planner/src/workers/host.rs
+++ b/crates/planner/src/workers/host.rs
@@ -150,8 +150,10 @@
     pub(crate) over_target_since: Option<Time>,
     /// Since when a best-effort task has been throttled heavily.
     pub(crate) throttled_since: Option<Time>,
-    /// Since when the worker has reported it neither as running nor as ended. It may be ending,
-    /// which takes a while.
+    /// When the last heartbeat was sent whose report listed it as running.
+    pub(crate) listed_at: Option<Time>,
+    /// Since when the worker has reported it neither as running nor as ended
+    /// ([`crate::workers::missing`]).
     pub(crate) missing_since: Option<Time>,
     /// The speed limit that it should have, in percent.
     pub(crate) speed_limit: u8,
@@ -200,6 +202,7 @@
             deviation: Deviation::default(),
             over_target_since: None,
             throttled_since: None,
+            listed_at: None,
             missing_since: None,
             speed_limit: FULL_SPEED,
             confirmed_speed_limit: Some(FULL_SPEED),
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -156,16 +156,19 @@
     }
 
     /// Replaces an incarnation by the later one that answers: all runs that the report doesn't list
-    /// have ended, except those whose starts may still arrive.
+    /// have ended, except those whose starts may still arrive, or have arrived if their ends may not
+    /// be listed yet.
     pub(crate) fn replace_from_report(&mut self, worker: WorkerId, report: &Report) {
         let running = report.running.iter().map(|running| running.run);
         let held: HashSet<Run> = running.chain(report.ended.iter().map(|end| end.run)).collect();
         // If this was its first response to this owner, it has been told to refuse the commands of
         // all previous ones.
         let fenced = matches!(self.workers[worker].contact, Contact::Unfenced { .. });
+        let lists_all_ends = report.ended.is_empty();
         let now = self.now;
         self.replace_incarnation(worker, report.started_at, |state, run, hosted| {
-            held.contains(&run) || (!fenced && state.may_start_late(hosted, now))
+            let may_be_there = !(fenced && lists_all_ends);
+            held.contains(&run) || (may_be_there && state.may_start_late(hosted, now))
         });
     }
 
@@ -213,6 +216,8 @@
             stage,
             carried_over: true,
             listed: false,
+            listed_at: None,
+            missing_since: None,
             settlement_planned: false,
             is_whole: false,
             confirmed_speed_limit: None,
--- a/crates/planner/src/workers/worker.rs
+++ b/crates/planner/src/workers/worker.rs
@@ -156,6 +156,8 @@
     pub(crate) acknowledged: EndNumber,
     pub(crate) unacknowledged: VecDeque<Unacknowledged>,
     pub(crate) heartbeat: Heartbeat,
+    /// Time up to which all ends are known ([`crate::workers::missing`]).
+    pub(crate) ends_known_until: Time,
     /// When missing runs are logged next.
     pub(crate) missing_log_due: Time,
     pub(crate) runs: BTreeMap<Run, Hosted>,
@@ -220,6 +222,7 @@
             acknowledged: 0,
             unacknowledged: VecDeque::new(),
             heartbeat: Heartbeat::Due(now),
+            ends_known_until: Time::ZERO,
             missing_log_due: Time::ZERO,
             runs: BTreeMap::new(),
             reserved: Amount::ZERO,
--- a/crates/planner/tests/between_passes.rs
+++ b/crates/planner/tests/between_passes.rs
@@ -1,5 +1,6 @@
 //! Random orders of events between placement passes that are far apart: workers end, runs end, and
-//! the configuration changes. The simulated cell checks its invariants, and that the planner's
+//! the configuration changes, also while the store is slow and workers list some of their ends only.
+//! The simulated cell checks its invariants, and that the planner's
 //! tables agree, at every moment.
 
 mod world;
@@ -18,12 +19,15 @@
 use proptest::prop_oneof;
 use proptest::test_runner::Config;
 use proptest::test_runner::TestRunner;
+use world::STORE_DELAY;
 use world::World;
 
 /// Number of workers in the cell.
 const WORKERS: u8 = 8;
 /// Capacity of each: three tasks of a load and one service task.
 const CAPACITY: Amount = Amount { cpu_milli: 8000, memory_mib: 32_000, accelerators: 0 };
+/// Number of ends that a worker lists at a time, fewer than end while an acknowledgement takes long.
+const MAX_LISTED_ENDS: usize = 3;
 /// Duration of a placement pass, which keeps passes a quarter of a second apart.
 const PASS_TIME: Duration = Duration::from_millis(80);
 /// Number of cases, unless `PROPTEST_CASES` is set.
@@ -60,6 +64,8 @@
     /// priority.
     Configure(bool),
     MachineListUnavailable(bool),
+    /// The store responds after this many milliseconds, so that ends are acknowledged late.
+    StoreDelay(u64),
     TakeOver,
 }
 
@@ -77,6 +83,8 @@
         1 => SERVICE_JOBS.prop_map(Step::Cancel),
         2 => proptest::bool::ANY.prop_map(Step::Configure),
         1 => proptest::bool::ANY.prop_map(Step::MachineListUnavailable),
+        2 => (100u64..900).prop_map(Step::StoreDelay),
+        2 => Just(Step::StoreDelay(4)),
         1 => Just(Step::TakeOver),
     ]
 }
@@ -119,6 +127,7 @@
         Step::Cancel(id) => world.cancel(*id),
         Step::Configure(first) => world.configure(&config(*first)),
         Step::MachineListUnavailable(unavailable) => world.machines.list_unavailable = *unavailable,
+        Step::StoreDelay(millis) => world.store_delay = Duration::from_millis(*millis),
         Step::TakeOver => take_over(world),
     }
 }
@@ -127,6 +136,8 @@
     let mut world = World::open();
     for at in 0..WORKERS {
         world.add_worker(&name(at), CAPACITY, "r1");
+        let worker = world.workers.get_mut(&name(at)).expect("it was added");
+        worker.max_listed_ends = MAX_LISTED_ENDS;
     }
     take_over(&mut world);
     for id in SERVICE_JOBS {
@@ -139,6 +150,7 @@
         apply_step(&mut world, step);
     }
     world.machines.list_unavailable = false;
+    world.store_delay = STORE_DELAY;
     for at in 0..WORKERS {
         world.return_machine(&name(at));
         world.list(&name(at));
@@ -151,7 +163,8 @@
     assert!(open.is_empty(), "jobs without an end: {open:?}\n{}", world.describe());
 }
 
-/// Guards against an owner that panics on the id of a worker that ended between two passes.
+/// Guards against an owner that panics on the id of a worker that ended between two passes, and
+/// against tasks that are started again after an end that wasn't listed yet.
 #[test]
 fn any_order_of_events_between_passes_keeps_every_promise() {
     let cases = std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -42,6 +42,7 @@
 //! - `late name=w [orders=N] [by=MS]`: commands go unanswered and are carried out late.
 //! - `late_holds name=w [holds=N] [by=MS]`: heartbeats go unanswered and are handled late.
 //! - `slow name=w x=N`: slows a worker down.
+//! - `list_ends name=w most=N`: the worker lists no more ends at a time.
 //! - `restart name=w|(w, ..)|rack=R [down=MS] [gap=MS] [entry=MS]`: workers crash and restart under
 //!   their names, and write their directory entries this much later.
 //! - `untold name=w`: the worker doesn't report its start time.
@@ -164,6 +165,9 @@
     evacuated_store_down = { "evacuated_store_down" },
     evacuated_unknown = { "evacuated_unknown" },
     evacuated_withdrawn = { "evacuated_withdrawn" },
+    ends_beyond_report = { "ends_beyond_report" },
+    ends_beyond_report_owner_killed = { "ends_beyond_report_owner_killed" },
+    ends_beyond_report_restarted = { "ends_beyond_report_restarted" },
     failures = { "failures" },
     filling = { "filling" },
     forecast_in_phase = { "forecast_in_phase" },
@@ -392,6 +396,10 @@
         "crash" => world.crash(name, false),
         "rebirth" => world.crash(name, true),
         "restart" => restart(world, case),
+        "list_ends" => {
+            let worker = world.workers.get_mut(name).expect("`name` is a worker");
+            worker.max_listed_ends = number(case, "most").expect("`most` is given");
+        }
         "former" => world.deliver_former_entry(name),
         "idle" => return job_wait(world, case),
         "evacuate" => world.evacuate(arg(case, "domain").expect("`domain` is given")),
--- a/crates/planner/tests/world/check.rs
+++ b/crates/planner/tests/world/check.rs
@@ -18,6 +18,7 @@
     pub(super) fn acknowledge(&mut self, name: &str, epoch: id::Epoch, number: u64) {
         let accepts = |worker: &&mut Worker| worker.up && worker.epoch <= epoch;
         let Some(worker) = self.by_name(name).filter(accepts) else { return };
+        let host = worker.host();
         let acknowledged_tasks: Vec<TaskId> = worker
             .ended
             .iter()
@@ -28,6 +29,8 @@
             self.check_stored(task);
             self.acknowledged.insert(task);
         }
+        let broken = self.run_ends.acknowledge(&host, number);
+        assert!(broken.is_empty(), "{broken:#?}");
     }
 
     /// Checks that what is acknowledged can be read from the store.
--- a/crates/planner/tests/world/commands.rs
+++ b/crates/planner/tests/world/commands.rs
@@ -160,6 +160,10 @@
             self.check_start(*run);
             if !was_running {
                 self.check_domain(&name, *run);
+                let step = &self.specs[&run.task.job].spec.steps[usize::from(run.task.step)];
+                if !step.long_running && !step.speculative {
+                    self.run_ends.start(*run, self.now);
+                }
             }
         }
         if lost {
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! A world for the planner in virtual time: a store, workers, and an owner that can be replaced.
 //!
 //! These invariants are checked after every step: a task never runs twice at once, nor again after
-//! an end that was acknowledged; a step never begins before the steps that it depends on are done;
+//! an end that was acknowledged, before or after the start; a step never begins before the steps that it depends on are done;
 //! no worker is given more than its capacity, or its capacity a moment ago; a job's end is shown
 //! only after the store holds it; what is acknowledged can be read from the store; a task that
 //! crashes its workers is ended as crashed, and no other task because of their crashes; nothing is
@@ -51,6 +51,7 @@
 use cowslipchute_ports::job::State;
 use cowslipchute_ports::job::TaskId;
 use cowslipchute_standin::site::crashes::Crashes;
+use cowslipchute_standin::site::ends::Ends;
 use cowslipchute_standin::site::worker::Worker;
 
 /// One-way delay between the owner and anyone else.
@@ -133,6 +134,8 @@
     acknowledged: BTreeSet<TaskId>,
     /// Delayed starts that were carried out after an end of their task was acknowledged.
     pub late_starts: Vec<String>,
+    /// Ends of runs, and starts that came after them.
+    run_ends: Ends,
     /// Tasks of which a run has ended done, on any incarnation.
     finished: BTreeSet<TaskId>,
     /// The instances that accept jobs, if they control admission.
@@ -191,6 +194,7 @@
             sequence: 0,
             acknowledged: BTreeSet::new(),
             late_starts: Vec::new(),
+            run_ends: Ends::default(),
             finished: BTreeSet::new(),
             instances: None,
             features: Features::default(),
@@ -246,6 +250,8 @@
             self.now += TICK;
             for worker in self.workers.values_mut() {
                 worker.advance(self.now);
+                let has_expired = worker.has_lease_expired(self.now);
+                self.run_ends.observe(&worker.host(), &worker.ended, has_expired, self.now);
                 let finished = std::mem::take(&mut worker.completed);
                 self.finished.extend(finished.into_iter().map(|run| run.task));
             }
--- a/crates/planner/tests/world/workers.rs
+++ b/crates/planner/tests/world/workers.rs
@@ -69,6 +69,7 @@
         );
         successor.advanced_to = self.now;
         successor.checks_capacity = worker.checks_capacity;
+        successor.max_listed_ends = worker.max_listed_ends;
         successor.domain = worker.domain.clone();
         self.bounds.remove(name);
         let old = self.workers.insert(name.to_owned(), successor);
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -6,6 +6,7 @@
 //! client has submitted.
 
 pub mod crashes;
+pub mod ends;
 pub mod evacuations;
 mod machines;
 pub mod owners;
@@ -37,6 +38,7 @@
 use serde_json::json;
 
 use crashes::Crashes;
+use ends::Ends;
 use evacuations::Evacuations;
 use owners::Owners;
 use services::Services;
@@ -70,6 +72,8 @@
     pub finished: BTreeSet<TaskId>,
     /// Tasks whose completion was acknowledged.
     acknowledged: BTreeSet<TaskId>,
+    /// Ends of runs, and starts that came after them.
+    ends: Ends,
     /// Entries that other writers put among the workers' entries, by key.
     pub foreign_entries: BTreeMap<String, String>,
     /// Tasks that crash their workers.
@@ -103,6 +107,8 @@
         let mut running: BTreeMap<TaskId, String> = BTreeMap::new();
         for worker in self.workers.values_mut() {
             worker.advance(now);
+            let has_expired = worker.has_lease_expired(now);
+            self.ends.observe(&worker.host(), &worker.ended, has_expired, now);
             let finished = std::mem::take(&mut worker.completed);
             self.finished.extend(finished.into_iter().map(|run| run.task));
             for run in worker.active.keys() {
@@ -251,6 +257,7 @@
         started: BTreeSet::new(),
         finished: BTreeSet::new(),
         acknowledged: BTreeSet::new(),
+        ends: Ends::default(),
         foreign_entries: BTreeMap::new(),
         crashes: Crashes::default(),
         restarts: BTreeMap::new(),
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -21,6 +21,7 @@
 use cowslipchute_ports::job::Step;
 use cowslipchute_ports::job::TaskId;
 
+use crate::site::ends::Host;
 use crate::site::serving::Serving;
 
 /// The time for which a task waits for the other members of its gang.
@@ -31,6 +32,8 @@
 const MAX_LEASE: Duration = Duration::from_secs(10);
 /// The reading of the clock of a worker of the initial incarnation at time zero.
 const CLOCK_START: Timestamp = 400_000;
+/// The number of ends that a worker lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
 /// The failure domain of workers for which none is set.
 pub const DEFAULT_DOMAIN: &str = "d1";
 /// The start time of workers of the initial incarnation, in Unix milliseconds.
@@ -108,6 +111,8 @@
     pub active: BTreeMap<Run, Active>,
     /// The ends that haven't been acknowledged.
     pub ended: Vec<Ended>,
+    /// The number of ends that one report lists at most, the oldest first.
+    pub max_listed_ends: usize,
     /// The number of the next end.
     pub next_end_number: u64,
     /// The highest attempt of each task that has ended or was stopped here.
@@ -145,6 +150,7 @@
             deadline: 0,
             active: BTreeMap::new(),
             ended: Vec::new(),
+            max_listed_ends: MAX_LISTED_ENDS,
             next_end_number: 1,
             highest_attempts: BTreeMap::new(),
             completed: BTreeSet::new(),
@@ -160,6 +166,7 @@
             started_at: now,
             reports_start: self.reports_start,
             checks_capacity: self.checks_capacity,
+            max_listed_ends: self.max_listed_ends,
             partitioned: self.partitioned,
             listed: self.listed,
             domain: self.domain.clone(),
@@ -202,7 +209,7 @@
             return;
         }
         self.advance_serving(now, elapsed);
-        let expired = self.clock(now) > self.deadline;
+        let expired = self.has_lease_expired(now);
         let runs: Vec<Run> = self.active.keys().copied().collect();
         for run in runs {
             let (fails, hangs, slow) = (self.fails_runs, self.stalls_runs, self.slow_factor);
@@ -412,7 +419,17 @@
         Some(found.0.task)
     }
 
-    /// Returns the active runs and the ends.
+    /// Returns its incarnation.
+    pub fn host(&self) -> Host {
+        (self.name.clone(), self.start_time_ms)
+    }
+
+    /// Returns `true` if its lease has expired.
+    pub fn has_lease_expired(&self, now: Time) -> bool {
+        self.clock(now) > self.deadline
+    }
+
+    /// Returns the active runs, and the oldest ends.
     pub fn report(&self, now: Time) -> Report {
         let listed = self.active.iter().filter(|(_, active)| active.ending.is_none());
         let running = listed.map(|(run, active)| {
@@ -438,7 +455,7 @@
             started_at,
             clock: self.clock(now),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(self.max_listed_ends).cloned().collect(),
         }
     }
 }
--- a/crates/standin/src/site/workers.rs
+++ b/crates/standin/src/site/workers.rs
@@ -41,8 +41,6 @@
 /// The time for which a command without a response keeps its connection open: longer than any
 /// caller waits.
 const NO_RESPONSE_DELAY: Duration = Duration::from_secs(3);
-/// Ends listed in one report.
-const MAX_LISTED_ENDS: usize = 500;
 
 /// The time at which a command is carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -233,6 +231,9 @@
         if timing == Timing::Prompt {
             state.owners.start(command.fencing_token, now);
         }
+        if timing == Timing::Prompt && !is_running && !step.long_running && !step.speculative {
+            state.ends.start(run, now);
+        }
         if state.acknowledged.contains(&run.task) {
             state
                 .violations
@@ -334,11 +335,14 @@
         .filter(|end| end.number <= heartbeat.ack_seq && end.reason == EndReason::Done);
     let acknowledged: Vec<TaskId> = acknowledged.map(|end| end.run.task).collect();
     state.acknowledged.extend(acknowledged);
+    let host = state.workers[&machine.0].host();
+    let broken = state.ends.acknowledge(&host, heartbeat.ack_seq);
+    state.violations.extend(broken);
 }
 
 fn render_report(report: Report) -> Value {
     let running: Vec<Value> = report.running.iter().map(render_running).collect();
-    let ended: Vec<Value> = report.ended.iter().take(MAX_LISTED_ENDS).map(render_ended).collect();
+    let ended: Vec<Value> = report.ended.iter().map(render_ended).collect();
     json!({ "born": report.started_at, "clock-ms": report.clock, "running": running, "finished": ended })
 }
 
