--- a/bin/scheduler/src/api.rs
+++ b/bin/scheduler/src/api.rs
@@ -29,8 +29,8 @@
 use crate::config::Current;
 use crate::election::Holder;
 use crate::event;
-use crate::fault;
-use crate::fault::Place;
+use crate::failpoint;
+use crate::failpoint::Place;
 use crate::health::Access;
 use crate::health::Health;
 use crate::keys;
@@ -316,7 +316,7 @@
     }
 
     async fn state(&self, job: JobId) -> Result<State, Rejection> {
-        fault::check(Place::Request);
+        failpoint::hit(Place::Request);
         match self.call_owner(Request::State(job)).await {
             Some(Response::State(Some(state))) => Ok(state),
             _ => self.stored_state(job).await,
--- a/bin/scheduler/src/directory.rs
+++ b/bin/scheduler/src/directory.rs
@@ -19,8 +19,8 @@
 
 use crate::clock;
 use crate::event;
-use crate::fault;
-use crate::fault::Place;
+use crate::failpoint;
+use crate::failpoint::Place;
 use crate::inbox;
 use crate::listing::Listing;
 use crate::log::Log;
@@ -85,7 +85,7 @@
             () = events.closed() => return,
             else => return,
         };
-        fault::check(Place::Directory);
+        failpoint::hit(Place::Directory);
         for (name, error) in listing.apply(change, &mut pending) {
             event!(log, LogEvent::WorkerEntryInvalid, "worker" => name.to_string(),
                 "reason" => error.to_string());
--- a/bin/scheduler/src/election.rs
+++ b/bin/scheduler/src/election.rs
@@ -23,8 +23,8 @@
 use tokio::time::Instant;
 
 use crate::clock;
-use crate::fault;
-use crate::fault::Place;
+use crate::failpoint;
+use crate::failpoint::Place;
 use crate::health::Health;
 use crate::keys;
 use crate::lease::Lease;
@@ -156,7 +156,7 @@
     ) {
         let mut changes = watcher::spawn(self.store.clone(), keys::OWNER, None, Some(health), log);
         loop {
-            fault::check(Place::Lease);
+            failpoint::hit(Place::Lease);
             let pause = match self.election.next_due() {
                 Some(due) => due.saturating_sub(clock::now()).min(MAX_SLEEP),
                 None => MAX_SLEEP,
--- a/bin/scheduler/src/fault.rs
+++ b/bin/scheduler/src/failpoint.rs
@@ -1,4 +1,5 @@
-//! Panics on demand, for tests of what a panic does to the process. Only debug builds have them.
+//! Failpoints: places at which a test can cause a panic, to see what that does to the process. Only
+//! debug builds have them.
 
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
@@ -39,26 +40,26 @@
     }
 }
 
-/// Place at which a panic was requested; zero if none was.
-static REQUESTED: AtomicU8 = AtomicU8::new(0);
+/// Place of the failpoint that is armed; zero if none is.
+static ARMED: AtomicU8 = AtomicU8::new(0);
 
-/// Requests a panic at the place that the environment names, if it names one.
-pub fn request() {
+/// Arms the failpoint that the environment names, if it names one.
+pub fn arm() {
     if !cfg!(debug_assertions) {
         return;
     }
     let Ok(name) = std::env::var(VARIABLE) else { return };
     if let Some(place) = Place::ALL.into_iter().find(|place| place.name() == name) {
-        REQUESTED.store(place as u8, Ordering::Relaxed);
+        ARMED.store(place as u8, Ordering::Relaxed);
     }
 }
 
-/// Panics if that was requested for this place, once for each request.
-pub fn check(place: Place) {
+/// Panics if the failpoint of this place is armed, and disarms it.
+pub fn hit(place: Place) {
     if !cfg!(debug_assertions) {
         return;
     }
-    let was_requested =
-        REQUESTED.compare_exchange(place as u8, 0, Ordering::Relaxed, Ordering::Relaxed).is_ok();
-    assert!(!was_requested, "requested by a test");
+    let was_armed =
+        ARMED.compare_exchange(place as u8, 0, Ordering::Relaxed, Ordering::Relaxed).is_ok();
+    assert!(!was_armed, "requested by a test");
 }
--- a/bin/scheduler/src/lib.rs
+++ b/bin/scheduler/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod directory;
 pub mod election;
 pub mod evacuations;
-pub mod fault;
+pub mod failpoint;
 pub mod health;
 pub mod inbox;
 pub mod instrumented;
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -31,8 +31,8 @@
 use crate::directory;
 use crate::election::Notice;
 use crate::event;
-use crate::fault;
-use crate::fault::Place;
+use crate::failpoint;
+use crate::failpoint::Place;
 use crate::inbox;
 use crate::inbox::Queued;
 use crate::lease::Lease;
@@ -262,7 +262,7 @@
         let contacts;
         let (pause, lease_until) = {
             let mut planner = lock(&self.context.planner);
-            fault::check(Place::Planner);
+            failpoint::hit(Place::Planner);
             planner.step(now, Event::WallClock { wall: clock::wall() }, &mut actions);
             for queued in events.drain(..) {
                 turn.count(&queued);
--- a/bin/scheduler/src/owner/calls.rs
+++ b/bin/scheduler/src/owner/calls.rs
@@ -15,8 +15,8 @@
 use crate::election::Notice;
 use crate::evacuations::Evacuations;
 use crate::event;
-use crate::fault;
-use crate::fault::Place;
+use crate::failpoint;
+use crate::failpoint::Place;
 use crate::inbox;
 use crate::keys;
 use crate::log::Log;
@@ -112,7 +112,7 @@
 ) {
     let mut writes = JoinSet::new();
     while let Some((batch, changes)) = batches.recv().await {
-        fault::check(Place::Store);
+        failpoint::hit(Place::Store);
         let writer = writer.clone();
         let events = events.clone();
         let notices = notices.clone();
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -35,7 +35,7 @@
 use crate::election::Notice;
 use crate::election::Transition;
 use crate::event;
-use crate::fault;
+use crate::failpoint;
 use crate::health::Health;
 use crate::instrumented::Instrumented;
 use crate::log::Log;
@@ -165,7 +165,7 @@
             // the start.
             _ = reload.recv() => {
                 event!(log, Event::ReloadAsked);
-                fault::request();
+                failpoint::arm();
             }
         }
     }
--- a/crates/e2e/tests/panics.rs
+++ b/crates/e2e/tests/panics.rs
@@ -8,8 +8,8 @@
 use cowslipchute_e2e::await_until::LIMIT;
 use cowslipchute_e2e::site::Deployment;
 use cowslipchute_e2e::site::chain;
-use cowslipchute_scheduler::fault;
-use cowslipchute_scheduler::fault::Place;
+use cowslipchute_scheduler::failpoint;
+use cowslipchute_scheduler::failpoint::Place;
 use reqwest::StatusCode;
 use yare::parameterized;
 
@@ -26,7 +26,7 @@
 }
 
 async fn open(name: &str, place: Place) -> Deployment {
-    let environment = vec![(fault::VARIABLE.to_owned(), place.name().to_owned())];
+    let environment = vec![(failpoint::VARIABLE.to_owned(), place.name().to_owned())];
     let name = format!("{name}-{}", place.name());
     let mut deployment = Deployment::open_with(&name, 3, 2, environment).await.unwrap();
     deployment.expects_panics = true;
--- a/crates/planner/src/faults/progress.rs
+++ b/crates/planner/src/faults/progress.rs
@@ -62,6 +62,7 @@
     fn is_stalled(&self, now: Time) -> bool {
         let Stage::Running { .. } = self.stage else { return false };
         if self.missing_since.is_some() {
+            // It may have ended.
             return false;
         }
         if self.long_running {
--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -191,7 +191,7 @@
             Contact::Answering { .. } => {}
         }
         let is_prompt = matches!(previous, Contact::Answering { .. });
-        let ends = report.ended.len();
+        let listed_ends = report.ended.len();
         self.workers[worker].extend_known_ends(sent, &report.ended);
         for ended in report.ended {
             self.handle_ended(worker, ended, is_prompt);
@@ -202,7 +202,7 @@
             self.handle_running(worker, sent, running);
         }
         self.resolve_missing(worker, sent, &listed);
-        self.log_missing(worker, ends);
+        self.log_missing(worker, listed_ends);
         self.clear_suspects(worker);
         self.enforce_targets(worker);
         self.check_progress(worker);
--- a/crates/planner/src/workers/missing.rs
+++ b/crates/planner/src/workers/missing.rs
@@ -88,8 +88,9 @@
         }
     }
 
-    /// Logs how many runs are missing from a worker's report, from time to time while there are any.
-    pub(crate) fn log_missing(&mut self, worker: WorkerId, ends: usize) {
+    /// Logs how many runs are missing from a worker's report that lists this many ends, from time to
+    /// time while there are any.
+    pub(crate) fn log_missing(&mut self, worker: WorkerId, listed_ends: usize) {
         let state = &mut self.workers[worker];
         if self.now < state.missing_log_due {
             return;
@@ -101,7 +102,7 @@
         state.missing_log_due = self.now + LOG_INTERVAL;
         let name = state.name.clone();
         let detail = format!(
-            "{missing} of {} runs; {ends} ends listed, up to {} acknowledged, known up to {} ms ago",
+            "{missing} of {} runs; {listed_ends} ends listed, up to {} acknowledged, known up to {} ms ago",
             state.runs.len(),
             state.acknowledged,
             self.now.saturating_sub(state.ends_known_until).as_millis()
