Planner: in a storm of crashes a task isn't blamed for those that it meets by chance

Cause: workers crash by themselves, four a second of 48, and among 9,000 starts some task meets three or four of these in a row.

Fix: eight other machines with a crash in the last ten seconds that no suspect explains are a storm. In a storm a run counts within half a second of its start only, and five crashes in a row end a job, as many as the limit on starts allows. Outside of one nothing changes.

All other tests of the planner as before (8 known reds fail; service_tasks_return_after_any_order_of_faults not run).

--- a/crates/planner/src/faults/crash.rs
+++ b/crates/planner/src/faults/crash.rs
@@ -9,6 +9,10 @@
 //! worker where nothing else has begun recently, and nothing else begins there for a while. A crash
 //! then counts against this task alone, and its job is ended as crashed.
 //!
+//! While machines crash by themselves one after the other, some tasks meet several of these crashes
+//! in a row. In such a *storm* a crash says little about the runs that it hit: only what began just
+//! before counts, and a job is ended after as many crashes as the limit on starts allows.
+//!
 //! Incarnations that end with notice (a drain, maintenance) aren't counted, nor are workers that
 //! can't be reached, since they may be partitioned. The counts are part of the job's record, so
 //! they outlive the owner.
@@ -39,6 +43,10 @@
 const CRASH_LIMIT: usize = 3;
 /// Starts beyond [`CRASH_LIMIT`] that are allowed for a task that crashes its workers.
 const EXTRA_STARTS: usize = 2;
+/// Number of other machines with an unexplained crash within [`STORM_WINDOW`] that make a storm:
+/// more than a few tasks that crash their workers account for before they are suspects.
+const STORM_MACHINES: usize = 8;
+const STORM_WINDOW: Duration = Duration::from_secs(10);
 /// Time within which crashes of several machines may have one cause.
 const CORRELATION_WINDOW: Duration = Duration::from_millis(200);
 /// A worker that is known to have survived a start for this long may have crashed for another
@@ -63,7 +71,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Evidence {
     /// It is unknown whether and when the run began: its worker has never listed it to this owner,
-    /// and a previous owner placed it or its start is unanswered.
+    /// and a previous owner placed it or its start is unanswered. Or there is a storm.
     Unconfirmed,
     /// Another run may have caused the crash, the worker may have survived the start, or another
     /// machine crashed at the same moment.
@@ -89,6 +97,8 @@
     pub(crate) at: Time,
     /// Whether the crash is attributed to a run.
     attributed: bool,
+    /// Whether it is, or a suspect may have caused it.
+    explained: bool,
 }
 
 impl Hosted {
@@ -182,8 +192,9 @@
     }
 
     /// Returns the runs that may have crashed the worker: suspects that aren't cleared and runs
-    /// that had begun just before, or, if none had, runs that hadn't run for long.
-    fn crash_candidates(&self) -> Vec<Run> {
+    /// that had begun just before, or, if none had, runs that hadn't run for long. In a storm, only
+    /// runs that had begun just before.
+    fn crash_candidates(&self, is_storm: bool) -> Vec<Run> {
         let within = |span: Duration| {
             self.runs.iter().filter(move |(_, hosted)| {
                 hosted.may_have_begun() && self.survival_time(hosted) < span
@@ -194,6 +205,7 @@
         // while. A run whose start time is unknown explains nothing.
         let has_known_start = |(_, hosted): &(&Run, &Hosted)| known_start(hosted).is_some();
         let (recent_span, suspect_span) = match within(START_CRASH_WINDOW).find(has_known_start) {
+            _ if is_storm => (START_CRASH_WINDOW, START_CRASH_WINDOW),
             Some(_) => (START_CRASH_WINDOW, PROBATION_ISOLATION),
             None => (CLEARED_AFTER, CLEARED_AFTER),
         };
@@ -244,11 +256,17 @@
         }
         self.log_crash(worker);
         let state = &self.workers[worker];
-        let candidates = state.crash_candidates();
+        let is_storm = self.is_crash_storm(state);
+        let candidates = state.crash_candidates(is_storm);
         let is_correlated = self.is_correlated(state);
-        let evidence: Vec<Evidence> =
-            candidates.iter().map(|&run| state.evidence(run, &candidates, is_correlated)).collect();
-        self.record_crash(worker, evidence.contains(&Evidence::Conclusive));
+        let evidence = |&run: &Run| match is_storm {
+            true => Evidence::Unconfirmed,
+            false => state.evidence(run, &candidates, is_correlated),
+        };
+        let evidence: Vec<Evidence> = candidates.iter().map(evidence).collect();
+        let attributed = evidence.contains(&Evidence::Conclusive);
+        let explained = attributed || candidates.iter().any(|run| state.runs[run].crashes > 0);
+        self.record_crash(worker, attributed, explained);
         let mut to_end = Vec::new();
         for (run, evidence) in candidates.into_iter().zip(evidence) {
             if self.count_crash_against(worker, run, evidence) && !to_end.contains(&run.task.job) {
@@ -267,11 +285,20 @@
         })
     }
 
-    fn record_crash(&mut self, worker: WorkerId, attributed: bool) {
+    /// Returns `true` if other machines than a worker's crash by themselves one after the other.
+    fn is_crash_storm(&self, worker: &Worker) -> bool {
+        let unexplained = self.crashed_at.iter().filter(|(address, crash)| {
+            let is_other = worker.address != Some(**address);
+            is_other && !crash.explained && self.now < crash.at + STORM_WINDOW
+        });
+        unexplained.count() >= STORM_MACHINES
+    }
+
+    fn record_crash(&mut self, worker: WorkerId, attributed: bool, explained: bool) {
         let now = self.now;
         let Some(address) = self.workers[worker].address else { return };
         self.crashed_at.retain(|_, crash| now < crash.at + MACHINE_CRASH_WINDOW);
-        self.crashed_at.insert(address, Crash { at: now, attributed });
+        self.crashed_at.insert(address, Crash { at: now, attributed, explained });
     }
 
     /// Counts a crash against a task; returns `true` if its job is to be ended as crashed.
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -135,6 +135,7 @@
     crash_bystanders = { "crash_bystanders" },
     crash_causes = { "crash_causes" },
     crash_late = { "crash_late" },
+    crash_storm = { "crash_storm" },
     crashing_fill = { "crashing_fill" },
     crashing_gang = { "crashing_gang" },
     crashing_lasting = { "crashing_lasting" },
