--- a/crates/e2e/tests/soak.rs
+++ b/crates/e2e/tests/soak.rs
@@ -63,8 +63,11 @@
     pinned_beside_hangs = { 64032 },
     // A service task waits beside room for two among killed owners and restarts.
     waits_after_kills = { 66001 },
+    waits_after_more_kills = { 66044 },
     // A service job is given up whose tasks crashed no worker: four restarts of workers in a row hit one of them.
     service_given_up = { 66037 },
+    service_given_up_again = { 66028 },
+    service_given_up_once_more = { 66045 },
 )]
 fn a_seed_with_service_tasks_keeps_every_promise(seed: u64) {
     let report = play(seed, FULL, true);
