--- a/crates/planner/src/faults/crash.rs
+++ b/crates/planner/src/faults/crash.rs
@@ -46,6 +46,7 @@
 /// Number of other machines with an unexplained crash within [`STORM_WINDOW`] that make a storm:
 /// more than a few tasks that crash their workers account for before they are suspects.
 const STORM_MACHINES: usize = 8;
+/// Age of the oldest crash that counts towards a storm.
 const STORM_WINDOW: Duration = Duration::from_secs(10);
 /// Time within which crashes of several machines may have one cause.
 const CORRELATION_WINDOW: Duration = Duration::from_millis(200);
