--- a/crates/planner/tests/between_passes.rs
+++ b/crates/planner/tests/between_passes.rs
@@ -1,7 +1,6 @@
 //! Random orders of events between placement passes that are far apart: workers end, runs end, and
 //! the configuration changes, also while the store is slow and workers list some of their ends only.
-//! The simulated cell checks its invariants, and that the planner's
-//! tables agree, at every moment.
+//! The simulated cell checks its invariants, and that the planner's tables agree, at every moment.
 
 mod world;
 
