--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -39,6 +39,7 @@
 //!
 //! - `cut|heal|crash|rebirth|drain|unlist|list|unguard|fail|mend|hang|lose name=w`: faults of a
 //!   worker, and their repair.
+//! - `rebirths of=(w, ..) every=MS`: `rebirth` of one after the other, each followed by `run`.
 //! - `late name=w [orders=N] [by=MS]`: commands go unanswered and are carried out late.
 //! - `late_holds name=w [holds=N] [by=MS]`: heartbeats go unanswered and are handled late.
 //! - `slow name=w x=N`: slows a worker down.
@@ -396,6 +397,13 @@
         "cancel" => world.cancel(job_id(case)),
         "crash" => world.crash(name, false),
         "rebirth" => world.crash(name, true),
+        "rebirths" => {
+            let pause = Duration::from_millis(number(case, "every").expect("`every` is given"));
+            for name in case.args.get("of").into_iter().flatten() {
+                world.crash(name, true);
+                world.run(pause);
+            }
+        }
         "restart" => restart(world, case),
         "list_ends" => {
             let worker = world.workers.get_mut(name).expect("`name` is a worker");
