--- a/crates/standin/src/site/ends.rs
+++ b/crates/standin/src/site/ends.rs
@@ -1,8 +1,8 @@
 //! Ends of runs: a task whose run has ended `done` isn't started again if that end is acknowledged,
 //! before or after the start.
 //!
-//! An end that is lost with its worker, or that waits while its worker's lease expires, is never
-//! acknowledged for good, and excuses a start.
+//! An end that is lost with its worker, or that waits while its worker's lease expires, excuses a
+//! start: its acknowledgement doesn't count.
 
 use std::collections::BTreeMap;
 
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Records that a worker was told to forget its ends up to a number. Returns the violations.
+    /// Records the acknowledgement of a worker's ends up to a number. Returns the violations.
     pub fn acknowledge(&mut self, host: &Host, number: EndNumber) -> Vec<String> {
         let first = (host.clone(), EndNumber::MIN);
         let last = (host.clone(), number);
