--- a/bin/scheduler/src/writer.rs
+++ b/bin/scheduler/src/writer.rs
@@ -123,12 +123,24 @@
                     unsettled = true;
                     event!(self.log, Event::StoreUnsettled, "reason" => reason);
                 }
-                Err(_) => {}
+                Err(kv::Error::Unavailable(_)) => {}
+                Err(error) => self.log_refusal(&wanted, &error),
             }
             self.retry.wait().await;
         }
     }
 
+    /// Logs a transaction that the store refuses.
+    fn log_refusal(&self, changes: &[kv::Change], error: &kv::Error) {
+        let values = changes.iter().filter_map(|change| match change {
+            kv::Change::Put { key, value, .. } => Some((value.len(), key)),
+            kv::Change::Delete { .. } => None,
+        });
+        let (bytes, key) = values.max().unzip();
+        event!(self.log, Event::StoreRefused, "key" => key.cloned(), "bytes" => bytes,
+            "changes" => changes.len(), "reason" => error.to_string());
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<JobId, Revision>> {
         panic::lock(&self.revisions)
     }
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -73,6 +73,7 @@
     11 StoreBack Info "The platform's store answers again.";
     12 StoreUnsettled Warning "A write got no answer; a read determines whether it was made.";
     13 ListStale Warning "The list of instances could not be read; the last one stays in use.";
+    14 StoreRefused Warning "The store refuses a write and made none of it; the largest value's key and size, the number of changes and the answer are given.";
     20 PeerRefused Warning "A peer without a certificate of this deployment was refused.";
     21 PeerLost Info "A peer stopped answering.";
     22 PeerFound Info "A peer answers.";
