Scheduler: a record that the store refuses for good ends its job and holds back no other

Cause: Writer::write_part took a final refusal (400 for a value over max-value-bytes) for an error that passes, so the transaction was tried without end, with all jobs in it. Why it works: a refused transaction is divided until the change at fault is alone; that record's job ends with a reason, unless the store refuses other writes as well.

--- a/bin/scheduler/src/instrumented.rs
+++ b/bin/scheduler/src/instrumented.rs
@@ -56,6 +56,7 @@
         Err(kv::Error::Unknown(_)) => "unknown",
         Err(kv::Error::Compacted(_)) => "compacted",
         Err(kv::Error::LeaseExpired) => "lease gone",
+        Err(kv::Error::Refused(_)) => "refused",
         Err(kv::Error::Protocol(_)) => "not understood",
     }
 }
--- a/bin/scheduler/src/keys.rs
+++ b/bin/scheduler/src/keys.rs
@@ -6,6 +6,8 @@
 pub const OWNER: &str = "cell/owner";
 /// Estimates of the cell, stored for later owners.
 pub const ESTIMATES: &str = "cell/learnt";
+/// Key that an owner writes to learn whether the store refuses one write or every write.
+pub const WRITE_CHECK: &str = "cell/write-check";
 /// Prefix of the accepted jobs that have not ended.
 pub const JOBS: &str = "job/";
 /// Prefix of the records of jobs that have started and not ended.
--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -75,6 +75,8 @@
     pub machines: M,
     /// The configuration in force.
     pub config: Current,
+    /// Size in bytes of the largest value that the store accepts.
+    pub max_value_bytes: usize,
     /// Time for which the final states of jobs are kept.
     pub final_state_retention: Duration,
     /// The planner.
@@ -96,6 +98,7 @@
             advisor: self.advisor.clone(),
             machines: self.machines.clone(),
             config: self.config.clone(),
+            max_value_bytes: self.max_value_bytes,
             final_state_retention: self.final_state_retention,
             planner: self.planner.clone(),
             notices: self.notices.clone(),
@@ -133,7 +136,13 @@
     };
     event!(context.log, LogEvent::CellLoaded, "epoch" => epoch, "jobs" => cell.jobs.len(),
         "records" => cell.records.len(), "revision" => cell.revision);
-    let writer = Writer::open(context.store.clone(), epoch, cell.revisions, context.log.clone());
+    let writer = Writer::open(
+        context.store.clone(),
+        epoch,
+        cell.revisions,
+        context.max_value_bytes,
+        context.log.clone(),
+    );
     let mut initial_events = vec![Queued::now(evacuations.event())];
     let (sender, receiver) = inbox::open();
     let (writes, write_receiver) = mpsc::unbounded_channel();
--- a/bin/scheduler/src/owner/calls.rs
+++ b/bin/scheduler/src/owner/calls.rs
@@ -26,6 +26,7 @@
 use crate::watcher;
 use crate::watcher::Change;
 use crate::writer::Fenced;
+use crate::writer::Refusal;
 use crate::writer::Writer;
 
 /// Delay before a failed read of the cell's state is retried.
@@ -119,7 +120,12 @@
         writes.spawn(async move {
             // The receiver of notices is dropped only when the process exits.
             match writer.write(&changes).await {
-                Ok(()) => events.send(Event::Written { batch }),
+                Ok(refusals) => {
+                    for Refusal { job, lasting, reason } in refusals {
+                        events.send(Event::WriteRefused { batch, job, lasting, reason });
+                    }
+                    events.send(Event::Written { batch });
+                }
                 Err(Fenced) => drop(notices.send(Notice::WriteFenced { epoch })),
             }
         });
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -151,6 +151,7 @@
         advisor: HttpAdvisor::open(client.clone(), settings.advisor),
         machines: HttpMachines::open(client, cloud, settings.node_name.clone()),
         config: current_config,
+        max_value_bytes: settings.platform.max_value_bytes,
         final_state_retention: final_state_retention(&settings),
         planner,
         notices: election.notices.clone(),
--- a/bin/scheduler/src/writer.rs
+++ b/bin/scheduler/src/writer.rs
@@ -3,6 +3,12 @@
 //!
 //! The second guard is for writes whose answer was lost: the store may apply one seconds later,
 //! when a newer record has taken its place.
+//!
+//! A transaction that the store refuses for good is divided until the change at fault is alone, so
+//! that it holds back no other job. A record that can't be stored is handed back to the caller.
+//! [docs/design/record-size.md](../../../docs/design/record-size.md) has the reasons.
+
+mod entry;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -15,7 +21,6 @@
 use cowslipchute_planner::action::Change;
 use cowslipchute_planner::estimates::Estimates;
 use cowslipchute_planner::record;
-use cowslipchute_platform::store::MAX_TXN_ENTRIES;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::kv;
 use cowslipchute_ports::kv::Precondition;
@@ -25,11 +30,32 @@
 use crate::keys;
 use crate::log::Log;
 use crate::retry::Limiter;
+use crate::writer::entry::Entry;
 
 /// The error of a write that was fenced off, since another process owns the cell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fenced;
 
+/// A change that the store refuses although it is alone in its transaction; nothing of it was
+/// written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The job.
+    pub job: JobId,
+    /// Whether the change itself is at fault: it is a record that can't be stored. Otherwise the
+    /// store refuses whatever it is sent, and may take the change later.
+    pub lasting: bool,
+    /// The size of the record, and the limit or the store's answer.
+    pub reason: String,
+}
+
+/// The outcome of a transaction.
+enum Outcome {
+    Stored,
+    /// The store refuses it for good, with this answer.
+    Refused(String),
+}
+
 /// The writer of one ownership.
 #[derive(Clone, Debug)]
 pub struct Writer<S> {
@@ -38,36 +64,50 @@
     epoch: Revision,
     /// Revisions of the records in the store. Overlapping writes are about different jobs.
     revisions: Arc<Mutex<HashMap<JobId, Revision>>>,
+    /// Size of the largest value that the store accepts.
+    max_value_bytes: usize,
     retry: Limiter,
     log: Log,
 }
 
 impl<S: Store> Writer<S> {
-    /// Opens the writer of an ownership with the revisions of the records found at its start.
+    /// Opens the writer of an ownership with the revisions of the records found at its start, and
+    /// the size in bytes of the largest value that the store accepts.
     pub fn open(
         store: S,
         epoch: Revision,
         revisions: HashMap<JobId, Revision>,
+        max_value_bytes: usize,
         log: Log,
     ) -> Writer<S> {
         let revisions = Arc::new(Mutex::new(revisions));
-        Writer { store, epoch, revisions, retry: Limiter::open(), log }
+        Writer { store, epoch, revisions, max_value_bytes, retry: Limiter::open(), log }
     }
 
-    /// Writes changes, retrying until the store certainly holds them.
+    /// Writes changes, retrying until the store certainly holds all but those that it refuses.
+    /// Returns these.
     ///
     /// # Errors
     ///
     /// Returns [`Fenced`] if the cell has another owner; the store may then hold some of the
     /// changes.
-    pub async fn write(&self, changes: &[Change]) -> Result<(), Fenced> {
-        let mut rest = changes;
+    pub async fn write(&self, changes: &[Change]) -> Result<Vec<Refusal>, Fenced> {
+        let entries: Vec<Entry> = changes.iter().map(Entry::new).collect();
+        let (entries, oversized): (Vec<Entry>, Vec<Entry>) =
+            entries.into_iter().partition(|entry| entry.value_bytes() <= self.max_value_bytes);
+        let mut refusals = Vec::new();
+        for entry in oversized {
+            let bytes = entry.value_bytes();
+            let reason = format!("{bytes} bytes; a value holds up to {}", self.max_value_bytes);
+            refusals.push(Refusal { job: entry.job, lasting: true, reason });
+        }
+        let mut rest = &entries[..];
         while !rest.is_empty() {
-            let (part, later) = rest.split_at(batch_len(rest));
-            self.write_part(part).await?;
+            let (part, later) = rest.split_at(entry::batch_len(rest));
+            self.write_divided(part, &mut refusals).await?;
             rest = later;
         }
-        Ok(())
+        Ok(refusals)
     }
 
     /// Writes the estimates, without a retry: a later write replaces them anyway.
@@ -78,7 +118,7 @@
     pub async fn write_estimates(&self, estimates: &Estimates) -> Result<(), Fenced> {
         let value = record::encode(estimates);
         let txn = kv::Txn {
-            preconditions: vec![Precondition::Unchanged(keys::OWNER.to_owned(), self.epoch)],
+            preconditions: vec![self.guard()],
             changes: vec![kv::Change::Put { key: keys::ESTIMATES.to_owned(), value, lease: 0 }],
         };
         match self.store.commit(txn).await {
@@ -92,20 +132,49 @@
         }
     }
 
-    async fn write_part(&self, changes: &[Change]) -> Result<(), Fenced> {
+    /// Writes entries in one transaction, or in smaller and smaller ones if the store refuses it.
+    async fn write_divided(
+        &self,
+        entries: &[Entry],
+        refusals: &mut Vec<Refusal>,
+    ) -> Result<(), Fenced> {
+        let mut parts = vec![entries];
+        while let Some(part) = parts.pop() {
+            let Outcome::Refused(answer) = self.write_part(part).await? else { continue };
+            if let [entry] = part {
+                let lasting = entry.is_record() && self.accepts_writes().await;
+                let reason = format!("{} bytes: {answer}", entry.value_bytes());
+                refusals.push(Refusal { job: entry.job, lasting, reason });
+            } else {
+                let (first, second) = part.split_at(part.len() / 2);
+                parts.extend([second, first]);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns `true` if the store takes another write of this owner right now.
+    async fn accepts_writes(&self) -> bool {
+        let value = record::encode(&self.epoch);
+        let txn = kv::Txn {
+            preconditions: vec![self.guard()],
+            changes: vec![kv::Change::Put { key: keys::WRITE_CHECK.to_owned(), value, lease: 0 }],
+        };
+        self.store.commit(txn).await.is_ok_and(|verdict| verdict.applied)
+    }
+
+    async fn write_part(&self, entries: &[Entry]) -> Result<Outcome, Fenced> {
         let mut unsettled = false;
         loop {
-            let txn = self.txn(changes);
-            let wanted = txn.changes.clone();
-            let outcome = self.store.commit(txn).await;
+            let outcome = self.store.commit(self.txn(entries)).await;
             match &outcome {
-                Ok(_) => self.retry.record_success(),
+                Ok(_) | Err(kv::Error::Refused(_)) => self.retry.record_success(),
                 Err(_) => self.retry.record_failure(),
             }
             match outcome {
                 Ok(verdict) if verdict.applied => {
-                    self.record_revisions(changes, verdict.revision);
-                    return Ok(());
+                    self.record_revisions(entries, verdict.revision);
+                    return Ok(Outcome::Stored);
                 }
                 Ok(verdict) => {
                     let owner_unchanged = |entry: &kv::Entry| {
@@ -114,131 +183,85 @@
                     if !verdict.current.iter().any(owner_unchanged) {
                         return Err(Fenced);
                     }
-                    if unsettled && self.is_already_applied(changes, &wanted, &verdict.current) {
-                        return Ok(());
+                    if unsettled && self.is_already_applied(entries, &verdict.current) {
+                        return Ok(Outcome::Stored);
                     }
-                    self.refresh_revisions(changes, &verdict.current);
+                    self.refresh_revisions(entries, &verdict.current);
                 }
                 Err(kv::Error::Unknown(reason)) => {
                     unsettled = true;
                     event!(self.log, Event::StoreUnsettled, "reason" => reason);
                 }
                 Err(kv::Error::Unavailable(_)) => {}
-                Err(error) => self.log_refusal(&wanted, &error),
+                Err(error @ kv::Error::Refused(_)) => {
+                    self.log_refusal(entries, &error);
+                    return Ok(Outcome::Refused(error.to_string()));
+                }
+                Err(error) => self.log_refusal(entries, &error),
             }
             self.retry.wait().await;
         }
     }
 
     /// Logs a transaction that the store refuses.
-    fn log_refusal(&self, changes: &[kv::Change], error: &kv::Error) {
-        let values = changes.iter().filter_map(|change| match change {
-            kv::Change::Put { key, value, .. } => Some((value.len(), key)),
-            kv::Change::Delete { .. } => None,
-        });
-        let (bytes, key) = values.max().unzip();
-        event!(self.log, Event::StoreRefused, "key" => key.cloned(), "bytes" => bytes,
-            "changes" => changes.len(), "reason" => error.to_string());
+    fn log_refusal(&self, entries: &[Entry], error: &kv::Error) {
+        let largest = entries.iter().max_by_key(|entry| entry.value_bytes());
+        let (key, bytes) = largest.map(|entry| (entry.key(), entry.value_bytes())).unzip();
+        event!(self.log, Event::StoreRefused, "key" => key, "bytes" => bytes,
+            "changes" => entries.len(), "reason" => error.to_string());
+    }
+
+    /// Returns the condition that this process still owns the cell.
+    fn guard(&self) -> Precondition {
+        Precondition::Unchanged(keys::OWNER.to_owned(), self.epoch)
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<JobId, Revision>> {
         panic::lock(&self.revisions)
     }
 
-    fn txn(&self, changes: &[Change]) -> kv::Txn {
-        let mut txn = kv::Txn::default();
-        txn.preconditions.push(Precondition::Unchanged(keys::OWNER.to_owned(), self.epoch));
-        for change in changes {
-            let (Change::Progress { job, .. } | Change::End { job, .. }) = change;
-            let key = keys::for_job(keys::RECORDS, *job);
-            let known = self.lock().get(job).copied();
+    fn txn(&self, entries: &[Entry]) -> kv::Txn {
+        let mut txn = kv::Txn { preconditions: vec![self.guard()], changes: Vec::new() };
+        for entry in entries {
+            let known = self.lock().get(&entry.job).copied();
             txn.preconditions.push(match known {
-                Some(revision) => Precondition::Unchanged(key.clone(), revision),
-                None => Precondition::Missing(key.clone()),
+                Some(revision) => Precondition::Unchanged(entry.record_key.clone(), revision),
+                None => Precondition::Missing(entry.record_key.clone()),
             });
-            match change {
-                Change::Progress { record, .. } => {
-                    let value = record.encode();
-                    txn.changes.push(kv::Change::Put { key, value, lease: 0 });
-                }
-                Change::End { state, .. } => {
-                    let final_state_key = keys::for_job(keys::FINAL_STATES, *job);
-                    let value = record::encode(state);
-                    txn.changes.push(kv::Change::Put { key: final_state_key, value, lease: 0 });
-                    txn.changes.push(kv::Change::Delete { key: keys::for_job(keys::JOBS, *job) });
-                    if known.is_some() {
-                        txn.changes.push(kv::Change::Delete { key });
-                    }
-                }
-            }
+            txn.changes.extend(entry.changes(known.is_some()));
         }
         txn
     }
 
-    fn record_revisions(&self, changes: &[Change], revision: Revision) {
-        for change in changes {
-            match change {
-                Change::Progress { job, .. } => self.lock().insert(*job, revision),
-                Change::End { job, .. } => self.lock().remove(job),
+    fn record_revisions(&self, entries: &[Entry], revision: Revision) {
+        for entry in entries {
+            match entry.is_record() {
+                true => self.lock().insert(entry.job, revision),
+                false => self.lock().remove(&entry.job),
             };
         }
     }
 
     /// Returns `true`, and adopts the store's revisions, if an earlier attempt whose answer was
     /// lost was applied: every record is then as this attempt would have left it.
-    fn is_already_applied(
-        &self,
-        changes: &[Change],
-        wanted: &[kv::Change],
-        current: &[kv::Entry],
-    ) -> bool {
-        let found = |key: &str| current.iter().find(|entry| entry.key == key);
-        let progress = changes.iter().filter_map(|change| match change {
-            Change::Progress { job, .. } => Some(keys::for_job(keys::RECORDS, *job)),
-            Change::End { .. } => None,
-        });
-        let records_match = progress.into_iter().all(|key| {
-            let value = wanted.iter().find_map(|change| match change {
-                kv::Change::Put { key: other, value, .. } if *other == key => Some(value),
-                _ => None,
-            });
-            found(&key).is_some_and(|entry| Some(&entry.value) == value)
+    fn is_already_applied(&self, entries: &[Entry], current: &[kv::Entry]) -> bool {
+        let applied = entries.iter().all(|entry| {
+            let found = current.iter().find(|found| found.key == entry.record_key);
+            entry.is_applied(found.map(|found| &found.value[..]))
         });
-        let ended = changes.iter().all(|change| match change {
-            Change::End { job, .. } => found(&keys::for_job(keys::RECORDS, *job)).is_none(),
-            Change::Progress { .. } => true,
-        });
-        if records_match && ended {
-            self.refresh_revisions(changes, current);
+        if applied {
+            self.refresh_revisions(entries, current);
         }
-        records_match && ended
+        applied
     }
 
     /// Adopts the revisions that the store returned.
-    fn refresh_revisions(&self, changes: &[Change], current: &[kv::Entry]) {
-        for change in changes {
-            let (Change::Progress { job, .. } | Change::End { job, .. }) = change;
-            let key = keys::for_job(keys::RECORDS, *job);
-            match current.iter().find(|entry| entry.key == key) {
-                Some(entry) => self.lock().insert(*job, entry.revision),
-                None => self.lock().remove(job),
+    fn refresh_revisions(&self, entries: &[Entry], current: &[kv::Entry]) {
+        for entry in entries {
+            match current.iter().find(|found| found.key == entry.record_key) {
+                Some(found) => self.lock().insert(entry.job, found.revision),
+                None => self.lock().remove(&entry.job),
             };
         }
     }
 }
-
-/// Returns how many of the first changes fit into one transaction next to the guard of the owner
-/// key.
-fn batch_len(changes: &[Change]) -> usize {
-    let mut entries = 1;
-    let fitting = changes.iter().take_while(|change| {
-        entries += match change {
-            // A guard and the record.
-            Change::Progress { .. } => 2,
-            // A guard, the final state, and the removals of the job and its record.
-            Change::End { .. } => 4,
-        };
-        entries <= MAX_TXN_ENTRIES
-    });
-    fitting.count()
-}
--- a/bin/scheduler/tests/journal.rs
+++ b/bin/scheduler/tests/journal.rs
@@ -3,9 +3,12 @@
 mod support;
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use cowslipchute_planner::action::Change;
+use cowslipchute_planner::record::Occurrence;
 use cowslipchute_planner::record::Record;
+use cowslipchute_planner::record::Task;
 use cowslipchute_ports::job::State;
 use cowslipchute_scheduler::keys;
 use cowslipchute_scheduler::log;
@@ -17,6 +20,12 @@
 use support::Fate;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
+use yare::parameterized;
+
+/// Time within which a write has to be settled.
+const SETTLED: Duration = Duration::from_secs(10);
+/// Largest value of the store in tests of its refusals.
+const LARGE_BYTES: usize = 100;
 
 fn progress(job: u64, opened: u32) -> Change {
     Change::Progress { job, record: Record { started: true, opened, ..Record::default() } }
@@ -29,9 +38,26 @@
 }
 
 fn open(fake: &Fake) -> Writer<Fake> {
+    open_with_limit(fake, usize::MAX)
+}
+
+/// Opens a writer that knows the largest value of the store.
+fn open_with_limit(fake: &Fake, max_value_bytes: usize) -> Writer<Fake> {
     let epoch = fake.put(keys::OWNER, b"ours".to_vec());
     let log = log::open("test", slog::Level::Error, Metrics::open().unwrap()).unwrap();
-    Writer::open(fake.clone(), epoch, HashMap::new(), log)
+    Writer::open(fake.clone(), epoch, HashMap::new(), max_value_bytes, log)
+}
+
+/// Returns a change whose record is larger than `LARGE_BYTES`.
+fn large(job: u64) -> Change {
+    let task = Task { checkpoint: Some("c".repeat(LARGE_BYTES).into()), ..Task::default() };
+    let occurrence = Occurrence { number: 0, steps: vec![vec![task]] };
+    Change::Progress { job, record: Record { occurrences: vec![occurrence], ..Record::default() } }
+}
+
+fn block_on(test: impl Future<Output = ()>) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_all().start_paused(true).build().unwrap().block_on(test);
 }
 
 #[tokio::test(start_paused = true)]
@@ -92,6 +118,42 @@
     assert!(inner.commits <= 7 + 15, "{} commits", inner.commits);
 }
 
+/// Guards against a record that the store refuses for good and that is written without end, with
+/// the jobs of its transaction.
+#[parameterized(
+    by_the_store = { usize::MAX },
+    by_the_known_limit = { LARGE_BYTES },
+)]
+fn a_record_that_cannot_be_stored_holds_back_no_other(known_limit: usize) {
+    block_on(async {
+        let fake = Fake::default();
+        let writer = open_with_limit(&fake, known_limit);
+        fake.0.lock().unwrap().max_value_bytes = Some(LARGE_BYTES);
+        let changes: Vec<Change> =
+            (0..9).map(|job| if job == 4 { large(job) } else { progress(job, 1) }).collect();
+        let written = tokio::time::timeout(SETTLED, writer.write(&changes)).await;
+        let refused = written.expect("the write ends").unwrap();
+        assert_eq!(refused.iter().map(|refusal| refusal.job).collect::<Vec<_>>(), [4]);
+        assert!(refused[0].lasting, "{}", refused[0].reason);
+        assert!((0..9).all(|job| stored(&fake, job) == (job != 4).then_some(1)));
+    });
+}
+
+/// Guards against jobs that are given up since a store refuses whatever it is sent for a while.
+#[test]
+fn a_store_that_refuses_every_write_ends_no_job() {
+    block_on(async {
+        let fake = Fake::default();
+        let writer = open(&fake);
+        fake.0.lock().unwrap().max_value_bytes = Some(0);
+        let changes =
+            [progress(1, 1), progress(2, 1), Change::End { job: 3, state: State::Completed }];
+        let refused = writer.write(&changes).await.unwrap();
+        assert_eq!(refused.len(), changes.len());
+        assert!(refused.iter().all(|refusal| !refusal.lasting), "{refused:?}");
+    });
+}
+
 #[tokio::test(start_paused = true)]
 async fn overlapping_writes_take_turns_while_the_store_is_away() {
     /// Writes in flight when the outage starts.
--- a/bin/scheduler/tests/support/mod.rs
+++ b/bin/scheduler/tests/support/mod.rs
@@ -30,6 +30,8 @@
     pub fates: Vec<Fate>,
     pub commits: usize,
     pub entries: usize,
+    /// Size of the largest value that it accepts, if it has a limit.
+    pub max_value_bytes: Option<usize>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -50,6 +52,14 @@
 }
 
 impl Inner {
+    fn is_too_large(&self, txn: &kv::Txn) -> bool {
+        let Some(limit) = self.max_value_bytes else { return false };
+        txn.changes.iter().any(|change| match change {
+            kv::Change::Put { value, .. } => value.len() > limit,
+            kv::Change::Delete { .. } => false,
+        })
+    }
+
     fn decide(&mut self, txn: &kv::Txn) -> kv::TxnOutcome {
         self.entries = self.entries.max(txn.preconditions.len() + txn.changes.len());
         let holds = txn.preconditions.iter().all(|guard| match guard {
@@ -99,6 +109,9 @@
     async fn commit(&self, txn: kv::Txn) -> Result<kv::TxnOutcome, kv::Error> {
         let mut inner = self.0.lock().unwrap();
         inner.commits += 1;
+        if inner.is_too_large(&txn) {
+            return Err(kv::Error::Refused(String::from("a value is too large")));
+        }
         let lost = || Err(kv::Error::Unknown(String::from("no answer")));
         match inner.fates.pop() {
             None => Ok(inner.decide(&txn)),
--- /dev/null
+++ b/crates/e2e/tests/store_limits.rs
@@ -0,0 +1,79 @@
+//! What a value that the store refuses means for the jobs of real processes.
+
+use std::time::Duration;
+
+use cowslipchute_e2e::await_until;
+use cowslipchute_e2e::await_until::LIMIT;
+use cowslipchute_e2e::site::Deployment;
+use cowslipchute_e2e::site::chain;
+use reqwest::StatusCode;
+
+/// Duration of a task of these tests.
+const WORK: Duration = Duration::from_millis(300);
+/// Largest value of the store in these tests, which its settings don't name. The record of a job of
+/// four tasks fits, and that of one of [`LARGE_COUNT`] doesn't.
+const MAX_VALUE_BYTES: usize = 300;
+const LARGE_COUNT: u32 = 200;
+const SMALL_JOBS: u64 = 8;
+
+fn block_on(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    runtime.block_on(test);
+}
+
+async fn owner(deployment: &Deployment) -> String {
+    await_until::some_async("the cell has an owner", LIMIT, || async { deployment.owner() }).await
+}
+
+async fn submit(deployment: &Deployment, member: &str, id: u64, count: u32) {
+    let job = chain(1, count, WORK);
+    assert_eq!(deployment.submit(member, id, &job).await, Some(StatusCode::OK));
+}
+
+async fn assert_small_jobs_complete(deployment: &Deployment, member: &str) {
+    for id in 1..=SMALL_JOBS {
+        deployment.await_state(member, id, "completed").await;
+    }
+}
+
+/// Guards against a job whose record the store refuses for good: it waited without end, and with it
+/// the jobs of its transaction.
+#[test]
+fn a_record_that_the_store_refuses_holds_back_no_other_job() {
+    block_on(async {
+        let deployment = Deployment::open("store-limits", 3, 2).await.unwrap();
+        let owner = owner(&deployment).await;
+        deployment.site.lock().store.max_value_bytes = MAX_VALUE_BYTES;
+        submit(&deployment, &owner, 0xb1, LARGE_COUNT).await;
+        for id in 1..=SMALL_JOBS {
+            submit(&deployment, &owner, id, 4).await;
+        }
+        submit(&deployment, &owner, 0xb2, LARGE_COUNT).await;
+        assert_small_jobs_complete(&deployment, &owner).await;
+        deployment.await_state(&owner, 0xb1, "failed").await;
+        deployment.await_state(&owner, 0xb2, "failed").await;
+        assert_eq!(deployment.site.lock().violations, Vec::<String>::new());
+    });
+}
+
+/// Guards against the same under each later owner: the record was stored while it fitted, and can't
+/// be written by the owner that takes it over.
+#[test]
+fn an_owner_that_takes_over_a_record_that_no_longer_fits_serves_the_rest() {
+    block_on(async {
+        let mut deployment = Deployment::open("store-limits", 3, 2).await.unwrap();
+        let killed = owner(&deployment).await;
+        let other = deployment.members.keys().find(|name| **name != killed).unwrap().clone();
+        let big = chain(2, LARGE_COUNT, WORK);
+        assert_eq!(deployment.submit(&other, 0xb1, &big).await, Some(StatusCode::OK));
+        deployment.await_state(&other, 0xb1, "active").await;
+        deployment.site.lock().store.max_value_bytes = MAX_VALUE_BYTES;
+        deployment.members.get_mut(&killed).unwrap().process = None;
+        for id in 1..=SMALL_JOBS {
+            submit(&deployment, &other, id, 4).await;
+        }
+        assert_small_jobs_complete(&deployment, &other).await;
+        deployment.await_state(&other, 0xb1, "failed").await;
+        assert_eq!(deployment.site.lock().violations, Vec::<String>::new());
+    });
+}
--- a/crates/planner/src/action.rs
+++ b/crates/planner/src/action.rs
@@ -112,7 +112,8 @@
         started: Vec<Name>,
     },
     /// Write to the store, retrying until the changes are durable, then send
-    /// [`crate::event::Event::Written`].
+    /// [`crate::event::Event::Written`]. A change that the store refuses is reported by
+    /// [`crate::event::Event::WriteRefused`] before.
     Write {
         /// Number of the write.
         batch: BatchNumber,
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -152,6 +152,18 @@
         /// Time since the Unix epoch, 1970.
         wall: Duration,
     },
+    /// The store refuses the change of one job, and holds none of it. Comes before the
+    /// [`Event::Written`] of the same write.
+    WriteRefused {
+        /// The number of the write.
+        batch: BatchNumber,
+        /// The job.
+        job: JobId,
+        /// Whether the job's record is at fault, so that the store will never take it.
+        lasting: bool,
+        /// The size of the record, and the store's answer.
+        reason: String,
+    },
     /// A write is durable in the store.
     Written {
         /// The number of the write.
@@ -181,6 +193,7 @@
             Event::Machines { .. } => "machines",
             Event::MaintenanceResult { .. } => "maintenance",
             Event::WallClock { .. } => "clock",
+            Event::WriteRefused { .. } => "refused",
             Event::Written { .. } => "written",
         }
     }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -287,6 +287,9 @@
                 self.handle_maintenance_result(rollout, &machine, outcome)
             }
             Event::WallClock { wall } => self.wall_clock.update(self.now, wall),
+            Event::WriteRefused { batch, job, lasting, reason } => {
+                self.handle_refused(batch, job, lasting, reason);
+            }
             Event::Written { batch } => self.handle_written(batch),
         }
     }
--- a/crates/planner/src/records/write.rs
+++ b/crates/planner/src/records/write.rs
@@ -31,6 +31,9 @@
 /// leave: an observer sees such capacity as free until the next start has arrived.
 const EXPEDITED_WRITE_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Delay before a change is written again that the store refuses like all others.
+const REFUSED_WRITE_DELAY: Duration = Duration::from_secs(1);
+
 /// A write in flight.
 #[derive(Debug)]
 struct Write {
@@ -187,6 +190,37 @@
         self.acknowledge_ends();
     }
 
+    /// Handles a change that the store refuses. A job whose record can't be stored ends, since none
+    /// of its tasks may start or go on without one; any other change is written again later.
+    pub(crate) fn handle_refused(
+        &mut self,
+        batch: BatchNumber,
+        job: JobId,
+        lasting: bool,
+        reason: String,
+    ) {
+        let mut writes = self.writes.in_flight.iter_mut();
+        let Some(write) = writes.find(|write| write.batch == batch) else { return };
+        write.jobs.retain(|&(written, ..)| written != job);
+        let (refused, kept) = std::mem::take(&mut write.intents)
+            .into_iter()
+            .partition(|(_, run)| run.task.job == job);
+        write.intents = kept;
+        self.writes.busy.remove(&job);
+        let is_open = self.jobs.get(&job).is_some_and(|state| state.end.is_none());
+        if lasting && is_open {
+            self.note(LogEvent::JobUnstorable, Some(job), None, None, reason);
+            self.finish_job(job, State::Unstorable);
+        } else {
+            let refused: Vec<(WorkerId, Run)> = refused;
+            self.writes.intents.extend(refused);
+            if let Some(state) = self.jobs.get_mut(&job) {
+                state.rewrite_at = None;
+            }
+            self.plan_rewrite(job, REFUSED_WRITE_DELAY);
+        }
+    }
+
     /// Moves a job whose end is stored to the ended jobs, so that its client sees its final state.
     fn move_to_ended(&mut self, job: JobId, state: State) {
         if self.jobs.remove(&job).is_none() {
@@ -242,6 +276,7 @@
         State::Failed => "failed",
         State::Cancelled => "cancelled",
         State::Crashed => "crashed",
+        State::Unstorable => "unstorable",
         State::Queued | State::Active => "not ended",
     }
 }
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -168,6 +168,8 @@
     evacuated_unknown = { "evacuated_unknown" },
     evacuated_withdrawn = { "evacuated_withdrawn" },
     ends_beyond_report = { "ends_beyond_report" },
+    store_refuses_all = { "store_refuses_all" },
+    unstorable_record = { "unstorable_record" },
     ends_beyond_report_owner_killed = { "ends_beyond_report_owner_killed" },
     ends_beyond_report_restarted = { "ends_beyond_report_restarted" },
     failures = { "failures" },
@@ -422,6 +424,8 @@
         "store" => {
             world.store_up = arg(case, "state") != Some("down");
             world.store_delay = Duration::from_millis(number(case, "delay").unwrap_or(4));
+            world.max_record_bytes = number(case, "max");
+            world.store_refuses = arg(case, "state") == Some("refusing");
         }
         "run" => world.run(Duration::from_millis(number(case, "ms").expect("`ms` is given"))),
         "show" => return world.describe(),
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -120,6 +120,10 @@
     pub estimates: Option<Estimates>,
     /// Whether the store answers, and how long it takes.
     pub store_up: bool,
+    /// Size of the largest record that the store takes, if it has a limit.
+    pub max_record_bytes: Option<usize>,
+    /// Whether the store refuses every write.
+    pub store_refuses: bool,
     pub store_delay: Duration,
     pub renewals: bool,
     /// Delay until the owner has CPU time to send its commands, except for heartbeats.
@@ -185,6 +189,8 @@
             hands_over: false,
             estimates: None,
             store_up: true,
+            max_record_bytes: None,
+            store_refuses: false,
             store_delay: STORE_DELAY,
             renewals: true,
             command_delay: Duration::ZERO,
@@ -389,6 +395,11 @@
             return;
         }
         for change in changes {
+            if let Some(event) = self.refusal(batch, &change) {
+                let at = self.now + self.store_delay / 2;
+                self.push(at, Arrival::Event(term, event));
+                continue;
+            }
             match change {
                 Change::Progress { job, record } => drop(self.records.insert(job, record)),
                 Change::End { job, state } => {
@@ -405,6 +416,17 @@
         self.push(at, Arrival::Event(term, Event::Written { batch }));
     }
 
+    /// Returns what the owner hears of a change that the store refuses.
+    fn refusal(&self, batch: u64, change: &Change) -> Option<Event> {
+        let (job, bytes) = match change {
+            Change::Progress { job, record } => (*job, record.encode().len()),
+            Change::End { job, .. } => (*job, 0),
+        };
+        let lasting = self.max_record_bytes.is_some_and(|limit| bytes > limit);
+        let reason = format!("{bytes} bytes");
+        (lasting || self.store_refuses).then(|| Event::WriteRefused { batch, job, lasting, reason })
+    }
+
     fn answer(&mut self, term: u32, event: Event) {
         self.push(self.now + ONE_WAY_DELAY, Arrival::Event(term, event));
     }
--- a/crates/ports/src/job.rs
+++ b/crates/ports/src/job.rs
@@ -204,8 +204,10 @@
     Failed,
     /// The client has cancelled it.
     Cancelled,
-    /// A task has crashed more workers than the limit allows. Comes last because states are stored by position.
+    /// A task has crashed more workers than the limit allows.
     Crashed,
+    /// The store refuses its record, so that none of its tasks may start. Comes last because states are stored by position.
+    Unstorable,
 }
 
 impl State {
@@ -219,6 +221,7 @@
         match self {
             State::Failed => Some("a task failed as often as its queue allows"),
             State::Crashed => Some("a task crashed the workers that started it"),
+            State::Unstorable => Some("the state of the job can't be stored"),
             State::Queued | State::Active | State::Completed | State::Cancelled => None,
         }
     }
--- a/crates/ports/src/kv.rs
+++ b/crates/ports/src/kv.rs
@@ -30,6 +30,10 @@
     /// The lease has expired or was revoked.
     #[error("the lease has lapsed")]
     LeaseExpired,
+    /// The store refuses the call itself, for instance since a value is too large. It changed
+    /// nothing, and would refuse the same call again.
+    #[error("the store refuses the call: {0}")]
+    Refused(String),
     /// The store's answer violates its protocol.
     #[error("the store's answer can't be read: {0}")]
     Protocol(String),
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -33,6 +33,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(4);
 /// Changes kept for watches.
 const MAX_HISTORY: usize = 20_000;
+/// Largest value that is accepted, unless a test sets another limit.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Longest key that is accepted.
+const MAX_KEY_BYTES: usize = 200;
 
 #[derive(Clone, Debug)]
 struct Item {
@@ -63,7 +67,7 @@
 }
 
 /// The store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Store {
     items: BTreeMap<String, Item>,
     revision: u64,
@@ -78,6 +82,25 @@
     pub delay: Duration,
     /// Calls so far.
     pub calls: u64,
+    /// The largest value that it accepts.
+    pub max_value_bytes: usize,
+}
+
+impl Default for Store {
+    fn default() -> Store {
+        Store {
+            items: BTreeMap::new(),
+            revision: 0,
+            changes: Vec::new(),
+            compacted: 0,
+            leases: BTreeMap::new(),
+            last_lease: 0,
+            mode: Mode::default(),
+            delay: Duration::ZERO,
+            calls: 0,
+            max_value_bytes: MAX_VALUE_BYTES,
+        }
+    }
 }
 
 impl Store {
@@ -246,14 +269,21 @@
 fn read_range(Query(query): Query<Range>, state: Data<&Shared>) -> Response {
     /// Items on one page.
     const PAGE_SIZE: usize = 50;
+    /// Bytes of values after which a page ends.
+    const PAGE_BYTES: usize = 1 << 20;
     let state = state.lock().expect("no server of the site has panicked");
     let mut found = state
         .store
         .items
         .range(query.after.clone()..)
         .filter(|(key, _)| key.starts_with(&query.prefix) && **key > query.after);
-    let items: Vec<Value> =
-        found.by_ref().take(PAGE_SIZE).map(|(key, item)| render(key, item)).collect();
+    let mut items: Vec<Value> = Vec::new();
+    let mut bytes = 0;
+    while items.len() < PAGE_SIZE && bytes < PAGE_BYTES {
+        let Some((key, item)) = found.next() else { break };
+        bytes += item.value.len();
+        items.push(render(key, item));
+    }
     let more = found.next().is_some();
     let at = state.store.revision;
     reply(StatusCode::OK, &json!({ "items": items, "has-more": more, "at": at }))
@@ -358,6 +388,12 @@
     let Ok(decoded) = decoded else {
         return reply(StatusCode::BAD_REQUEST, &json!({ "error": "not base64" }));
     };
+    if decoded.iter().any(|(_, value)| value.len() > store.max_value_bytes) {
+        return reply(StatusCode::BAD_REQUEST, &json!({ "error": "a value is too large" }));
+    }
+    if decoded.iter().any(|(put, _)| put.key.len() > MAX_KEY_BYTES) {
+        return reply(StatusCode::BAD_REQUEST, &json!({ "error": "a key is too long" }));
+    }
     store.revision += 1;
     for (put, value) in decoded {
         store.put_at_revision(&put.key, value, put.lease_id);
