Scheduler: a job whose record may outgrow a value of the store is rejected at once

Cause: a comment on two constants in place of arithmetic. The bound is now computed from the largest encoding of all that a record holds about a task (315 bytes, 339 for service tasks; 3,328 and 3,093 tasks a job) and compared before anything is written.

--- a/bin/scheduler/src/api.rs
+++ b/bin/scheduler/src/api.rs
@@ -33,6 +33,7 @@
 use crate::failpoint::Place;
 use crate::health::Access;
 use crate::health::Health;
+use crate::job_size::Limit;
 use crate::keys;
 use crate::log::Log;
 use crate::rpc::Endpoint;
@@ -76,6 +77,8 @@
     pub config: Current,
     /// Admission control, if it is on.
     pub admission: Option<Admission>,
+    /// Largest job that is accepted.
+    pub limit: Limit,
     /// Writes submitted jobs.
     pub submissions: Batcher,
     /// Calls to the owner of the cell.
@@ -190,15 +193,20 @@
         }
     }
 
-    /// Returns `true` unless the store answers that it holds neither a job nor its final state. A
-    /// client may repeat a submission that was accepted, and must not be told that it won't run.
-    async fn may_be_stored(&self, job: JobId) -> bool {
+    /// Returns `true` if the store holds a job or its final state.
+    async fn is_stored(&self, job: JobId) -> Result<bool, Rejection> {
         for prefix in [keys::JOBS, keys::FINAL_STATES] {
-            if !matches!(self.get(prefix, job).await, Ok(None)) {
-                return true;
+            if self.get(prefix, job).await?.is_some() {
+                return Ok(true);
             }
         }
-        false
+        Ok(false)
+    }
+
+    /// Returns `true` unless the store answers that it holds neither a job nor its final state. A
+    /// client may repeat a submission that was accepted, and must not be told that it won't run.
+    async fn may_be_stored(&self, job: JobId) -> bool {
+        !matches!(self.is_stored(job).await, Ok(false))
     }
 
     /// Attempts once to cancel a job; returns `None` if the job changed meanwhile.
@@ -293,21 +301,29 @@
         within: Duration,
     ) -> Result<(), Rejection> {
         self.require_store(within).await?;
+        let accepted = Accepted {
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            spec,
+            cancelled: false,
+        };
+        let value = record::encode(&accepted);
+        if let Err(error) = self.dependencies.limit.check(&accepted.spec, queue, value.len()) {
+            // It may repeat a submission that was accepted under another limit.
+            return match self.is_stored(job).await? {
+                true => Ok(()),
+                false => Err(Rejection::new(Code::BadJob, error.to_string())),
+            };
+        }
         if let Some(admission) = &self.dependencies.admission
-            && let Some(demand) = Demand::of(job, queue, &spec)
+            && let Some(demand) = Demand::of(job, queue, &accepted.spec)
         {
             match admission.decide(&demand) {
                 Err(rejection) if !self.may_be_stored(job).await => return Err(rejection),
                 _ => {}
             }
         }
-        let accepted = Accepted {
-            queue: queue.name.clone(),
-            service: queue.service.clone(),
-            spec,
-            cancelled: false,
-        };
-        let written = self.dependencies.submissions.submit(job, &accepted, within).await;
+        let written = self.dependencies.submissions.submit(job, value, within).await;
         written.map_err(|rejection| match rejection.code {
             Code::StoreDown => rejection.retry_after(self.store_retry_after(within)),
             Code::Busy => rejection.retry_after(BUSY_RETRY_DELAY),
--- a/bin/scheduler/src/lib.rs
+++ b/bin/scheduler/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod health;
 pub mod inbox;
 pub mod instrumented;
+pub mod job_size;
 pub mod keys;
 pub mod lease;
 pub mod listing;
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -38,6 +38,7 @@
 use crate::failpoint;
 use crate::health::Health;
 use crate::instrumented::Instrumented;
+use crate::job_size::Limit;
 use crate::log::Log;
 use crate::owner;
 use crate::owner::Context;
@@ -106,6 +107,7 @@
         store: store.clone(),
         config: current_config.clone(),
         admission,
+        limit: Limit::open(settings.platform.max_value_bytes),
         submissions,
         endpoint,
         health: health.clone(),
--- a/bin/scheduler/src/submission.rs
+++ b/bin/scheduler/src/submission.rs
@@ -9,9 +9,7 @@
 
 use cowslipchute_base::code::Code;
 use cowslipchute_base::event::Event;
-use cowslipchute_planner::record;
 use cowslipchute_platform::store::MAX_TXN_ENTRIES;
-use cowslipchute_ports::job::Accepted;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::Rejection;
 use cowslipchute_ports::kv;
@@ -60,20 +58,15 @@
 }
 
 impl Batcher {
-    /// Writes a job; returns once the store holds it.
+    /// Writes a job's encoded entry; returns once the store holds it.
     ///
     /// # Errors
     ///
     /// As [`cowslipchute_ports::job::ClientApi::submit`], without a retry time.
-    pub async fn submit(
-        &self,
-        job: JobId,
-        accepted: &Accepted,
-        client_timeout: Duration,
-    ) -> Outcome {
+    pub async fn submit(&self, job: JobId, value: Vec<u8>, client_timeout: Duration) -> Outcome {
         let (reply, outcome) = oneshot::channel();
         let deadline = Instant::now() + client_timeout.mul_f64(RETRY_FRACTION);
-        let submission = Submission { job, value: record::encode(accepted), deadline, reply };
+        let submission = Submission { job, value, deadline, reply };
         if self.sender.try_send(submission).is_err() {
             return Err(Rejection::new(Code::Busy, "too many jobs are on their way to the store"));
         }
--- a/crates/e2e/tests/store_limits.rs
+++ b/crates/e2e/tests/store_limits.rs
@@ -77,3 +77,21 @@
         assert_eq!(deployment.site.lock().violations, Vec::<String>::new());
     });
 }
+
+/// Guards against a job that is accepted and can't be stored at each state of its life: it is
+/// rejected at once, and the jobs beside it are done.
+#[test]
+fn a_job_that_may_outgrow_the_store_is_rejected_at_once() {
+    block_on(async {
+        let deployment = Deployment::open("store-limits", 3, 2).await.unwrap();
+        let owner = owner(&deployment).await;
+        let huge = chain(64, 4096, WORK);
+        assert_eq!(deployment.submit(&owner, 0xb1, &huge).await, Some(StatusCode::BAD_REQUEST));
+        for id in 1..=SMALL_JOBS {
+            submit(&deployment, &owner, id, 4).await;
+        }
+        assert_small_jobs_complete(&deployment, &owner).await;
+        let (status, _) = deployment.state(&owner, 0xb1).await.unwrap();
+        assert_eq!(status, StatusCode::GONE);
+    });
+}
--- a/crates/planner/src/faults/crash.rs
+++ b/crates/planner/src/faults/crash.rs
@@ -43,6 +43,8 @@
 const CRASH_LIMIT: usize = 3;
 /// Starts beyond [`CRASH_LIMIT`] that are allowed for a task that crashes its workers.
 const EXTRA_STARTS: usize = 2;
+/// Maximum number of crashes that are counted against a task.
+pub(crate) const MAX_CRASHES: usize = CRASH_LIMIT + EXTRA_STARTS;
 /// Number of other machines with an unexplained crash within [`STORM_WINDOW`] that make a storm:
 /// more than a few tasks that crash their workers account for before they are suspects.
 const STORM_MACHINES: usize = 8;
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -30,5 +30,6 @@
 pub use owner::backpressure;
 pub use queue::durations;
 pub use queue::share;
+pub use records::bound;
 pub use records::estimates;
 pub use records::record;
--- a/crates/planner/src/queue/step.rs
+++ b/crates/planner/src/queue/step.rs
@@ -12,6 +12,7 @@
 use crate::placement::advice::Permit;
 use crate::queue::task::Place;
 use crate::queue::task::Task;
+use crate::records::bound::MAX_CHECKPOINT_BYTES;
 use crate::records::record;
 use crate::service::decision::Decision;
 use crate::service::overdue::Watch;
@@ -135,6 +136,8 @@
             Place::At(worker) => incarnation(worker),
             Place::Waiting | Place::Done => None,
         },
-        checkpoint: if task.place == Place::Done { None } else { task.checkpoint.clone() },
+        checkpoint: task.checkpoint.clone().filter(|checkpoint| {
+            task.place != Place::Done && checkpoint.len() <= MAX_CHECKPOINT_BYTES
+        }),
     }
 }
--- a/crates/planner/src/records.rs
+++ b/crates/planner/src/records.rs
@@ -1,5 +1,6 @@
 //! What is stored for the next owner: records of jobs, and estimates.
 
+pub mod bound;
 pub mod estimates;
 pub mod record;
 pub(crate) mod rewrite;
--- a/crates/planner/src/records/record.rs
+++ b/crates/planner/src/records/record.rs
@@ -45,7 +45,8 @@
     pub failed: Attempts,
     /// The incarnation on which it may be running.
     pub worker: Option<Incarnation>,
-    /// Checkpoint to resume from.
+    /// Checkpoint to resume from, unless it is longer than
+    /// [`crate::bound::MAX_CHECKPOINT_BYTES`].
     pub checkpoint: Option<id::Checkpoint>,
 }
 
--- a/crates/planner/tests/world/mod.rs
+++ b/crates/planner/tests/world/mod.rs
@@ -39,6 +39,7 @@
 use cowslipchute_base::id::Time;
 use cowslipchute_planner::action::Action;
 use cowslipchute_planner::action::Change;
+use cowslipchute_planner::bound::Bound;
 use cowslipchute_planner::estimates::Estimates;
 use cowslipchute_planner::event::Event;
 use cowslipchute_planner::planner::Planner;
@@ -401,7 +402,10 @@
                 continue;
             }
             match change {
-                Change::Progress { job, record } => drop(self.records.insert(job, record)),
+                Change::Progress { job, record } => {
+                    self.check_record_size(job, &record);
+                    self.records.insert(job, record);
+                }
                 Change::End { job, state } => {
                     self.records.remove(&job);
                     self.jobs.remove(&job);
@@ -416,6 +420,16 @@
         self.push(at, Arrival::Event(term, Event::Written { batch }));
     }
 
+    /// Checks that a record is within the bound that decides on the acceptance of its job.
+    fn check_record_size(&self, job: JobId, record: &Record) {
+        let accepted = &self.jobs[&job];
+        let queue = self.config.as_ref().and_then(|config| config.queue(&accepted.queue));
+        let attempts = queue.map_or(0, |queue| queue.max_attempts);
+        let bound = Bound::of(&accepted.spec, attempts).bytes_with(record.occurrences.len());
+        let bytes = record.encode().len();
+        assert!(bytes <= bound, "the record of {job:x} has {bytes} bytes of {bound}");
+    }
+
     /// Returns what the owner hears of a change that the store refuses.
     fn refusal(&self, batch: u64, change: &Change) -> Option<Event> {
         let (job, bytes) = match change {
--- a/crates/ports/src/executor.rs
+++ b/crates/ports/src/executor.rs
@@ -52,6 +52,10 @@
     pub warmup_left: Duration,
 }
 
+/// Longest name of a worker, in bytes. Job records hold a name for each placed task, so their size
+/// is bounded only if names are.
+pub const MAX_WORKER_NAME_BYTES: usize = 64;
+
 /// Incarnation of a worker. A worker that restarts keeps its name but none of its state: its runs
 /// are gone, its ended runs are numbered from one again, and its clock starts anew.
 #[derive(Clone, Debug, PartialEq, Eq)]
