Planner: failures are kept up to a number where no queue limits them

A job whose queue has left the configuration may fail without limit, and its record held each failed attempt: it grew for good and in the end could not be stored. Cause: the list was bounded by max-attempts alone, which is unlimited there. Ruled out: crashes (none in the scenario).

--- a/crates/planner/src/queue/end.rs
+++ b/crates/planner/src/queue/end.rs
@@ -86,6 +86,7 @@
         }
         let long_running = job.spec(run.task.step).long_running;
         let gang = job.spec(run.task.step).gang;
+        let max_attempts = job.policy.max_attempts;
         let task = job.task_mut(run.task);
         let is_current = task.place == Place::At(worker) && task.attempt == run.attempt;
         if task.place == Place::Done {
@@ -96,7 +97,7 @@
         let counted_task = job.task_mut(counted);
         if how == EndReason::Failed && !long_running && !counted_task.failed.contains(&run.attempt)
         {
-            counted_task.failed.push(run.attempt);
+            counted_task.record_failure(run.attempt, max_attempts);
         }
         let failures = counted_task.failed.len() as u32;
         let task = job.task_mut(run.task);
--- a/crates/planner/src/queue/policy.rs
+++ b/crates/planner/src/queue/policy.rs
@@ -6,7 +6,7 @@
 
 /// Number of failed runs after which a job fails if the configuration doesn't name its queue.
 /// Unlimited, since a job that is reported as failed too early is lost.
-const DEFAULT_MAX_ATTEMPTS: u32 = u32::MAX;
+pub(crate) const UNLIMITED_ATTEMPTS: u32 = u32::MAX;
 /// Priority of a job if the configuration doesn't name its queue: lower than all others.
 const DEFAULT_PRIORITY: u8 = u8::MAX;
 
@@ -30,7 +30,7 @@
             },
             None => Policy {
                 priority: DEFAULT_PRIORITY,
-                max_attempts: DEFAULT_MAX_ATTEMPTS,
+                max_attempts: UNLIMITED_ATTEMPTS,
                 slack: 1.0,
                 allowance: Duration::ZERO,
             },
--- a/crates/planner/src/queue/task.rs
+++ b/crates/planner/src/queue/task.rs
@@ -3,6 +3,8 @@
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 
+use crate::queue::policy::UNLIMITED_ATTEMPTS;
+use crate::records::bound::MIN_KEPT_FAILURES;
 use crate::records::record::Attempts;
 use crate::workers::worker::WorkerId;
 
@@ -39,6 +41,16 @@
 }
 
 impl Task {
+    /// Records a failed attempt. Where nothing limits failures the earliest is dropped, so that the
+    /// job's record keeps within its bound.
+    pub(super) fn record_failure(&mut self, attempt: id::Attempt, max_attempts: u32) {
+        let is_limited = max_attempts != UNLIMITED_ATTEMPTS;
+        if !is_limited && self.failed.len() >= MIN_KEPT_FAILURES as usize {
+            self.failed.remove(0);
+        }
+        self.failed.push(attempt);
+    }
+
     pub(super) fn new(now: Time) -> Task {
         Task {
             attempt: 0,
--- a/crates/planner/src/settings.rs
+++ b/crates/planner/src/settings.rs
@@ -35,6 +35,8 @@
     pub checkpoint_interval: Duration,
     /// Factor by which work away from its data or its rack takes longer.
     pub remote_slowdown: f64,
+    /// Largest record that the store accepts, in bytes.
+    pub max_record_bytes: usize,
     /// Bandwidth of this instance's link in bytes per second, if it is known.
     pub link_bytes_per_second: Option<f64>,
     /// Longest time that a stop may take before the worker's report shows its outcome.
@@ -54,6 +56,7 @@
             max_interference_time: Duration::from_secs(4),
             checkpoint_interval: Duration::from_secs(2),
             remote_slowdown: 2.0,
+            max_record_bytes: 1 << 20,
             link_bytes_per_second: None,
             max_stop_time: Duration::from_millis(900),
             features: Features::default(),
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -173,6 +173,7 @@
     ends_beyond_report_owner_killed = { "ends_beyond_report_owner_killed" },
     ends_beyond_report_restarted = { "ends_beyond_report_restarted" },
     failures = { "failures" },
+    failures_unlimited = { "failures_unlimited" },
     filling = { "filling" },
     forecast_in_phase = { "forecast_in_phase" },
     forecast_owners = { "forecast_owners" },
--- a/crates/planner/tests/world/owner.rs
+++ b/crates/planner/tests/world/owner.rs
@@ -80,7 +80,9 @@
         self.config = Some(config.clone());
         let link_bytes_per_second = self.link.as_ref().map(|link| link.rate);
         let features = self.features;
-        let settings = Settings { link_bytes_per_second, features, ..Settings::default() };
+        let defaults = Settings::default();
+        let max_record_bytes = self.max_record_bytes.unwrap_or(defaults.max_record_bytes);
+        let settings = Settings { link_bytes_per_second, features, max_record_bytes, ..defaults };
         self.planner = Some(Planner::open(settings));
         let events = self.takeover_events(config);
         if let Some(processor) = &mut self.processor {
