Planner: as many occurrences of a job are open at once as its record can hold

A repeated job whose occurrences are due faster than they end has one record for all that are due: it outgrew a value of the store, and was given up (before: waited for good). Cause: each due occurrence was opened at once, up to 10,000. Ruled out: done occurrences that stay in the record (none was done). Evidence: occurrences_due_at_once, 200 occurrences beside a largest value of 1,500 bytes: unstorable before, completed now. The next occurrence is opened when one is done, so the order is kept and none is lost.

--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -225,6 +225,7 @@
         max_interference_time: bounds.max_violation,
         link_bytes_per_second: settings.limits.link_bytes_per_second(),
         max_stop_time: bounds.stop_timeout,
+        max_record_bytes: settings.platform.max_value_bytes,
         features,
         ..defaults
     }
--- a/crates/planner/src/owner/takeover.rs
+++ b/crates/planner/src/owner/takeover.rs
@@ -104,7 +104,8 @@
     fn insert_job(&mut self, job: JobId, accepted: Arc<Accepted>) {
         self.arrivals += 1;
         let policy = Policy::of(self.config.as_deref(), &accepted.queue);
-        let state = Job::new(accepted, policy, self.now, self.arrivals);
+        let limit = self.settings.max_record_bytes;
+        let state = Job::new(accepted, policy, limit, self.now, self.arrivals);
         self.reserve.add_job(self.now, &state.accepted.spec);
         Planner::learn_work(&mut self.mean_work, &state.accepted.queue, state.work);
         let scheduled = state.next_due().is_some();
--- a/crates/planner/src/queue/end.rs
+++ b/crates/planner/src/queue/end.rs
@@ -11,6 +11,7 @@
 use cowslipchute_ports::job::State;
 
 use crate::planner::Planner;
+use crate::queue::job::Job;
 use crate::queue::task::Place;
 use crate::records::write::end_text;
 use crate::workers::command::Timer;
@@ -144,8 +145,8 @@
         } else if job.is_done() {
             self.learn_delay(run.task.job);
             self.finish_job(run.task.job, State::Completed);
-        } else if let Some(job) = self.jobs.get_mut(&run.task.job) {
-            job.drop_done_occurrences();
+        } else if self.jobs.get_mut(&run.task.job).is_some_and(Job::drop_done_occurrences) {
+            self.open_due(run.task.job);
         }
     }
 
--- a/crates/planner/src/queue/job.rs
+++ b/crates/planner/src/queue/job.rs
@@ -13,10 +13,13 @@
 
 use crate::queue::durations::Queue;
 use crate::queue::policy::Policy;
+use crate::queue::policy::UNLIMITED_ATTEMPTS;
 use crate::queue::step::Occurrence;
 use crate::queue::step::Step;
 use crate::queue::task::Place;
 use crate::queue::task::Task;
+use crate::records::bound::Bound;
+use crate::records::bound::MIN_KEPT_FAILURES;
 use crate::records::record::Record;
 use crate::workers::worker::WorkerId;
 
@@ -35,6 +38,9 @@
     pub(crate) placed_at: Option<Time>,
     /// Number of occurrences that have become due.
     pub(crate) opened: u32,
+    /// Number of occurrences that may be open at once, so that the record can be stored. Further
+    /// ones that are due are opened as earlier ones end.
+    max_open: usize,
     /// The occurrences that have become due and aren't done.
     pub(crate) occurrences: Vec<Occurrence>,
     /// Core-seconds of one occurrence, by the client's estimate.
@@ -52,7 +58,20 @@
 }
 
 impl Job {
-    pub(crate) fn new(accepted: Arc<Accepted>, policy: Policy, since: Time, arrival: u64) -> Job {
+    /// Returns a job with the initial state of its tasks, whose record may have up to this many
+    /// bytes.
+    pub(crate) fn new(
+        accepted: Arc<Accepted>,
+        policy: Policy,
+        max_record_bytes: usize,
+        since: Time,
+        arrival: u64,
+    ) -> Job {
+        let max_attempts = match policy.max_attempts {
+            UNLIMITED_ATTEMPTS => MIN_KEPT_FAILURES,
+            limit => limit,
+        };
+        let bound = Bound::of(&accepted.spec, max_attempts);
         let mut job = Job {
             accepted,
             policy,
@@ -61,6 +80,7 @@
             started: false,
             placed_at: None,
             opened: 0,
+            max_open: bound.max_open_occurrences(max_record_bytes),
             occurrences: Vec::new(),
             work: 0.0,
             critical_path: Duration::ZERO,
@@ -100,10 +120,11 @@
         self.accepted.spec.schedule.map_or(1, |schedule| schedule.count)
     }
 
-    /// Returns when the next occurrence is due, as time since the Unix epoch, 1970.
+    /// Returns when the next occurrence is due that may be opened, as time since the Unix epoch,
+    /// 1970.
     pub(crate) fn next_due(&self) -> Option<Duration> {
         let schedule = self.accepted.spec.schedule?;
-        let open = self.end.is_none() && self.opened < schedule.count;
+        let open = self.end.is_none() && self.opened < schedule.count && !self.is_full();
         open.then(|| schedule.start + schedule.interval * self.opened)
     }
 
@@ -135,9 +156,17 @@
         }
     }
 
-    /// Removes the occurrences that are done.
-    pub(crate) fn drop_done_occurrences(&mut self) {
+    /// Removes the occurrences that are done. Returns `true` if others may be opened that had to
+    /// wait for that.
+    pub(crate) fn drop_done_occurrences(&mut self) -> bool {
+        let was_full = self.is_full();
         self.occurrences.retain(|occurrence| !occurrence.is_done());
+        was_full && !self.is_full()
+    }
+
+    /// Returns `true` if as many occurrences are open as its record can hold.
+    fn is_full(&self) -> bool {
+        self.occurrences.len() >= self.max_open
     }
 
     pub(crate) fn step(&self, step: job::StepId) -> Option<&Step> {
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -174,6 +174,7 @@
     ends_beyond_report_restarted = { "ends_beyond_report_restarted" },
     failures = { "failures" },
     failures_unlimited = { "failures_unlimited" },
+    occurrences_due_at_once = { "occurrences_due_at_once" },
     filling = { "filling" },
     forecast_in_phase = { "forecast_in_phase" },
     forecast_owners = { "forecast_owners" },
