Scheduler: a job that can't be decoded is set aside, and the cell is taken over

A record that can't be decoded kept each new owner from serving anything, while it renewed its lease. Cause: read_cell returned it as an error of the store, which is retried. Ruled out: a panic of the restore (none in the log). The job stays in the store untouched, with event 299; a cancel ends it. Values of a later release are not set aside, as before: that owner would stop runs and acknowledge ends that a later one counts on.

--- a/bin/scheduler/src/owner.rs
+++ b/bin/scheduler/src/owner.rs
@@ -167,7 +167,9 @@
         calls::write_batches(epoch, writer, write_receiver, sender.clone(), notices.clone()),
         calls,
     );
-    tasks.spawn_on(calls::follow_jobs(store, cell.revision, sender.clone(), log.clone()), calls);
+    let following =
+        calls::follow_jobs(store, cell.revision, cell.set_aside, sender.clone(), log.clone());
+    tasks.spawn_on(following, calls);
     let machines = context.machines.clone();
     tasks.spawn(rollouts::list_machines(machines, context.planner.clone(), sender.clone(), log));
     follow_directory(&context, &sender, &mut tasks);
--- a/bin/scheduler/src/owner/calls.rs
+++ b/bin/scheduler/src/owner/calls.rs
@@ -1,5 +1,6 @@
 //! Calls to the store while this process owns the cell, each a task on the store thread.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use cowslipchute_base::event::Event as LogEvent;
@@ -8,6 +9,7 @@
 use cowslipchute_planner::estimates::Estimates;
 use cowslipchute_planner::event::BatchNumber;
 use cowslipchute_planner::event::Event;
+use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::kv::Store;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -40,7 +42,7 @@
     log: Log,
 ) -> (recovery::Cell, Option<Estimates>, Evacuations) {
     let cell = loop {
-        match recovery::read_cell(&store).await {
+        match recovery::read_cell(&store, &log).await {
             Ok(cell) => break cell,
             Err(error) => {
                 event!(log, LogEvent::StoreLost, "reason" => error.to_string());
@@ -53,10 +55,12 @@
     (cell, estimates, evacuations)
 }
 
-/// Sends the jobs that are stored or changed after a revision.
+/// Sends the jobs that are stored or changed after a revision, except those that are set aside and
+/// not cancelled.
 pub(super) async fn follow_jobs<S: Store>(
     store: S,
     after: Revision,
+    set_aside: HashSet<JobId>,
     events: inbox::Sender,
     log: Log,
 ) {
@@ -70,6 +74,7 @@
         };
         for entry in entries {
             match recovery::decode_job(&entry) {
+                Ok(Some((job, accepted))) if set_aside.contains(&job) && !accepted.cancelled => {}
                 Ok(Some((job, accepted))) => events.send(Event::Job { job, accepted }),
                 Ok(None) => {}
                 Err(error) => {
--- a/bin/scheduler/src/recovery.rs
+++ b/bin/scheduler/src/recovery.rs
@@ -1,7 +1,13 @@
 //! Reads the state that a new owner needs before it decides anything: the jobs, their records, and
 //! the estimates of previous owners.
+//!
+//! A job whose entry or record can't be decoded is set aside, so that it doesn't keep the owner from
+//! all others: it stays in the store as it is, and none of its tasks is started, since nobody knows
+//! which of them run or are done. A value of a later release sets nothing aside: a process of that
+//! release can serve the job, and this one would stop its runs and acknowledge their ends.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use cowslipchute_base::event::Event as LogEvent;
@@ -28,14 +34,16 @@
     pub records: Vec<(JobId, Record)>,
     /// Revision of each record.
     pub revisions: HashMap<JobId, Revision>,
+    /// Jobs that are set aside.
+    pub set_aside: HashSet<JobId>,
 }
 
 /// Reads the state of the cell.
 ///
 /// # Errors
 ///
-/// Returns an error if the store doesn't answer, or if a job or a record can't be decoded.
-pub async fn read_cell<S: Store>(store: &S) -> Result<Cell, kv::Error> {
+/// Returns an error if the store doesn't answer, or if a later release has written a value.
+pub async fn read_cell<S: Store>(store: &S, log: &Log) -> Result<Cell, kv::Error> {
     let jobs = store.read(keys::JOBS).await?;
     let records = store.read(keys::RECORDS).await?;
     let mut cell = Cell {
@@ -43,24 +51,55 @@
         jobs: Vec::with_capacity(jobs.entries.len()),
         records: Vec::with_capacity(records.entries.len()),
         revisions: HashMap::new(),
+        set_aside: HashSet::new(),
     };
+    for entry in records.entries {
+        let Some(job) = keys::parse_job(keys::RECORDS, &entry.key) else { continue };
+        cell.revisions.insert(job, entry.revision);
+        match Record::decode(&entry.value) {
+            Ok(record) => cell.records.push((job, record)),
+            Err(error) => cell.set_aside(job, &entry, &error, log)?,
+        }
+    }
     let mut entries = jobs.entries;
     entries.sort_by_key(|entry| entry.revision);
     for entry in entries {
-        if let Some((job, accepted)) = decode_job(&entry)? {
-            cell.jobs.push((job, accepted));
+        let Some(job) = keys::parse_job(keys::JOBS, &entry.key) else { continue };
+        match record::decode(&entry.value) {
+            // An owner ends a cancelled job without its record.
+            Ok(accepted) if cell.is_served(job, &accepted) => {
+                cell.jobs.push((job, Arc::new(accepted)));
+            }
+            Ok(_) => {}
+            Err(error) => cell.set_aside(job, &entry, &error, log)?,
         }
     }
-    for entry in records.entries {
-        let Some(job) = keys::parse_job(keys::RECORDS, &entry.key) else { continue };
-        let value = Record::decode(&entry.value)
-            .map_err(|error| kv::Error::Protocol(format!("{}: {error}", entry.key)))?;
-        cell.revisions.insert(job, entry.revision);
-        cell.records.push((job, value));
-    }
     Ok(cell)
 }
 
+impl Cell {
+    fn set_aside(
+        &mut self,
+        job: JobId,
+        entry: &kv::Entry,
+        error: &record::Error,
+        log: &Log,
+    ) -> Result<(), kv::Error> {
+        if let record::Error::Later(_) = error {
+            return Err(kv::Error::Protocol(format!("{}: {error}", entry.key)));
+        }
+        self.set_aside.insert(job);
+        event!(log, LogEvent::JobSetAside, "job" => format!("{job:016x}"),
+            "key" => entry.key.clone(), "bytes" => entry.value.len(),
+            "reason" => error.to_string());
+        Ok(())
+    }
+
+    fn is_served(&self, job: JobId, accepted: &Accepted) -> bool {
+        accepted.cancelled || !self.set_aside.contains(&job)
+    }
+}
+
 /// Reads the estimates of previous owners. Without them, the owner learns them anew.
 pub async fn read_estimates<S: Store>(store: &S, log: &Log) -> Option<Estimates> {
     let entry = match store.read(keys::ESTIMATES).await {
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -165,6 +165,7 @@
     296 ServiceTaskHeld Info "Service tasks keep their places on a worker that does not answer; how many, and for how long it has been silent, are given.";
     297 RunsMissing Info "Runs are in neither list of a worker's report; how many, how many ended runs it lists and up to which number ends are acknowledged is given.";
     298 JobUnstorable Error "The store refuses the record of a job, so the job has ended as failed; its size and the store's answer are given.";
+    299 JobSetAside Error "A stored job or its record can't be decoded; its tasks are neither started nor ended until it is cancelled or an operator decides; the key and the reason are given.";
     300 ConfigApplied Info "A revision of the configuration is in force here.";
     301 ConfigIgnored Debug "An older revision of the configuration arrived and was ignored.";
     302 ConfigFromPeer Info "The configuration was received from a peer.";
--- a/crates/e2e/tests/store_limits.rs
+++ b/crates/e2e/tests/store_limits.rs
@@ -6,10 +6,13 @@
 use cowslipchute_e2e::await_until::LIMIT;
 use cowslipchute_e2e::site::Deployment;
 use cowslipchute_e2e::site::chain;
+use cowslipchute_scheduler::keys;
 use reqwest::StatusCode;
 
 /// Duration of a task of these tests.
 const WORK: Duration = Duration::from_millis(300);
+/// Duration of a task that a change of the owner finds at work.
+const LONG_WORK: Duration = Duration::from_secs(60);
 /// Largest value of the store in these tests, which its settings don't name. The record of a job of
 /// four tasks fits, and that of one of [`LARGE_COUNT`] doesn't.
 const MAX_VALUE_BYTES: usize = 300;
@@ -95,3 +98,29 @@
         assert_eq!(status, StatusCode::GONE);
     });
 }
+
+/// Guards against a cell that no owner can take over, since a record in the store can't be decoded:
+/// its job is set aside until it is cancelled, and all others are served.
+#[test]
+fn a_record_that_cannot_be_decoded_sets_its_job_aside() {
+    block_on(async {
+        let mut deployment = Deployment::open("store-limits", 3, 2).await.unwrap();
+        let killed = owner(&deployment).await;
+        let other = deployment.members.keys().find(|name| **name != killed).unwrap().clone();
+        let long = chain(1, 4, LONG_WORK);
+        assert_eq!(deployment.submit(&other, 0xb1, &long).await, Some(StatusCode::OK));
+        deployment.await_state(&other, 0xb1, "active").await;
+        deployment.members.get_mut(&killed).unwrap().process = None;
+        let key = keys::for_job(keys::RECORDS, 0xb1);
+        deployment.site.lock().store.put(&key, b"\xffno record".to_vec(), 0);
+        for id in 1..=SMALL_JOBS {
+            submit(&deployment, &other, id, 4).await;
+        }
+        assert_small_jobs_complete(&deployment, &other).await;
+        deployment.await_state(&other, 0xb1, "active").await;
+        assert_eq!(deployment.cancel(&other, 0xb1).await, Some(StatusCode::OK));
+        deployment.await_state(&other, 0xb1, "cancelled").await;
+        assert!(deployment.site.lock().store.value(&key).is_none());
+        assert_eq!(deployment.site.lock().violations, Vec::<String>::new());
+    });
+}
--- a/crates/planner/src/records/record.rs
+++ b/crates/planner/src/records/record.rs
@@ -30,6 +30,9 @@
 /// outstanding starts.
 const RECORD_VERSION_2: u8 = 2;
 
+/// Largest first byte that is taken for the version of a later release.
+const MAX_VERSION: u8 = 31;
+
 /// Attempts of a task that failed or crashed their worker; few tasks have any.
 pub type Attempts = SmallVec<[id::Attempt; 2]>;
 
@@ -225,7 +228,7 @@
             Some((&RECORD_VERSION_3, rest)) => Ok(postcard::from_bytes::<RecordV3>(rest)?.into()),
             Some((&RECORD_VERSION_2, rest)) => Ok(postcard::from_bytes::<RecordV2>(rest)?.into()),
             Some((&VALUE_VERSION, rest)) => Ok(v1::decode(rest)?),
-            _ => Err(Error::Version),
+            other => Err(version_error(other, RECORD_VERSION)),
         }
     }
 }
@@ -234,8 +237,11 @@
 #[derive(Debug, PartialEq)]
 #[derive(Error)]
 pub enum Error {
-    /// The value is empty or of an unknown version.
-    #[error("a record of an unknown version")]
+    /// A later release has written the value.
+    #[error("version {0}, of a later release")]
+    Later(u8),
+    /// The value is empty or doesn't begin with a version.
+    #[error("not a version of a record")]
     Version,
     /// The value is truncated or of another type.
     #[error("not a record: {0}")]
@@ -264,6 +270,15 @@
 pub fn decode<T: for<'de> Deserialize<'de>>(bytes: &[u8]) -> Result<T, Error> {
     match bytes.split_first() {
         Some((&VALUE_VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
-        _ => Err(Error::Version),
+        other => Err(version_error(other, VALUE_VERSION)),
+    }
+}
+
+fn version_error(value: Option<(&u8, &[u8])>, known: u8) -> Error {
+    match value {
+        Some((&version, _)) if (known + 1..=MAX_VERSION).contains(&version) => {
+            Error::Later(version)
+        }
+        _ => Error::Version,
     }
 }
