Scheduler: jobs that are submitted together are rejected each by itself

A batch that the store refuses for good was rejected whole, as if the store were down. Cause: the refusal of a transaction was answered to each of its jobs. Each job of a refused batch is written alone, so the answer is about that job; after a lost answer it stays unknown, since 'not run' has to be true. A refused cancel gets 2204 as well.

--- a/bin/scheduler/src/api.rs
+++ b/bin/scheduler/src/api.rs
@@ -256,6 +256,9 @@
             Ok(verdict) => Ok(verdict.applied.then_some(())),
             // The read of the next attempt shows the outcome.
             Err(kv::Error::Unknown(_)) => Ok(None),
+            Err(error @ kv::Error::Refused(_)) => {
+                Err(Rejection::new(Code::StoreRefused, error.to_string()))
+            }
             Err(error) => {
                 let rejection = Rejection::new(Code::StoreDown, error.to_string());
                 Err(rejection.retry_after(self.store_retry_after(DEFAULT_CLIENT_TIMEOUT)))
--- a/bin/scheduler/src/submission.rs
+++ b/bin/scheduler/src/submission.rs
@@ -89,17 +89,25 @@
     }
 }
 
-/// Writes a batch, retrying until each of its jobs is settled or past its deadline.
-async fn write_batch<S: Store>(store: S, mut batch: Vec<Submission>, log: Log) {
+/// Writes a batch, or each of its jobs by itself if the store refuses the batch.
+async fn write_batch<S: Store>(store: S, batch: Vec<Submission>, log: Log) {
+    for submission in settle(&store, batch, &log).await {
+        settle(&store, vec![submission], &log).await;
+    }
+}
+
+/// Writes a batch, retrying until each of its jobs is settled or past its deadline. Returns the jobs
+/// of a batch that the store refuses, unless it is a single one, which is rejected.
+async fn settle<S: Store>(store: &S, mut batch: Vec<Submission>, log: &Log) -> Vec<Submission> {
     let mut unsettled = false;
     while !batch.is_empty() {
         let outcome = store.commit(txn(&batch)).await;
         match outcome {
             Ok(verdict) if verdict.applied => {
                 for submission in batch.drain(..) {
-                    finish(submission, Ok(()), &log);
+                    finish(submission, Ok(()), log);
                 }
-                return;
+                return Vec::new();
             }
             Ok(verdict) => {
                 // These were submitted before, possibly by an attempt of this task without an
@@ -114,17 +122,27 @@
                     batch.into_iter().partition(is_stored);
                 batch = rest;
                 for submission in stored {
-                    finish(submission, Ok(()), &log);
+                    finish(submission, Ok(()), log);
                 }
                 continue;
             }
+            Err(kv::Error::Refused(_)) if batch.len() > 1 => return batch,
+            Err(error @ kv::Error::Refused(_)) => {
+                // Without a lost answer before, the store surely holds nothing of it.
+                let code = if unsettled { Code::StoreUnknown } else { Code::StoreRefused };
+                for submission in batch.drain(..) {
+                    log_refusal(&submission, &error, log);
+                    finish(submission, Err(Rejection::new(code, error.to_string())), log);
+                }
+                return Vec::new();
+            }
             Err(kv::Error::Unknown(_)) => unsettled = true,
             Err(error) if !unsettled => {
                 for submission in batch.drain(..) {
                     let rejection = Rejection::new(Code::StoreDown, error.to_string());
-                    finish(submission, Err(rejection), &log);
+                    finish(submission, Err(rejection), log);
                 }
-                return;
+                return Vec::new();
             }
             Err(_) => {}
         }
@@ -134,10 +152,16 @@
         batch = rest;
         for submission in late {
             let rejection = Rejection::new(Code::StoreUnknown, "the store did not answer");
-            finish(submission, Err(rejection), &log);
+            finish(submission, Err(rejection), log);
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
+    Vec::new()
+}
+
+fn log_refusal(submission: &Submission, error: &kv::Error, log: &Log) {
+    event!(log, Event::StoreRefused, "key" => keys::for_job(keys::JOBS, submission.job),
+        "bytes" => submission.value.len(), "changes" => 1, "reason" => error.to_string());
 }
 
 fn txn(batch: &[Submission]) -> kv::Txn {
--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -127,6 +127,7 @@
     2201 StoreUnknown Unknown 504 "The platform's store did not answer; the change may yet be found to have been made.";
     2202 InUse NotRun 409 "Another resource refers to this one.";
     2203 OwnerUnknown Unknown 503 "Who owns the cell can't be told now, so the count is not known.";
+    2204 StoreRefused NotRun 503 "The platform's store refuses the change, so it was not made.";
     3000 BadSetting NotRun 400 "A setting is missing, unknown or out of range.";
     3001 BindFailed NotRun 500 "An address of the settings can't be bound.";
     3002 Unreachable Unknown 503 "The other process can't be reached.";
