Scheduler: the status of a rollout waits by itself for a store that refuses it

A status that the store refuses was written without end, and each later status of any rollout waited behind it. Only the latest status of a rollout counts, so nothing is lost by keeping one of each; a refused one is tried each two seconds.

--- a/bin/scheduler/src/rollouts.rs
+++ b/bin/scheduler/src/rollouts.rs
@@ -1,6 +1,7 @@
 //! Maintenance rollouts: follows the operator's requests in the store, lists the machines while the
 //! planner needs them, and stores the status of each rollout.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cowslipchute_base::event::Event as LogEvent;
@@ -39,6 +40,10 @@
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Delay before a status is written again that the store refuses. Machines that are added to it only
+/// make it larger, so this is for a store that refuses every write for a while.
+const REFUSED_RETRY_DELAY: Duration = Duration::from_secs(2);
+
 /// Status of a rollout, stored for later owners.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -147,38 +152,71 @@
     }
 }
 
-/// Writes status updates one after the other, so that none overwrites a later one.
+/// Writes the latest status of each rollout. A status that can't be written now waits, and holds
+/// back no other rollout.
 pub async fn write_statuses<S: Store>(
     store: S,
     epoch: Revision,
     mut updates: mpsc::UnboundedReceiver<Update>,
     log: Log,
 ) {
-    while let Some((rollout, status)) = updates.recv().await {
-        let (status_key, status_value) = match operator::rollout_status(rollout, status.progress) {
-            Ok(status) => status,
-            Err(error) => {
-                event!(log, LogEvent::ConfigInvalid, "reason" => error.to_string());
+    let mut pending: BTreeMap<RolloutNumber, Status> = BTreeMap::new();
+    loop {
+        if pending.is_empty() {
+            let Some((rollout, status)) = updates.recv().await else { return };
+            pending.insert(rollout, status);
+        }
+        while let Ok((rollout, status)) = updates.try_recv() {
+            pending.insert(rollout, status);
+        }
+        let mut retry_delay = None;
+        for (rollout, status) in std::mem::take(&mut pending) {
+            let Err(error) = write_status(&store, epoch, rollout, &status, &log).await else {
                 continue;
-            }
-        };
-        let put = |key: String, value: Vec<u8>| kv::Change::Put { key, value, lease: 0 };
-        let txn = kv::Txn {
-            preconditions: vec![Precondition::Unchanged(keys::OWNER.to_owned(), epoch)],
-            changes: vec![
-                put(key(rollout), record::encode(&status)),
-                put(status_key, status_value),
-            ],
-        };
-        loop {
-            match store.commit(txn.clone()).await {
-                // If the write was rejected, another owner has the cell and continues the rollout.
-                Ok(_) => break,
-                Err(error) => {
-                    event!(log, LogEvent::StoreUnsettled, "reason" => error.to_string());
-                    tokio::time::sleep(RETRY_DELAY).await;
-                }
-            }
+            };
+            let delay = match error {
+                kv::Error::Refused(_) => REFUSED_RETRY_DELAY,
+                _ => RETRY_DELAY,
+            };
+            retry_delay = Some(retry_delay.unwrap_or(delay).min(delay));
+            pending.insert(rollout, status);
+        }
+        if let Some(delay) = retry_delay {
+            tokio::time::sleep(delay).await;
         }
     }
 }
+
+/// Writes the status of a rollout, for the operator and for later owners.
+async fn write_status<S: Store>(
+    store: &S,
+    epoch: Revision,
+    rollout: RolloutNumber,
+    status: &Status,
+    log: &Log,
+) -> Result<(), kv::Error> {
+    let (status_key, status_value) = match operator::rollout_status(rollout, status.progress) {
+        Ok(status) => status,
+        Err(error) => {
+            event!(log, LogEvent::ConfigInvalid, "reason" => error.to_string());
+            return Ok(());
+        }
+    };
+    let put = |key: String, value: Vec<u8>| kv::Change::Put { key, value, lease: 0 };
+    let value = record::encode(status);
+    let bytes = value.len();
+    let txn = kv::Txn {
+        preconditions: vec![Precondition::Unchanged(keys::OWNER.to_owned(), epoch)],
+        changes: vec![put(key(rollout), value), put(status_key, status_value)],
+    };
+    let Err(error) = store.commit(txn).await else {
+        // If a precondition failed, another owner has the cell and continues the rollout.
+        return Ok(());
+    };
+    let event = match error {
+        kv::Error::Refused(_) => LogEvent::StoreRefused,
+        _ => LogEvent::StoreUnsettled,
+    };
+    event!(log, event, "key" => key(rollout), "bytes" => bytes, "reason" => error.to_string());
+    Err(error)
+}
