--- a/bin/scheduler/src/submission.rs
+++ b/bin/scheduler/src/submission.rs
@@ -9,6 +9,7 @@
 
 use cowslipchute_base::code::Code;
 use cowslipchute_base::event::Event;
+use cowslipchute_platform::store::MAX_TXN_BYTES;
 use cowslipchute_platform::store::MAX_TXN_ENTRIES;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::job::Rejection;
@@ -84,11 +85,25 @@
 ) {
     let mut batch = Vec::new();
     while submissions.recv_many(&mut batch, MAX_TXN_ENTRIES / ENTRIES_PER_JOB).await > 0 {
-        let part = std::mem::take(&mut batch);
-        tokio::spawn(write_batch(store.clone(), part, log.clone()));
+        while !batch.is_empty() {
+            let later = batch.split_off(batch_len(&batch));
+            let part = std::mem::replace(&mut batch, later);
+            tokio::spawn(write_batch(store.clone(), part, log.clone()));
+        }
     }
 }
 
+/// Returns how many of the first jobs one transaction takes by their size; at least one.
+fn batch_len(batch: &[Submission]) -> usize {
+    let mut bytes = 0;
+    let fitting = batch.iter().take_while(|submission| {
+        let is_first = bytes == 0;
+        bytes += submission.value.len();
+        is_first || bytes <= MAX_TXN_BYTES
+    });
+    fitting.count()
+}
+
 /// Writes a batch, or each of its jobs by itself if the store refuses the batch.
 async fn write_batch<S: Store>(store: S, batch: Vec<Submission>, log: Log) {
     for submission in settle(&store, batch, &log).await {
--- a/bin/scheduler/src/writer.rs
+++ b/bin/scheduler/src/writer.rs
@@ -117,6 +117,11 @@
     /// Returns [`Fenced`] if the cell has another owner.
     pub async fn write_estimates(&self, estimates: &Estimates) -> Result<(), Fenced> {
         let value = record::encode(estimates);
+        if value.len() > self.max_value_bytes {
+            event!(self.log, Event::StoreRefused, "key" => keys::ESTIMATES, "bytes" => value.len(),
+                "reason" => format!("a value holds up to {} bytes", self.max_value_bytes));
+            return Ok(());
+        }
         let txn = kv::Txn {
             preconditions: vec![self.guard()],
             changes: vec![kv::Change::Put { key: keys::ESTIMATES.to_owned(), value, lease: 0 }],
--- a/bin/scheduler/src/writer/entry.rs
+++ b/bin/scheduler/src/writer/entry.rs
@@ -2,6 +2,7 @@
 
 use cowslipchute_planner::action::Change;
 use cowslipchute_planner::record;
+use cowslipchute_platform::store::MAX_TXN_BYTES;
 use cowslipchute_platform::store::MAX_TXN_ENTRIES;
 use cowslipchute_ports::job::JobId;
 use cowslipchute_ports::kv;
@@ -71,17 +72,20 @@
 }
 
 /// Returns how many of the first entries fit into one transaction next to the guard of the owner
-/// key.
+/// key; at least one.
 pub(super) fn batch_len(entries: &[Entry]) -> usize {
     let mut count = 1;
+    let mut bytes = 0;
     let fitting = entries.iter().take_while(|entry| {
+        let is_first = bytes == 0;
+        bytes += entry.value_bytes();
         count += match entry.value {
             // A guard and the record.
             Value::Record(_) => 2,
             // A guard, the final state, and the removals of the job and its record.
             Value::End(_) => 4,
         };
-        count <= MAX_TXN_ENTRIES
+        count <= MAX_TXN_ENTRIES && (is_first || bytes <= MAX_TXN_BYTES)
     });
     fitting.count()
 }
--- a/bin/scheduler/tests/journal.rs
+++ b/bin/scheduler/tests/journal.rs
@@ -9,6 +9,7 @@
 use cowslipchute_planner::record::Occurrence;
 use cowslipchute_planner::record::Record;
 use cowslipchute_planner::record::Task;
+use cowslipchute_platform::store::MAX_TXN_BYTES;
 use cowslipchute_ports::job::State;
 use cowslipchute_scheduler::keys;
 use cowslipchute_scheduler::log;
@@ -50,7 +51,12 @@
 
 /// Returns a change whose record is larger than `LARGE_BYTES`.
 fn large(job: u64) -> Change {
-    let task = Task { checkpoint: Some("c".repeat(LARGE_BYTES).into()), ..Task::default() };
+    sized(job, LARGE_BYTES)
+}
+
+/// Returns a change whose record has a little more than this many bytes.
+fn sized(job: u64, bytes: usize) -> Change {
+    let task = Task { checkpoint: Some("c".repeat(bytes).into()), ..Task::default() };
     let occurrence = Occurrence { number: 0, steps: vec![vec![task]] };
     Change::Progress { job, record: Record { occurrences: vec![occurrence], ..Record::default() } }
 }
@@ -139,6 +145,23 @@
     });
 }
 
+/// Guards against a transaction of several large values that takes longer than its timeout at each
+/// attempt.
+#[test]
+fn large_records_are_divided_over_transactions() {
+    /// Size of each record; three are over the limit on a transaction.
+    const BYTES: usize = MAX_TXN_BYTES / 2 - 100;
+    block_on(async {
+        let fake = Fake::default();
+        let writer = open(&fake);
+        let changes: Vec<Change> = (0..9).map(|job| sized(job, BYTES)).collect();
+        assert_eq!(writer.write(&changes).await, Ok(Vec::new()));
+        let inner = fake.0.lock().unwrap();
+        assert!(inner.txn_bytes <= MAX_TXN_BYTES, "{} bytes", inner.txn_bytes);
+        assert_eq!(inner.commits, 5);
+    });
+}
+
 /// Guards against jobs that are given up since a store refuses whatever it is sent for a while.
 #[test]
 fn a_store_that_refuses_every_write_ends_no_job() {
--- a/bin/scheduler/tests/support/mod.rs
+++ b/bin/scheduler/tests/support/mod.rs
@@ -30,6 +30,8 @@
     pub fates: Vec<Fate>,
     pub commits: usize,
     pub entries: usize,
+    /// Largest sum of the values of a transaction.
+    pub txn_bytes: usize,
     /// Size of the largest value that it accepts, if it has a limit.
     pub max_value_bytes: Option<usize>,
 }
@@ -61,6 +63,11 @@
     }
 
     fn decide(&mut self, txn: &kv::Txn) -> kv::TxnOutcome {
+        let values = txn.changes.iter().map(|change| match change {
+            kv::Change::Put { value, .. } => value.len(),
+            kv::Change::Delete { .. } => 0,
+        });
+        self.txn_bytes = self.txn_bytes.max(values.sum());
         self.entries = self.entries.max(txn.preconditions.len() + txn.changes.len());
         let holds = txn.preconditions.iter().all(|guard| match guard {
             kv::Precondition::Missing(key) => !self.keys.contains_key(key),
