Election: the owner's lease is no shorter than the store grants

Where min-ttl-ms is over 1,200 each grant was refused, taken for an error that passes, and not logged: jobs were accepted and no process ever owned the cell. Cause: min_lease was decoded and never used. Refused grants, claims and renewals are logged. The users' stores grant a second, so their lease stays 1.2 s.

--- a/bin/scheduler/src/election.rs
+++ b/bin/scheduler/src/election.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cowslipchute_base::event::Event as LogEvent;
 use cowslipchute_base::id;
 use cowslipchute_base::id::Revision;
 use cowslipchute_base::id::Time;
@@ -23,6 +24,7 @@
 use tokio::time::Instant;
 
 use crate::clock;
+use crate::event;
 use crate::failpoint;
 use crate::failpoint::Place;
 use crate::health::Health;
@@ -101,16 +103,26 @@
 }
 
 /// Starts the election of this process on a thread of its own, and shows it the progress of the
-/// calling thread. `store` must share no connections with other threads.
+/// calling thread. `store` must share no connections with other threads, and grants no lease that
+/// is shorter than `min_lease`.
 ///
 /// # Errors
 ///
 /// Returns an error if the system refuses the thread.
-pub fn spawn<S: Store>(store: S, holder: Holder, health: Health, log: Log) -> io::Result<Handle> {
+pub fn spawn<S: Store>(
+    store: S,
+    holder: Holder,
+    min_lease: Duration,
+    health: Health,
+    log: Log,
+) -> io::Result<Handle> {
     let precedence = Precedence::open(holder.cpu_share);
     let mark = cowslipchute_planner::record::encode(&holder);
-    let settings =
-        election::Settings { ttl: LEASE_TTL, claim_delay: claim_delay(precedence), holder: mark };
+    let settings = election::Settings {
+        ttl: lease_ttl(min_lease),
+        claim_delay: claim_delay(precedence),
+        holder: mark,
+    };
     let (transition_sender, transitions) = mpsc::unbounded_channel();
     let (notices, notice_receiver) = mpsc::unbounded_channel();
     let (holder_sender, holder) = watch::channel(None);
@@ -127,6 +139,7 @@
         results: result_sender,
         lease: lease.clone(),
         metrics: log.metrics().clone(),
+        log: log.clone(),
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let thread = std::thread::Builder::new().name(String::from("lease"));
@@ -134,6 +147,11 @@
     Ok(Handle { transitions, notices, holder, lease })
 }
 
+/// Returns the duration of the owner's lease at a store that grants none shorter than `min_lease`.
+pub fn lease_ttl(min_lease: Duration) -> Duration {
+    LEASE_TTL.max(min_lease)
+}
+
 struct Runner<S> {
     store: S,
     owner_value: Vec<u8>,
@@ -144,6 +162,7 @@
     results: mpsc::UnboundedSender<Event>,
     lease: Lease,
     metrics: Metrics,
+    log: Log,
 }
 
 impl<S: Store> Runner<S> {
@@ -254,13 +273,17 @@
         let store = self.store.clone();
         let results = self.results.clone();
         let owner_value = self.owner_value.clone();
+        let log = self.log.clone();
         tokio::spawn(async move {
             let event = match action {
                 Action::Grant { ticket, ttl } => {
-                    Event::Granted { ticket, outcome: store.grant(ttl).await }
+                    let outcome = store.grant(ttl).await;
+                    log_refusal("grant", &outcome, &log);
+                    Event::Granted { ticket, outcome }
                 }
                 Action::Claim { ticket, lease } => {
                     let outcome = store.commit(claim(owner_value, lease)).await;
+                    log_refusal("claim", &outcome, &log);
                     Event::Claimed { ticket, outcome }
                 }
                 Action::ReadKey => match store.read(keys::OWNER).await {
@@ -272,7 +295,9 @@
                     Err(_) => return,
                 },
                 Action::Renew { ticket, lease } => {
-                    Event::Renewed { ticket, outcome: store.keep_alive(lease).await }
+                    let outcome = store.keep_alive(lease).await;
+                    log_refusal("renewal", &outcome, &log);
+                    Event::Renewed { ticket, outcome }
                 }
                 Action::Revoke { lease } => {
                     // If the call is lost, the lease expires by itself.
@@ -287,6 +312,15 @@
     }
 }
 
+/// Logs a call that the store refuses for good. It is made again, with the election's delays: no
+/// other process would get another answer, and a cell without an owner serves nobody.
+fn log_refusal<V>(call: &'static str, outcome: &Result<V, kv::Error>, log: &Log) {
+    if let Err(error @ kv::Error::Refused(_)) = outcome {
+        event!(log, LogEvent::StoreRefused, "key" => keys::OWNER, "call" => call,
+            "reason" => error.to_string());
+    }
+}
+
 fn stalled() -> kv::Error {
     kv::Error::Unavailable(String::from("the cell's thread makes no progress"))
 }
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -97,7 +97,8 @@
         log.metrics().clone(),
         health.clone(),
     );
-    let election = election::spawn(election_store, holder, health.clone(), log.clone())?;
+    let min_lease = settings.platform.min_lease;
+    let election = election::spawn(election_store, holder, min_lease, health.clone(), log.clone())?;
     let submissions = submission::spawn(store.clone(), log.clone());
     let admission = own
         .admission
--- a/bin/scheduler/tests/lease.rs
+++ b/bin/scheduler/tests/lease.rs
@@ -73,7 +73,8 @@
     let log = log::open("edge-1", slog::Level::Critical, Metrics::open().unwrap()).unwrap();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
-        let mut handle = election::spawn(store, holder, Health::default(), log).unwrap();
+        let mut handle =
+            election::spawn(store, holder, Duration::ZERO, Health::default(), log).unwrap();
         let epoch = match handle.transitions.recv().await {
             Some(Transition::Own { epoch }) => epoch,
             other => panic!("the cell is vacant: {other:?}"),
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -161,7 +161,12 @@
         Ok(())
     }
 
-    async fn add_member(&mut self, name: &str) -> Result<()> {
+    /// Adds a process of ours and starts it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Deployment::open`].
+    pub async fn add_member(&mut self, name: &str) -> Result<()> {
         let store = proxy::open(self.site.store).await?;
         let (clients, readiness, metrics) = (port::free()?, port::free()?, port::free()?);
         let peers = port::free()?.port();
--- a/crates/e2e/tests/store_limits.rs
+++ b/crates/e2e/tests/store_limits.rs
@@ -124,3 +124,17 @@
         assert_eq!(deployment.site.lock().violations, Vec::<String>::new());
     });
 }
+
+/// Guards against a cell without an owner, since the store grants no lease as short as the owner
+/// asks for.
+#[test]
+fn a_store_that_grants_longer_leases_alone_has_an_owner() {
+    block_on(async {
+        let mut deployment = Deployment::open("store-limits", 0, 2).await.unwrap();
+        deployment.site.lock().store.min_lease = Duration::from_secs(2);
+        deployment.add_member("m0").await.unwrap();
+        deployment.await_ready().await;
+        submit(&deployment, "m0", 1, 4).await;
+        deployment.await_state("m0", 1, "completed").await;
+    });
+}
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -413,6 +413,7 @@
         readiness: SocketAddr,
         peers: u16,
     ) -> String {
+        let min_lease = self.lock().store.min_lease;
         let settings = json!({
             "node-name": name, "role": "scheduler", "machine-class": "edge", "serves": ["edge"],
             "ip": "127.0.0.1", "zone": "d1", "region": "r", "zones": {"d1": "r"},
@@ -428,7 +429,7 @@
             "cloud-api": {"address": self.machines.to_string()},
             "platform": {
                 "address": store.to_string(), "form": "kv", "writes-per-s": 400,
-                "reads-per-s": 2000, "min-ttl-ms": 1000,
+                "reads-per-s": 2000, "min-ttl-ms": min_lease.as_millis() as u64,
             },
         });
         settings.to_string()
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -35,6 +35,8 @@
 const MAX_HISTORY: usize = 20_000;
 /// Largest value that is accepted, unless a test sets another limit.
 const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Shortest lease that is granted, unless a test sets another limit.
+const MIN_LEASE: Duration = Duration::from_secs(1);
 /// Longest key that is accepted.
 const MAX_KEY_BYTES: usize = 200;
 
@@ -84,6 +86,8 @@
     pub calls: u64,
     /// The largest value that it accepts.
     pub max_value_bytes: usize,
+    /// The shortest lease that it grants.
+    pub min_lease: Duration,
 }
 
 impl Default for Store {
@@ -99,6 +103,7 @@
             delay: Duration::ZERO,
             calls: 0,
             max_value_bytes: MAX_VALUE_BYTES,
+            min_lease: MIN_LEASE,
         }
     }
 }
@@ -414,9 +419,12 @@
 #[handler]
 fn grant_lease(Json(ttl): Json<Ttl>, state: Data<&Shared>) -> Response {
     let mut state = state.lock().expect("no server of the site has panicked");
+    let ttl = Duration::from_millis(ttl.ttl_ms);
+    if ttl < state.store.min_lease {
+        return reply(StatusCode::BAD_REQUEST, &json!({ "error": "the lease is too short" }));
+    }
     state.store.last_lease += 1;
     let id = state.store.last_lease;
-    let ttl = Duration::from_millis(ttl.ttl_ms);
     state.store.leases.insert(id, (Instant::now(), ttl));
     reply(StatusCode::OK, &json!({ "lease-id": id, "ttl-ms": ttl.as_millis() as u64 }))
 }
