Scheduler: a job of a refused batch stays unknown after a lost answer

Evidence: a_refusal_after_a_lost_answer_leaves_ the_outcome_unknown, StoreRefused (not run) before, StoreUnknown now. The outcome of the batch is handed on to each of its jobs.

--- a/bin/scheduler/src/submission.rs
+++ b/bin/scheduler/src/submission.rs
@@ -106,15 +106,23 @@
 
 /// Writes a batch, or each of its jobs by itself if the store refuses the batch.
 async fn write_batch<S: Store>(store: S, batch: Vec<Submission>, log: Log) {
-    for submission in settle(&store, batch, &log).await {
-        settle(&store, vec![submission], &log).await;
+    let mut unsettled = false;
+    let refused = settle(&store, batch, &mut unsettled, &log).await;
+    for submission in refused {
+        // A lost answer to the batch leaves the outcome of each of its jobs unknown.
+        settle(&store, vec![submission], &mut unsettled.clone(), &log).await;
     }
 }
 
 /// Writes a batch, retrying until each of its jobs is settled or past its deadline. Returns the jobs
-/// of a batch that the store refuses, unless it is a single one, which is rejected.
-async fn settle<S: Store>(store: &S, mut batch: Vec<Submission>, log: &Log) -> Vec<Submission> {
-    let mut unsettled = false;
+/// of a batch that the store refuses, unless it is a single one, which is rejected. Sets `unsettled`
+/// once an answer is lost.
+async fn settle<S: Store>(
+    store: &S,
+    mut batch: Vec<Submission>,
+    unsettled: &mut bool,
+    log: &Log,
+) -> Vec<Submission> {
     while !batch.is_empty() {
         let outcome = store.commit(txn(&batch)).await;
         match outcome {
@@ -144,15 +152,15 @@
             Err(kv::Error::Refused(_)) if batch.len() > 1 => return batch,
             Err(error @ kv::Error::Refused(_)) => {
                 // Without a lost answer before, the store surely holds nothing of it.
-                let code = if unsettled { Code::StoreUnknown } else { Code::StoreRefused };
+                let code = if *unsettled { Code::StoreUnknown } else { Code::StoreRefused };
                 for submission in batch.drain(..) {
                     log_refusal(&submission, &error, log);
                     finish(submission, Err(Rejection::new(code, error.to_string())), log);
                 }
                 return Vec::new();
             }
-            Err(kv::Error::Unknown(_)) => unsettled = true,
-            Err(error) if !unsettled => {
+            Err(kv::Error::Unknown(_)) => *unsettled = true,
+            Err(error) if !*unsettled => {
                 for submission in batch.drain(..) {
                     let rejection = Rejection::new(Code::StoreDown, error.to_string());
                     finish(submission, Err(rejection), log);
--- a/bin/scheduler/tests/support/mod.rs
+++ b/bin/scheduler/tests/support/mod.rs
@@ -116,11 +116,11 @@
     async fn commit(&self, txn: kv::Txn) -> Result<kv::TxnOutcome, kv::Error> {
         let mut inner = self.0.lock().unwrap();
         inner.commits += 1;
-        if inner.is_too_large(&txn) {
-            return Err(kv::Error::Refused(String::from("a value is too large")));
-        }
         let lost = || Err(kv::Error::Unknown(String::from("no answer")));
         match inner.fates.pop() {
+            None if inner.is_too_large(&txn) => {
+                Err(kv::Error::Refused(String::from("a value is too large")))
+            }
             None => Ok(inner.decide(&txn)),
             Some(Fate::AnswerLost) => {
                 inner.decide(&txn);
