--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -17,7 +17,8 @@
 //! - `pass_time ms=N`: duration of this owner's placement passes, which bounds how often they run.
 //! - `candidates state=down|up`: the owner and all processes that could claim the cell crash, or
 //!   are there again.
-//! - `store state=down|up [delay=MS]`: whether the store responds, and how late.
+//! - `store state=down|up|refusing [delay=MS] [max=BYTES]`: whether the store responds, or refuses every write, how late,
+//!   and the largest record that it takes.
 //! - `machines state=down|up`: whether the list of machines is available.
 //! - `resize name=w cpu=N [memory=N]`: changes a worker's capacity; its directory entry follows
 //!   after a delay.
