--- a/crates/planner/src/records/write.rs
+++ b/crates/planner/src/records/write.rs
@@ -202,18 +202,18 @@
         let mut writes = self.writes.in_flight.iter_mut();
         let Some(write) = writes.find(|write| write.batch == batch) else { return };
         write.jobs.retain(|&(written, ..)| written != job);
-        let (refused, kept) = std::mem::take(&mut write.intents)
-            .into_iter()
-            .partition(|(_, run)| run.task.job == job);
-        write.intents = kept;
+        let intents = std::mem::take(&mut write.intents);
+        let (refused, others): (Vec<_>, Vec<_>) =
+            intents.into_iter().partition(|(_, run)| run.task.job == job);
+        write.intents = others;
         self.writes.busy.remove(&job);
         let is_open = self.jobs.get(&job).is_some_and(|state| state.end.is_none());
         if lasting && is_open {
             self.note(LogEvent::JobUnstorable, Some(job), None, None, reason);
             self.finish_job(job, State::Unstorable);
         } else {
-            let refused: Vec<(WorkerId, Run)> = refused;
             self.writes.intents.extend(refused);
+            // The write of an end leaves an earlier plan in place.
             if let Some(state) = self.jobs.get_mut(&job) {
                 state.rewrite_at = None;
             }
