--- a/crates/e2e/tests/soak.rs
+++ b/crates/e2e/tests/soak.rs
@@ -68,6 +68,10 @@
     service_given_up = { 66037 },
     service_given_up_again = { 66028 },
     service_given_up_once_more = { 66045 },
+    service_given_up_by_two = { 67010 },
+    service_given_up_by_three = { 67115 },
+    // A service task waits beside room for two, pinned to a worker that reports its start time.
+    pinned_for_ten_seconds = { 67015 },
 )]
 fn a_seed_with_service_tasks_keeps_every_promise(seed: u64) {
     let report = play(seed, FULL, true);
