Planner: the bound of a record counts 64 failures of a task at most

Evidence: a_queue_that_allows_any_number_of_failures_takes_jobs, a_million fails before and all three pass now. Beyond 64 failures of each task the writer's refusal is left, which ends that job with a reason.

--- a/bin/scheduler/tests/job_size.rs
+++ b/bin/scheduler/tests/job_size.rs
@@ -13,14 +13,14 @@
 /// Largest value of the users' store.
 const MAX_VALUE_BYTES: usize = 1 << 20;
 
-fn queue() -> Queue {
+fn queue(max_attempts: u32) -> Queue {
     Queue {
         name: "q".into(),
         host: "host".into(),
         prefix: "/q/".into(),
         service: "desk".into(),
         priority: 1,
-        max_attempts: 3,
+        max_attempts,
         slack_factor: 1.5,
         allowance: Duration::from_millis(250),
         advice: None,
@@ -30,7 +30,21 @@
 fn check(steps: usize, count: u32, job_bytes: usize) -> Result<(), Error> {
     let step = Step { count, ..Step::default() };
     let spec = Spec { steps: vec![step; steps], ..Spec::default() };
-    Limit::open(MAX_VALUE_BYTES).check(&spec, &queue(), job_bytes)
+    Limit::open(MAX_VALUE_BYTES).check(&spec, &queue(3), job_bytes)
+}
+
+/// Guards against a queue that takes no job, since the bound allows for each failure that the queue
+/// does.
+#[parameterized(
+    a_million = { 1_000_000 },
+    nearly_unlimited = { u32::MAX - 1 },
+    unlimited = { u32::MAX },
+)]
+fn a_queue_that_allows_any_number_of_failures_takes_jobs(max_attempts: u32) {
+    let step = Step { count: 20, ..Step::default() };
+    let spec = Spec { steps: vec![step; 2], ..Spec::default() };
+    let checked = Limit::open(MAX_VALUE_BYTES).check(&spec, &queue(max_attempts), 5000);
+    assert_eq!(checked, Ok(()));
 }
 
 #[parameterized(
--- a/crates/planner/src/queue/job.rs
+++ b/crates/planner/src/queue/job.rs
@@ -13,13 +13,11 @@
 
 use crate::queue::durations::Queue;
 use crate::queue::policy::Policy;
-use crate::queue::policy::UNLIMITED_ATTEMPTS;
 use crate::queue::step::Occurrence;
 use crate::queue::step::Step;
 use crate::queue::task::Place;
 use crate::queue::task::Task;
 use crate::records::bound::Bound;
-use crate::records::bound::MIN_KEPT_FAILURES;
 use crate::records::record::Record;
 use crate::workers::worker::WorkerId;
 
@@ -67,11 +65,7 @@
         since: Time,
         arrival: u64,
     ) -> Job {
-        let max_attempts = match policy.max_attempts {
-            UNLIMITED_ATTEMPTS => MIN_KEPT_FAILURES,
-            limit => limit,
-        };
-        let bound = Bound::of(&accepted.spec, max_attempts);
+        let bound = Bound::of(&accepted.spec, policy.max_attempts);
         let mut job = Job {
             accepted,
             policy,
--- a/crates/planner/src/records/bound.rs
+++ b/crates/planner/src/records/bound.rs
@@ -14,6 +14,7 @@
 use smallvec::smallvec;
 
 use crate::faults::crash;
+use crate::queue::policy::UNLIMITED_ATTEMPTS;
 use crate::records::record;
 use crate::records::record::Attempts;
 
@@ -23,6 +24,9 @@
 /// Failed attempts of a task that a record holds at least, whatever its queue allows: the queue may
 /// leave the configuration, and then nothing limits them.
 pub const MIN_KEPT_FAILURES: u32 = 8;
+/// Failed attempts of a task that the bound allows for at most. A queue may allow far more; a job
+/// whose tasks fail that often may have to be given up before.
+const MAX_COUNTED_FAILURES: u32 = 64;
 
 /// Largest size of a variable-length integer of 32 bits.
 const U32_BYTES: usize = 5;
@@ -43,7 +47,11 @@
 impl Bound {
     /// Returns the bound of a job whose tasks may fail this often.
     pub fn of(spec: &Spec, max_attempts: u32) -> Bound {
-        let failures = max_attempts.max(MIN_KEPT_FAILURES) as usize;
+        let failures = match max_attempts {
+            UNLIMITED_ATTEMPTS => MIN_KEPT_FAILURES,
+            limit => limit.clamp(MIN_KEPT_FAILURES, MAX_COUNTED_FAILURES),
+        };
+        let failures = failures as usize;
         let steps = spec.steps.iter().map(|step| {
             U32_BYTES + (step.count as usize).saturating_mul(task_bytes(step, failures))
         });
