--- a/bin/scheduler/src/election.rs
+++ b/bin/scheduler/src/election.rs
@@ -312,7 +312,7 @@
     }
 }
 
-/// Logs a call that the store refuses for good. It is made again, with the election's delays: no
+/// Logs a call that the store refuses permanently. It is made again, with the election's delays: no
 /// other process would get another answer, and a cell without an owner serves nobody.
 fn log_refusal<V>(call: &'static str, outcome: &Result<V, kv::Error>, log: &Log) {
     if let Err(error @ kv::Error::Refused(_)) = outcome {
--- a/bin/scheduler/src/writer.rs
+++ b/bin/scheduler/src/writer.rs
@@ -4,7 +4,7 @@
 //! The second guard is for writes whose answer was lost: the store may apply one seconds later,
 //! when a newer record has taken its place.
 //!
-//! A transaction that the store refuses for good is divided until the change at fault is alone, so
+//! A transaction that the store refuses permanently is divided until the change at fault is alone, so
 //! that it holds back no other job. A record that can't be stored is handed back to the caller.
 //! [docs/design/record-size.md](../../../docs/design/record-size.md) has the reasons.
 
@@ -52,7 +52,7 @@
 /// The outcome of a transaction.
 enum Outcome {
     Stored,
-    /// The store refuses it for good, with this answer.
+    /// The store refuses it permanently, with this answer.
     Refused(String),
 }
 
--- a/bin/scheduler/tests/journal.rs
+++ b/bin/scheduler/tests/journal.rs
@@ -124,7 +124,7 @@
     assert!(inner.commits <= 7 + 15, "{} commits", inner.commits);
 }
 
-/// Guards against a record that the store refuses for good and that is written without end, with
+/// Guards against a record that the store refuses permanently and that is written without end, with
 /// the jobs of its transaction.
 #[parameterized(
     by_the_store = { usize::MAX },
--- a/bin/scheduler/tests/rollouts.rs
+++ b/bin/scheduler/tests/rollouts.rs
@@ -23,7 +23,7 @@
     Status { progress: Progress::Active, started }
 }
 
-/// Guards against a status that the store refuses for good and that holds back those of all other
+/// Guards against a status that the store refuses permanently and that holds back those of all other
 /// rollouts.
 #[tokio::test(start_paused = true)]
 async fn a_status_that_the_store_refuses_holds_back_no_other() {
--- a/crates/e2e/tests/store_limits.rs
+++ b/crates/e2e/tests/store_limits.rs
@@ -39,7 +39,7 @@
     }
 }
 
-/// Guards against a job whose record the store refuses for good: it waited without end, and with it
+/// Guards against a job whose record the store refuses permanently: it waited without end, and with it
 /// the jobs of its transaction.
 #[test]
 fn a_record_that_the_store_refuses_holds_back_no_other_job() {
