--- a/review/standin-2/src/cell.rs
+++ b/review/standin-2/src/cell.rs
@@ -76,6 +76,7 @@
 pub struct Link {
     pub address: SocketAddr,
     generation: Arc<watch::Sender<u64>>,
+    down: Arc<watch::Sender<bool>>,
 }
 
 impl Link {
@@ -84,12 +85,27 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let (sender, generation) = watch::channel(0);
+        let (down_sender, down) = watch::channel(false);
         tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
-                tokio::spawn(join(caller, server, delay, generation.clone()));
+                if *down.borrow() {
+                    continue;
+                }
+                let (generation, mut down) = (generation.clone(), down.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = join(caller, server, delay, generation) => {}
+                        _ = down.wait_for(|down| *down) => {}
+                    }
+                });
             }
         });
-        Ok(Link { address, generation: Arc::new(sender) })
+        Ok(Link { address, generation: Arc::new(sender), down: Arc::new(down_sender) })
+    }
+
+    /// Closes all connections and each new one, as a machine without the server does, or ends that.
+    pub fn set_down(&self, down: bool) {
+        self.down.send_replace(down);
     }
 
     /// Silences all connections that are open now: what is sent on them arrives nowhere.
