--- a/review/standin-2/src/cell.rs
+++ b/review/standin-2/src/cell.rs
@@ -10,6 +10,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::Weak;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -75,8 +79,14 @@
 #[derive(Clone)]
 pub struct Link {
     pub address: SocketAddr,
-    generation: Arc<watch::Sender<u64>>,
     down: Arc<watch::Sender<bool>>,
+    channels: Arc<Mutex<Vec<Weak<Channel>>>>,
+}
+
+/// A connection through a proxy.
+struct Channel {
+    used_at: Mutex<Instant>,
+    silent: AtomicBool,
 }
 
 impl Link {
@@ -84,23 +94,29 @@
     pub async fn open(server: SocketAddr, delay: Duration) -> Result<Link> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
-        let (sender, generation) = watch::channel(0);
+        let channels: Arc<Mutex<Vec<Weak<Channel>>>> = Arc::default();
+        let opened = channels.clone();
         let (down_sender, down) = watch::channel(false);
         tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
                 if *down.borrow() {
                     continue;
                 }
-                let (generation, mut down) = (generation.clone(), down.clone());
+                let mut down = down.clone();
+                let used_at = Mutex::new(Instant::now());
+                let channel = Arc::new(Channel { used_at, silent: AtomicBool::new(false) });
+                if let Ok(mut opened) = opened.lock() {
+                    opened.push(Arc::downgrade(&channel));
+                }
                 tokio::spawn(async move {
                     tokio::select! {
-                        () = join(caller, server, delay, generation) => {}
+                        () = join(caller, server, delay, channel) => {}
                         _ = down.wait_for(|down| *down) => {}
                     }
                 });
             }
         });
-        Ok(Link { address, generation: Arc::new(sender), down: Arc::new(down_sender) })
+        Ok(Link { address, down: Arc::new(down_sender), channels })
     }
 
     /// Closes all connections and each new one, as a machine without the server does, or ends that.
@@ -110,26 +126,32 @@
 
     /// Silences all connections that are open now: what is sent on them arrives nowhere.
     pub fn silence_open(&self) {
-        self.generation.send_modify(|generation| *generation += 1);
+        self.silence_idle(Duration::ZERO);
+    }
+
+    /// Silences the open connections that have carried nothing for this time; returns how many.
+    pub fn silence_idle(&self, time: Duration) -> usize {
+        let mut silenced = 0;
+        let channels = self.channels.lock().expect("no connection has panicked");
+        for channel in channels.iter().filter_map(Weak::upgrade) {
+            let used_at = *channel.used_at.lock().expect("no connection has panicked");
+            if used_at.elapsed() >= time {
+                channel.silent.store(true, Ordering::Relaxed);
+                silenced += 1;
+            }
+        }
+        silenced
     }
 }
 
-async fn join(
-    caller: TcpStream,
-    server: SocketAddr,
-    delay: Duration,
-    generation: watch::Receiver<u64>,
-) {
+async fn join(caller: TcpStream, server: SocketAddr, delay: Duration, channel: Arc<Channel>) {
     let Ok(server) = TcpStream::connect(server).await else { return };
     let _ = (caller.set_nodelay(true), server.set_nodelay(true));
-    let own = *generation.borrow();
     let (caller_read, caller_write) = caller.into_split();
     let (server_read, server_write) = server.into_split();
-    let calls = carry(caller_read, server_write, Duration::ZERO, own, generation.clone());
-    let answers = carry(server_read, caller_write, delay, own, generation);
     tokio::select! {
-        () = calls => {}
-        () = answers => {}
+        () = carry(caller_read, server_write, Duration::ZERO, &channel) => {}
+        () = carry(server_read, caller_write, delay, &channel) => {}
     }
 }
 
@@ -139,8 +161,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     delay: Duration,
-    own: u64,
-    generation: watch::Receiver<u64>,
+    channel: &Channel,
 ) {
     let mut buffer = vec![0; 64 << 10];
     loop {
@@ -148,13 +169,17 @@
         if length == 0 {
             return;
         }
-        if *generation.borrow() != own {
+        if channel.silent.load(Ordering::Relaxed) {
             continue;
         }
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
         }
-        if *generation.borrow() == own && to.write_all(&buffer[..length]).await.is_err() {
+        if let Ok(mut used_at) = channel.used_at.lock() {
+            *used_at = Instant::now();
+        }
+        let silent = channel.silent.load(Ordering::Relaxed);
+        if !silent && to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
     }
--- a/review/standin-2/src/upkeep.rs
+++ b/review/standin-2/src/upkeep.rs
@@ -120,7 +120,10 @@
                 record.line(&format!(
                     "AVAIL: {} others of the step are away, {:?}",
                     others.len(),
-                    others.iter().filter_map(|task| Some(away.get(task)?.elapsed())).collect::<Vec<_>>()
+                    others
+                        .iter()
+                        .filter_map(|task| Some(away.get(task)?.elapsed()))
+                        .collect::<Vec<_>>()
                 ));
             }
             by_upkeep.extend(ended.iter().map(|task| (*task, at)));
@@ -160,7 +163,9 @@
             }
             if at.elapsed() >= BUSY && cloud.lock().busy {
                 cloud.lock().busy = false;
-                record.line(&format!("the machine service works again; {refused} orders were refused"));
+                record.line(&format!(
+                    "the machine service works again; {refused} orders were refused"
+                ));
             }
         }
         if lost_at.is_some_and(|at| at.elapsed() >= ENTRY_TIME)
