Log which incarnation has answered a start, and what a restart keeps

Of the three hypotheses about runs that begin twice, the log could not tell an answer of the known incarnation from one of the next. A command's target now carries the clock of the worker's latest report, which the planner compares with the clock in the answer: one that has gone back is of a later incarnation, one that is older than the request of the latest report is of the known one, others are undetermined. RunStarted says so, and WorkerRestarted how many runs keep their places. No decision depends on it yet.

--- a/crates/planner/src/workers.rs
+++ b/crates/planner/src/workers.rs
@@ -7,4 +7,5 @@
 pub(crate) mod incarnations;
 pub(crate) mod late_start;
 pub(crate) mod missing;
+pub(crate) mod responder;
 pub(crate) mod worker;
--- a/crates/planner/src/workers/command.rs
+++ b/crates/planner/src/workers/command.rs
@@ -177,7 +177,8 @@
     pub(crate) fn target(&self, worker: WorkerId) -> Option<Target> {
         let state = self.workers.get(worker)?;
         let epoch = state.command_epoch(self.epoch?);
-        Some(Target { name: state.name.clone(), address: state.address?, epoch })
+        let clock = state.clock_reading.map(|reading| reading.stamp);
+        Some(Target { name: state.name.clone(), address: state.address?, epoch, clock })
     }
 
     /// Returns the incarnation that a command was addressed to, unless it has ended. A response to
@@ -230,7 +231,7 @@
             return;
         };
         match outcome {
-            Ok(_) => {
+            Ok(clock) => {
                 hosted.stage = Stage::Running { since: now };
                 hosted.progressed_at = now;
                 let (first_sent, needs_probe) = (hosted.start_first_sent, hosted.needs_probe());
@@ -242,12 +243,13 @@
                 }
                 self.mark_started(run.task.job);
                 self.expedite_heartbeat(worker);
+                let responder = self.workers[worker].responder(target.clock, clock, now);
                 self.note(
                     LogEvent::RunStarted,
                     Some(run.task.job),
                     Some(run),
                     Some(name.clone()),
-                    "",
+                    responder.text(),
                 );
             }
             Err(Failure::Refused(Refusal::OtherWorker, _)) => {
--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -166,7 +166,7 @@
         let state = &mut self.workers[worker];
         let previous = state.contact;
         state.started_at = state.started_at.or(report.started_at);
-        state.clock_reading = Some(ClockReading { stamp: report.clock, at: now });
+        state.clock_reading = Some(ClockReading { stamp: report.clock, requested_at: sent, at: now });
         state.last_answer = Some(now);
         state.end_maintenance_if_outlived(sent);
         if let Contact::Unfenced { .. } = previous {
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -181,11 +181,11 @@
         started_at: Option<id::Incarnation>,
         may_hold: impl Fn(&Worker, Run, &Hosted) -> bool,
     ) -> WorkerId {
-        self.log_restart(worker, started_at);
-        let crashed_jobs = self.count_crash(worker);
         let state = &self.workers[worker];
         let runs = state.runs.iter().filter(|(run, hosted)| may_hold(state, **run, hosted));
         let kept: Vec<Run> = runs.map(|(run, _)| *run).collect();
+        self.log_restart(worker, started_at, kept.len());
+        let crashed_jobs = self.count_crash(worker);
         self.retire_generation(worker);
         let mut successor = self.workers[worker].successor(self.next_generation, self.now);
         successor.started_at = started_at;
@@ -236,13 +236,18 @@
         }
     }
 
-    fn log_restart(&mut self, worker: WorkerId, started_at: Option<id::Incarnation>) {
+    fn log_restart(
+        &mut self,
+        worker: WorkerId,
+        started_at: Option<id::Incarnation>,
+        kept: usize,
+    ) {
         let state = &self.workers[worker];
         let text = |started_at: Option<id::Incarnation>| {
             started_at.map_or(String::from("an unknown time"), |started_at| started_at.to_string())
         };
         let detail = format!(
-            "started at {}, then at {}; {} runs, ends up to {} read, {} acknowledged",
+            "started at {}, then at {}; {} runs, {kept} kept, ends up to {} read, {} acknowledged",
             text(state.started_at),
             text(started_at),
             state.runs.len(),
--- a/crates/planner/src/workers/worker.rs
+++ b/crates/planner/src/workers/worker.rs
@@ -43,10 +43,11 @@
 /// delay in stopping its runs.
 const LEASE_EXPIRY_SLACK: Duration = Duration::from_millis(300);
 
-/// A worker's clock when its response arrived.
+/// A worker's clock in a report, between its request and its arrival.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ClockReading {
     pub(crate) stamp: Timestamp,
+    pub(crate) requested_at: Time,
     pub(crate) at: Time,
 }
 
--- a/crates/ports/src/executor.rs
+++ b/crates/ports/src/executor.rs
@@ -77,6 +77,10 @@
     /// Fencing token of the command, above those of previous owners and of commands to previous
     /// incarnations, which the worker refuses from then on. No two incarnations of a name share one.
     pub epoch: id::Epoch,
+    /// The worker's clock in the incarnation's latest report before the command, if it has reported.
+    /// The clock of its next incarnation starts anew, so a response with an earlier time is from
+    /// that one.
+    pub clock: Option<Timestamp>,
 }
 
 /// Id of one run of a task.
