Planner: the answer to a start belongs to the incarnation that has sent it

Callers saw a task run on two workers at once. A worker restarts under its name; a start that was meant for the incarnation before reaches the next one, which carries it out and answers.

The clock in an answer now attributes it. One that has gone back since the latest report is of a later incarnation: it replaces the known one at once, and keeps the run. One that is older than the request of the latest report is of the known one. Between these, on a worker younger than its last two responses took, the run keeps its place until a report shows whose it is: one of the known incarnation that was requested after the answer, or one of the next, which lists the run, or has begun after the answer had arrived. Answers to stops and speed limits replace an incarnation too; the clock of a worker of another name is left out.

Ruled out: an unanswered start that is carried out late (no RunUnsettled in the logs), a first report that leaves the run out (RunEnded precedes it).

--- a/crates/planner/src/placement/pin.rs
+++ b/crates/planner/src/placement/pin.rs
@@ -61,7 +61,8 @@
 
     /// Returns `true` for a run that a previous owner placed, and that wasn't recorded as settled.
     pub(crate) fn is_unsettled_inherited(&self) -> bool {
-        matches!(self.stage, Stage::Inherited) && !self.listed
+        let is_of_previous_owner = !self.inherited_until.is_zero();
+        matches!(self.stage, Stage::Inherited) && is_of_previous_owner && !self.listed
     }
 
     /// Returns `true` if this owner may send its start, again or for the first time, without a
--- a/crates/planner/src/workers/command.rs
+++ b/crates/planner/src/workers/command.rs
@@ -23,6 +23,7 @@
 use crate::workers::host::Command;
 use crate::workers::host::Reason;
 use crate::workers::host::Stage;
+use crate::workers::responder::Responder;
 use crate::workers::worker::WorkerId;
 
 /// Delay before an unanswered command is retried. Short, since the command's own timeout has passed
@@ -189,17 +190,30 @@
         state.has_used_epoch(self.epoch?, target.epoch).then_some(worker)
     }
 
-    /// Returns the worker that sent a response, and records that it is alive.
+    /// Returns the incarnation that has responded to a command, and records that it is alive. If it
+    /// is later than the known one, that one has ended.
     fn record_answer(
         &mut self,
         target: &Target,
         outcome: Result<Timestamp, Failure>,
-    ) -> Option<WorkerId> {
-        let worker = self.find_worker(target)?;
+    ) -> Option<(WorkerId, Responder)> {
+        let known = self.find_worker(target)?;
+        let clock = match outcome {
+            // The clock is that of another worker.
+            Err(Failure::Refused(Refusal::OtherWorker, _)) => None,
+            Ok(clock) | Err(Failure::Refused(_, Some(clock))) => Some(clock),
+            Err(_) => None,
+        };
+        let Some(clock) = clock else { return Some((known, Responder::Undetermined)) };
+        let responder = self.workers[known].responder(target.clock, clock, self.now);
+        let worker = match responder {
+            Responder::Later => self.replace_from_answer(known),
+            Responder::Current | Responder::Undetermined => known,
+        };
         if outcome.is_ok() {
             self.workers[worker].last_answer = Some(self.now);
         }
-        Some(worker)
+        Some((worker, responder))
     }
 
     /// Handles the response to a start, or its absence.
@@ -210,7 +224,7 @@
         outcome: Result<Timestamp, Failure>,
     ) {
         self.room_changed |= self.start_window.take_refused();
-        let Some(worker) = self.record_answer(target, outcome) else { return };
+        let Some((worker, responder)) = self.record_answer(target, outcome) else { return };
         let name = &target.name;
         let now = self.now;
         if outcome == Err(Failure::Unknown) {
@@ -226,13 +240,20 @@
             hosted.starts_in_flight = hosted.starts_in_flight.saturating_sub(1);
         }
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
-        let Stage::Starting { command: Command::Sent, unsettled } = stage else {
+        if outcome.is_ok() && responder == Responder::Undetermined {
+            hosted.undetermined_since = Some(now);
+        }
+        let unsettled = match (stage, outcome) {
+            (Stage::Starting { command: Command::Sent, unsettled }, _) => unsettled,
+            // The run was carried over to the incarnation that has responded.
+            (Stage::Inherited, Ok(_)) if responder == Responder::Later => false,
             // A report has listed the run already, or a stop of the run resolves the start.
-            return;
+            _ => return,
         };
         match outcome {
-            Ok(clock) => {
+            Ok(_) => {
                 hosted.stage = Stage::Running { since: now };
+                hosted.carried_over = false;
                 hosted.progressed_at = now;
                 let (first_sent, needs_probe) = (hosted.start_first_sent, hosted.needs_probe());
                 if needs_probe {
@@ -243,7 +264,6 @@
                 }
                 self.mark_started(run.task.job);
                 self.expedite_heartbeat(worker);
-                let responder = self.workers[worker].responder(target.clock, clock, now);
                 self.note(
                     LogEvent::RunStarted,
                     Some(run.task.job),
@@ -333,7 +353,7 @@
         run: Run,
         outcome: Result<Timestamp, Failure>,
     ) {
-        let Some(worker) = self.record_answer(target, outcome) else { return };
+        let Some((worker, _)) = self.record_answer(target, outcome) else { return };
         let now = self.now;
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         let Stage::Stopping { reason, command: Command::Sent } = hosted.stage else { return };
@@ -356,7 +376,7 @@
         percent: u8,
         outcome: Result<Timestamp, Failure>,
     ) {
-        let Some(worker) = self.find_worker(target) else { return };
+        let Some((worker, _)) = self.record_answer(target, outcome) else { return };
         let name = &target.name;
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         hosted.throttle_in_flight = false;
--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -24,6 +24,7 @@
 use crate::workers::host::Hosted;
 use crate::workers::host::Reason;
 use crate::workers::host::Stage;
+use crate::workers::responder::earliest_start;
 use crate::workers::worker::ClockReading;
 use crate::workers::worker::Contact;
 use crate::workers::worker::Heartbeat;
@@ -110,7 +111,7 @@
         self.raise_epoch(worker);
         match outcome {
             Ok(report) if self.workers[worker].is_older_than(&report) => {
-                self.replace_from_report(worker, &report);
+                self.replace_from_report(worker, sent, &report);
             }
             Ok(report) => {
                 self.handle_report(worker, sent, report);
@@ -166,7 +167,8 @@
         let state = &mut self.workers[worker];
         let previous = state.contact;
         state.started_at = state.started_at.or(report.started_at);
-        state.clock_reading = Some(ClockReading { stamp: report.clock, requested_at: sent, at: now });
+        state.clock_reading =
+            Some(ClockReading { stamp: report.clock, requested_at: sent, at: now });
         state.last_answer = Some(now);
         state.end_maintenance_if_outlived(sent);
         if let Contact::Unfenced { .. } = previous {
@@ -191,6 +193,7 @@
             Contact::Answering { .. } => {}
         }
         let is_prompt = matches!(previous, Contact::Answering { .. });
+        let began = earliest_start(sent, &report);
         let listed_ends = report.ended.len();
         self.workers[worker].extend_known_ends(sent, &report.ended);
         for ended in report.ended {
@@ -201,6 +204,7 @@
             listed.push(running.run);
             self.handle_running(worker, sent, running);
         }
+        self.end_runs_begun_before(worker, began, &listed);
         self.resolve_missing(worker, sent, &listed);
         self.log_missing(worker, listed_ends);
         self.clear_suspects(worker);
@@ -290,6 +294,8 @@
             Stage::Intended { .. } | Stage::Running { .. } | Stage::Stopping { .. } => {}
         }
         hosted.carried_over = false;
+        // This incarnation was there after the answer had arrived, so it has sent the answer.
+        hosted.undetermined_since.take_if(|at| *at <= sent);
         hosted.listed_at = Some(sent);
         hosted.settle_listed_start();
         hosted.listed |= now >= hosted.inherited_until;
--- a/crates/planner/src/workers/host.rs
+++ b/crates/planner/src/workers/host.rs
@@ -117,6 +117,9 @@
     /// Number of its starts whose outcome is unknown: the worker's next incarnation may carry them
     /// out.
     pub(crate) starts_in_flight: u32,
+    /// When its start was answered, if it isn't known by which of two successive incarnations
+    /// ([`crate::workers::responder`]).
+    pub(crate) undetermined_since: Option<Time>,
     /// Whether one of its starts went unanswered, so that the store has to hold it as outstanding.
     pub(crate) start_unanswered: bool,
     /// Number of times that its start was sent. The owner that assigned a run may have sent one
@@ -187,6 +190,7 @@
             settlement_planned: false,
             start_first_sent: None,
             starts_in_flight: 0,
+            undetermined_since: None,
             start_unanswered: false,
             starts_sent: 0,
             start_last_sent: Time::ZERO,
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -5,7 +5,7 @@
 //! that wait again, so that service tasks may wait for twenty seconds. Three sources show earlier
 //! that an incarnation has ended:
 //!
-//! - a report of another start of the worker, or one whose clock has gone back;
+//! - a report of another start of the worker, or a response whose clock has gone back;
 //! - a directory entry of a later start;
 //! - the machine list, which names the worker on each machine: a silent worker that it doesn't name
 //!   has ended. A worker that is only partitioned is named there and waited for. While the list is
@@ -24,6 +24,7 @@
 use cowslipchute_base::event::Event as LogEvent;
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
+use cowslipchute_ports::executor::EndReason;
 use cowslipchute_ports::executor::Registration;
 use cowslipchute_ports::executor::Report;
 use cowslipchute_ports::executor::Run;
@@ -38,6 +39,7 @@
 use crate::workers::host::Command;
 use crate::workers::host::Hosted;
 use crate::workers::host::Stage;
+use crate::workers::responder::earliest_start;
 use crate::workers::worker::Contact;
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerId;
@@ -72,11 +74,14 @@
         }
     }
 
-    /// Returns `true` if a start of a run may still reach the next incarnation: one that is
-    /// unanswered, or one of a previous owner that this incarnation hasn't been told to refuse.
-    fn may_start_late(&self, hosted: &Hosted, now: Time) -> bool {
+    /// Returns `true` if the next incarnation may hold a run: a start of it is unanswered, was
+    /// answered by either of the two, or was sent by a previous owner without this incarnation
+    /// having been told to refuse it.
+    fn next_may_hold(&self, hosted: &Hosted, now: Time) -> bool {
         let unfenced = matches!(self.contact, Contact::Unfenced { .. });
-        hosted.has_outstanding_start(now) || (unfenced && hosted.is_unsettled_inherited())
+        hosted.has_outstanding_start(now)
+            || hosted.undetermined_since.is_some()
+            || (unfenced && hosted.is_unsettled_inherited())
     }
 
     /// Returns the next incarnation at the same address, whose directory entry has yet to arrive.
@@ -129,10 +134,12 @@
     fn end_absent_worker(&mut self, worker: WorkerId) {
         let now = self.now;
         let state = &self.workers[worker];
-        let is_in_flight =
-            |hosted: &Hosted| hosted.starts_in_flight > 0 && hosted.has_outstanding_start(now);
-        if state.may_restart() && state.runs.values().any(is_in_flight) {
-            self.replace_incarnation(worker, None, |_, _, hosted| is_in_flight(hosted));
+        let next_may_hold = |hosted: &Hosted| {
+            let is_in_flight = hosted.starts_in_flight > 0 && hosted.has_outstanding_start(now);
+            is_in_flight || hosted.undetermined_since.is_some()
+        };
+        if state.may_restart() && state.runs.values().any(next_may_hold) {
+            self.replace_incarnation(worker, None, |_, _, hosted| next_may_hold(hosted));
         } else {
             self.end_incarnation(worker);
         }
@@ -147,18 +154,33 @@
     ) -> WorkerId {
         let Some(started_at) = registration.started_at else { return worker };
         if self.workers[worker].started_at.is_some_and(|known| known < started_at) {
-            let now = self.now;
-            let may_hold = |state: &Worker, _, hosted: &Hosted| state.may_start_late(hosted, now);
-            return self.replace_incarnation(worker, Some(started_at), may_hold);
+            return self.replace_without_report(worker, Some(started_at));
         }
         self.workers[worker].started_at = Some(started_at);
         worker
     }
 
+    /// Replaces an incarnation by the later one that has responded to a command.
+    pub(crate) fn replace_from_answer(&mut self, worker: WorkerId) -> WorkerId {
+        self.replace_without_report(worker, None)
+    }
+
+    /// Replaces an incarnation by a later one that hasn't reported its runs.
+    fn replace_without_report(
+        &mut self,
+        worker: WorkerId,
+        started_at: Option<id::Incarnation>,
+    ) -> WorkerId {
+        let now = self.now;
+        self.replace_incarnation(worker, started_at, |state, _, hosted| {
+            state.next_may_hold(hosted, now)
+        })
+    }
+
     /// Replaces an incarnation by the later one that answers: all runs that the report doesn't list
     /// have ended, except those whose starts may still arrive, or have arrived if their ends may not
     /// be listed yet.
-    pub(crate) fn replace_from_report(&mut self, worker: WorkerId, report: &Report) {
+    pub(crate) fn replace_from_report(&mut self, worker: WorkerId, sent: Time, report: &Report) {
         let running = report.running.iter().map(|running| running.run);
         let held: HashSet<Run> = running.chain(report.ended.iter().map(|end| end.run)).collect();
         // If this was its first response to this owner, it has been told to refuse the commands of
@@ -166,9 +188,10 @@
         let fenced = matches!(self.workers[worker].contact, Contact::Unfenced { .. });
         let lists_all_ends = report.ended.is_empty();
         let now = self.now;
+        let next_began = earliest_start(sent, report);
         self.replace_incarnation(worker, report.started_at, |state, run, hosted| {
-            let may_be_there = !(fenced && lists_all_ends);
-            held.contains(&run) || (may_be_there && state.may_start_late(hosted, now))
+            let is_gone = (fenced && lists_all_ends) || hosted.was_begun_before(next_began);
+            held.contains(&run) || (!is_gone && state.next_may_hold(hosted, now))
         });
     }
 
@@ -236,12 +259,20 @@
         }
     }
 
-    fn log_restart(
-        &mut self,
-        worker: WorkerId,
-        started_at: Option<id::Incarnation>,
-        kept: usize,
-    ) {
+    /// Ends the runs that an incarnation was to hold if it has begun after their starts had been
+    /// answered, by the incarnation before.
+    pub(crate) fn end_runs_begun_before(&mut self, worker: WorkerId, began: Time, listed: &[Run]) {
+        let is_over = |hosted: &Hosted| {
+            matches!(hosted.stage, Stage::Inherited) && hosted.was_begun_before(began)
+        };
+        for run in self.workers[worker].runs_where(is_over) {
+            if !listed.contains(&run) {
+                self.end_run(worker, run, EndReason::LeaseExpired, None);
+            }
+        }
+    }
+
+    fn log_restart(&mut self, worker: WorkerId, started_at: Option<id::Incarnation>, kept: usize) {
         let state = &self.workers[worker];
         let text = |started_at: Option<id::Incarnation>| {
             started_at.map_or(String::from("an unknown time"), |started_at| started_at.to_string())
--- a/crates/planner/src/workers/responder.rs
+++ b/crates/planner/src/workers/responder.rs
@@ -5,9 +5,14 @@
 //! responses to other commands give the time on the worker's clock only, which starts anew with
 //! each incarnation. `docs/design/incarnations.md` lists what is known of each message.
 
+use std::time::Duration;
+
 use cowslipchute_base::id::Time;
+use cowslipchute_ports::executor::Report;
 use cowslipchute_ports::executor::Timestamp;
 
+use crate::workers::host::Hosted;
+use crate::workers::worker::CLOCK_DRIFT;
 use crate::workers::worker::Worker;
 
 /// The incarnation that has sent a response.
@@ -32,6 +37,21 @@
     }
 }
 
+/// Returns the earliest time at which the incarnation that has sent a report may have begun.
+pub(crate) fn earliest_start(sent: Time, report: &Report) -> Time {
+    let age = Duration::from_millis(report.clock).div_f64(1.0 - CLOCK_DRIFT);
+    sent.saturating_sub(age)
+}
+
+impl Hosted {
+    /// Returns `true` if the start of the run was answered before an incarnation began, and no other
+    /// start of it may be carried out.
+    pub(crate) fn was_begun_before(&self, incarnation_began: Time) -> bool {
+        self.starts_in_flight == 0
+            && self.undetermined_since.is_some_and(|at| at <= incarnation_began)
+    }
+}
+
 impl Worker {
     /// Returns the incarnation that has sent a response with this time on its clock, given the
     /// clock in the latest report before the command.
--- a/crates/planner/src/workers/worker.rs
+++ b/crates/planner/src/workers/worker.rs
@@ -38,7 +38,7 @@
 pub(crate) type WorkerId = Id<Worker>;
 
 /// Fraction by which a worker's clock may run slow.
-const CLOCK_DRIFT: f64 = 0.02;
+pub(crate) const CLOCK_DRIFT: f64 = 0.02;
 /// Margin until a lease counts as expired: the network delay of the response, and the worker's
 /// delay in stopping its runs.
 const LEASE_EXPIRY_SLACK: Duration = Duration::from_millis(300);
