Planner: a crash doesn't count against a run that has begun after it

What callers may see: a job is given up after three crashes that its tasks didn't cause. When a worker restarts, the crash was counted against all runs whose starts had just been sent, also against those that the next incarnation has carried out: their task is accused of a crash that came before its start.

A run that the next incarnation alone has begun moves there before the crash is counted. That is known if its start was sent once, and a later incarnation has answered it or reports the run. Where the restart shows first and the report afterwards, the crash is withdrawn (CrashWithdrawn, 325). A start that was sent more than once, or by a previous owner, may have begun on both and still counts.

restarted_accused.test plays both orders; before, both tasks were accused and neither was cleared.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -178,4 +178,5 @@
     318 DurationsLearnt Info "Actual durations of a queue's tasks, as a multiple of their estimates, are known or have changed; median and tail are given.";
     323 StartOutstanding Info "A task has completed while one of its starts is unanswered; the worker that may still carry it out and for how long are given.";
     324 StartedLate Warning "A worker has carried out a start after its task had completed; how long ago that was, and since when the worker's incarnation is known, are given.";
+    325 CrashWithdrawn Info "A crash no longer counts against a task: the run of the task has begun after it, on the worker's next incarnation.";
 }
--- a/crates/planner/src/faults/crash.rs
+++ b/crates/planner/src/faults/crash.rs
@@ -326,6 +326,17 @@
         is_enough
     }
 
+    /// Withdraws a crash from a task whose run has begun on the next incarnation only.
+    pub(crate) fn withdraw_crash(&mut self, run: Run) {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
+        let is_counted = |task: &Task| task.crashed.contains(&run.attempt);
+        if job.end.is_none() && job.task(run.task).is_some_and(is_counted) {
+            job.task_mut(run.task).crashed.retain(|attempt| *attempt != run.attempt);
+            self.mark_dirty(run.task.job);
+            self.note(LogEvent::CrashWithdrawn, Some(run.task.job), Some(run), None, "");
+        }
+    }
+
     /// Ends jobs whose tasks crash workers.
     pub(crate) fn end_crashed_jobs(&mut self, jobs: Vec<JobId>) {
         for job in jobs {
--- a/crates/planner/src/workers/command.rs
+++ b/crates/planner/src/workers/command.rs
@@ -191,10 +191,11 @@
     }
 
     /// Returns the incarnation that has responded to a command, and records that it is alive. If it
-    /// is later than the known one, that one has ended.
+    /// is later than the known one, that one has ended; `started` is the run that a start was for.
     fn record_answer(
         &mut self,
         target: &Target,
+        started: Option<Run>,
         outcome: Result<Timestamp, Failure>,
     ) -> Option<(WorkerId, Responder)> {
         let known = self.find_worker(target)?;
@@ -207,7 +208,9 @@
         let Some(clock) = clock else { return Some((known, Responder::Undetermined)) };
         let responder = self.workers[known].responder(target.clock, clock, self.now);
         let worker = match responder {
-            Responder::Later => self.replace_from_answer(known),
+            Responder::Later => {
+                self.replace_from_answer(known, started.filter(|_| outcome.is_ok()))
+            }
             Responder::Current | Responder::Undetermined => known,
         };
         if outcome.is_ok() {
@@ -224,7 +227,8 @@
         outcome: Result<Timestamp, Failure>,
     ) {
         self.room_changed |= self.start_window.take_refused();
-        let Some((worker, responder)) = self.record_answer(target, outcome) else { return };
+        let answered = self.record_answer(target, Some(run), outcome);
+        let Some((worker, responder)) = answered else { return };
         let name = &target.name;
         let now = self.now;
         if outcome == Err(Failure::Unknown) {
@@ -353,7 +357,7 @@
         run: Run,
         outcome: Result<Timestamp, Failure>,
     ) {
-        let Some((worker, _)) = self.record_answer(target, outcome) else { return };
+        let Some((worker, _)) = self.record_answer(target, None, outcome) else { return };
         let now = self.now;
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         let Stage::Stopping { reason, command: Command::Sent } = hosted.stage else { return };
@@ -376,7 +380,7 @@
         percent: u8,
         outcome: Result<Timestamp, Failure>,
     ) {
-        let Some((worker, _)) = self.record_answer(target, outcome) else { return };
+        let Some((worker, _)) = self.record_answer(target, None, outcome) else { return };
         let name = &target.name;
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
         hosted.throttle_in_flight = false;
--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -261,8 +261,12 @@
         }
         let job = ended.run.task.job;
         self.mark_started(job);
-        if hosted.is_none() {
-            self.log_late_start(worker, ended.run);
+        match &hosted {
+            Some(hosted) if hosted.carried_over && hosted.has_single_start() => {
+                self.withdraw_crash(ended.run);
+            }
+            Some(_) => {}
+            None => self.log_late_start(worker, ended.run),
         }
         let detail = how_text(ended.reason);
         self.note(LogEvent::RunEnded, Some(job), Some(ended.run), Some(name), detail);
@@ -293,6 +297,7 @@
             // in flight; its stage stays.
             Stage::Intended { .. } | Stage::Running { .. } | Stage::Stopping { .. } => {}
         }
+        let began_after_crash = hosted.carried_over && hosted.has_single_start();
         hosted.carried_over = false;
         // This incarnation was there after the answer had arrived, so it has sent the answer.
         hosted.undetermined_since.take_if(|at| *at <= sent);
@@ -314,6 +319,9 @@
         if !was_running {
             self.mark_started(running.run.task.job);
         }
+        if began_after_crash {
+            self.withdraw_crash(running.run);
+        }
         if needs_record {
             self.plan_rewrite(running.run.task.job, SETTLED_START_DELAY);
         }
--- a/crates/planner/src/workers/host.rs
+++ b/crates/planner/src/workers/host.rs
@@ -274,6 +274,12 @@
         }
     }
 
+    /// Returns `true` if its start was sent only once, so that one incarnation at most has carried it
+    /// out. A previous owner may have sent more.
+    pub(crate) fn has_single_start(&self) -> bool {
+        self.starts_sent == 1 && self.inherited_until.is_zero()
+    }
+
     /// Returns `true` if its start is due again after it went unanswered.
     pub(crate) fn is_start_retry(&self) -> bool {
         matches!(self.stage, Stage::Starting { command: Command::Due(_), unsettled: true })
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -49,6 +49,17 @@
 /// two seconds.
 const MACHINE_LIST_LAG: Duration = Duration::from_secs(2);
 
+/// Whether the next incarnation of a worker holds a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Holding {
+    /// The run has ended with the incarnation before.
+    Gone,
+    /// Its start may have been carried out by either incarnation, or by none.
+    Possible,
+    /// The next incarnation alone has carried its start out, after the incarnation before had ended.
+    Begun,
+}
+
 impl Worker {
     /// Returns `true` if a list that was requested at `requested_at` would name this worker unless
     /// it had ended.
@@ -139,7 +150,10 @@
             is_in_flight || hosted.undetermined_since.is_some()
         };
         if state.may_restart() && state.runs.values().any(next_may_hold) {
-            self.replace_incarnation(worker, None, |_, _, hosted| next_may_hold(hosted));
+            self.replace_incarnation(worker, None, |_, _, hosted| match next_may_hold(hosted) {
+                true => Holding::Possible,
+                false => Holding::Gone,
+            });
         } else {
             self.end_incarnation(worker);
         }
@@ -154,15 +168,20 @@
     ) -> WorkerId {
         let Some(started_at) = registration.started_at else { return worker };
         if self.workers[worker].started_at.is_some_and(|known| known < started_at) {
-            return self.replace_without_report(worker, Some(started_at));
+            return self.replace_without_report(worker, Some(started_at), None);
         }
         self.workers[worker].started_at = Some(started_at);
         worker
     }
 
-    /// Replaces an incarnation by the later one that has responded to a command.
-    pub(crate) fn replace_from_answer(&mut self, worker: WorkerId) -> WorkerId {
-        self.replace_without_report(worker, None)
+    /// Replaces an incarnation by the later one that has responded to a command, and has started
+    /// this run if the command was a start.
+    pub(crate) fn replace_from_answer(
+        &mut self,
+        worker: WorkerId,
+        started: Option<Run>,
+    ) -> WorkerId {
+        self.replace_without_report(worker, None, started)
     }
 
     /// Replaces an incarnation by a later one that hasn't reported its runs.
@@ -170,10 +189,17 @@
         &mut self,
         worker: WorkerId,
         started_at: Option<id::Incarnation>,
+        started: Option<Run>,
     ) -> WorkerId {
         let now = self.now;
-        self.replace_incarnation(worker, started_at, |state, _, hosted| {
-            state.next_may_hold(hosted, now)
+        self.replace_incarnation(worker, started_at, |state, run, hosted| {
+            if started == Some(run) && hosted.has_single_start() {
+                Holding::Begun
+            } else if state.next_may_hold(hosted, now) {
+                Holding::Possible
+            } else {
+                Holding::Gone
+            }
         })
     }
 
@@ -191,30 +217,41 @@
         let next_began = earliest_start(sent, report);
         self.replace_incarnation(worker, report.started_at, |state, run, hosted| {
             let is_gone = (fenced && lists_all_ends) || hosted.was_begun_before(next_began);
-            held.contains(&run) || (!is_gone && state.next_may_hold(hosted, now))
+            match held.contains(&run) {
+                true if hosted.has_single_start() => Holding::Begun,
+                true => Holding::Possible,
+                false if !is_gone && state.next_may_hold(hosted, now) => Holding::Possible,
+                false => Holding::Gone,
+            }
         });
     }
 
     /// Replaces the incarnation of a worker that has restarted under its name, or may have. Runs
     /// that the next incarnation may hold keep their places until it has reported on them; all
-    /// others have ended.
+    /// others have ended. The crash isn't counted against a run that has begun after it.
     fn replace_incarnation(
         &mut self,
         worker: WorkerId,
         started_at: Option<id::Incarnation>,
-        may_hold: impl Fn(&Worker, Run, &Hosted) -> bool,
+        holding: impl Fn(&Worker, Run, &Hosted) -> Holding,
     ) -> WorkerId {
         let state = &self.workers[worker];
-        let runs = state.runs.iter().filter(|(run, hosted)| may_hold(state, **run, hosted));
-        let kept: Vec<Run> = runs.map(|(run, _)| *run).collect();
+        let runs = state.runs.iter().map(|(run, hosted)| (*run, holding(state, *run, hosted)));
+        let kept: Vec<(Run, Holding)> =
+            runs.filter(|(_, holding)| *holding != Holding::Gone).collect();
         self.log_restart(worker, started_at, kept.len());
-        let crashed_jobs = self.count_crash(worker);
         self.retire_generation(worker);
         let mut successor = self.workers[worker].successor(self.next_generation, self.now);
         successor.started_at = started_at;
         let next = self.workers.insert(successor);
         self.workers_by_name.insert(self.workers[next].name.clone(), next);
-        for run in kept {
+        let (begun, possible): (Vec<_>, Vec<_>) =
+            kept.into_iter().partition(|(_, holding)| *holding == Holding::Begun);
+        for (run, _) in begun {
+            self.carry_over(worker, next, run);
+        }
+        let crashed_jobs = self.count_crash(worker);
+        for (run, _) in possible {
             self.carry_over(worker, next, run);
         }
         self.end_all_runs(worker);
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -262,6 +262,7 @@
     reserve = { "reserve" },
     reserved_worker_ends = { "reserved_worker_ends" },
     restarted = { "restarted" },
+    restarted_accused = { "restarted_accused" },
     restarted_answered = { "restarted_answered" },
     restarted_answered_cut = { "restarted_answered_cut" },
     restarted_answered_gang = { "restarted_answered_gang" },
