Planner: the entry of an incarnation that has ended isn't taken for the next one's

What callers may see: as with each restart that is counted twice, runs that are stopped and tasks that are accused of a second crash.

An incarnation may be known to have begun before its start time is: an answer whose clock has gone back, or the machine list, tells only that the one before has ended. A directory entry of that one which arrived then (a late watch event, an entry that is read again) was taken for the entry of the next one, and the next report or entry for another restart. The next incarnation now keeps the start time of the one before, and ignores entries up to it, until a report shows that the machine list was wrong.

restarted_former_after_answer.test logged two restarts before, and logs one.

--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -166,7 +166,7 @@
         let max_lease = self.settings.max_lease;
         let state = &mut self.workers[worker];
         let previous = state.contact;
-        state.started_at = state.started_at.or(report.started_at);
+        state.confirm_start(report.started_at);
         state.clock_reading =
             Some(ClockReading { stamp: report.clock, requested_at: sent, at: now });
         state.last_answer = Some(now);
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -73,7 +73,16 @@
 
     /// Returns `true` if this incarnation is later than that of a directory entry.
     pub(crate) fn is_newer_than(&self, registration: &Registration) -> bool {
-        self.started_at.zip(registration.started_at).is_some_and(|(known, listed)| listed < known)
+        let Some(listed) = registration.started_at else { return false };
+        self.started_at.is_some_and(|known| listed < known)
+            || self.predecessor_started_at.is_some_and(|ended| listed <= ended)
+    }
+
+    /// Records the start time in a report. If it is that of the predecessor, which the machine list
+    /// had shown as gone, that one is there after all.
+    pub(crate) fn confirm_start(&mut self, reported: Option<id::Incarnation>) {
+        self.started_at = self.started_at.or(reported);
+        self.predecessor_started_at.take_if(|ended| Some(*ended) >= self.started_at);
     }
 
     /// Returns `true` if a report is from a later incarnation. Each report was requested after the
@@ -98,6 +107,7 @@
     /// Returns the next incarnation at the same address, whose directory entry has yet to arrive.
     fn successor(&self, generation: u32, now: Time) -> Worker {
         Worker {
+            predecessor_started_at: self.started_at.or(self.predecessor_started_at),
             has_predecessor_with_start: self.may_restart(),
             address: self.address,
             service: self.service.clone(),
--- a/crates/planner/src/workers/worker.rs
+++ b/crates/planner/src/workers/worker.rs
@@ -116,7 +116,10 @@
     pub(crate) name: id::Instance,
     /// Start time in Unix milliseconds, once the worker has reported it.
     pub(crate) started_at: Option<id::Incarnation>,
-    /// Whether an earlier incarnation has reported its start time.
+    /// Start time of the latest earlier incarnation that has reported one. Its directory entry may
+    /// arrive once more.
+    pub(crate) predecessor_started_at: Option<id::Incarnation>,
+    /// Whether an earlier incarnation, known from records only, has reported its start time.
     pub(crate) has_predecessor_with_start: bool,
     /// Generation of the first command to it; higher than those of earlier incarnations.
     pub(crate) first_generation: u32,
@@ -199,6 +202,7 @@
         Worker {
             name,
             started_at: None,
+            predecessor_started_at: None,
             has_predecessor_with_start: false,
             first_generation: generation,
             generation,
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -273,6 +273,7 @@
     restarted_cut = { "restarted_cut" },
     restarted_cut_start = { "restarted_cut_start" },
     restarted_former = { "restarted_former" },
+    restarted_former_after_answer = { "restarted_former_after_answer" },
     restarted_lapse = { "restarted_lapse" },
     restarted_late_done = { "restarted_late_done" },
     restarted_late_hold = { "restarted_late_hold" },
