Planner: a start that a report shows first is logged as RunStarted

What operators saw: jobs whose start is in no log line and in no observation of cowslipchute_job_start_seconds. RunStarted was logged only when the answer to a start was handled; a report that lists the run, or its end, before that answer took its place silently, as after a restart, when the answers of the next incarnation to commands for the one before aren't used.

RunStarted now says so ("its worker has reported it").

--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -268,6 +268,9 @@
             Some(_) => {}
             None => self.log_late_start(worker, ended.run),
         }
+        if hosted.is_some_and(|hosted| hosted.awaits_start_answer()) {
+            self.log_reported_start(worker, ended.run);
+        }
         let detail = how_text(ended.reason);
         self.note(LogEvent::RunEnded, Some(job), Some(ended.run), Some(name), detail);
         self.end_run(worker, ended.run, ended.reason, ended.checkpoint);
@@ -283,6 +286,7 @@
             return;
         };
         let was_running = matches!(hosted.stage, Stage::Running { .. });
+        let is_start_news = hosted.awaits_start_answer();
         match hosted.stage {
             Stage::Starting { .. } | Stage::Inherited => {
                 if matches!(hosted.stage, Stage::Inherited) {
@@ -319,6 +323,9 @@
         if !was_running {
             self.mark_started(running.run.task.job);
         }
+        if is_start_news {
+            self.log_reported_start(worker, running.run);
+        }
         if began_after_crash {
             self.withdraw_crash(running.run);
         }
@@ -327,6 +334,13 @@
         }
     }
 
+    /// Logs the start of a run that a report shows before an answer does.
+    fn log_reported_start(&mut self, worker: WorkerId, run: Run) {
+        let name = self.workers[worker].name.clone();
+        let detail = "its worker has reported it";
+        self.note(LogEvent::RunStarted, Some(run.task.job), Some(run), Some(name), detail);
+    }
+
     /// Stops a run that isn't assigned to the worker: its job has ended, or an old start was
     /// carried out late.
     fn stop_orphan(&mut self, worker: WorkerId, run: Run) {
--- a/crates/planner/src/workers/host.rs
+++ b/crates/planner/src/workers/host.rs
@@ -285,6 +285,13 @@
         matches!(self.stage, Stage::Starting { command: Command::Due(_), unsettled: true })
     }
 
+    /// Returns `true` if this owner has sent its start, and neither an answer nor a report has shown
+    /// that it has begun.
+    pub(crate) fn awaits_start_answer(&self) -> bool {
+        let is_waiting = matches!(self.stage, Stage::Starting { .. } | Stage::Inherited);
+        is_waiting && self.start_first_sent.is_some()
+    }
+
     pub(crate) fn is_latency_critical(&self) -> bool {
         self.latency_target.is_some()
     }
