Tests: the job whose times are checked is submitted to an owner that has loaded its cell

A job that is in the store when the owner loads the cell has no times, since it isn't known when it was accepted, and the test submits its job as soon as the owner is elected. The test now waits until a worker has answered the owner, which comes after loading; its checks are unchanged.

--- a/crates/e2e/tests/site.rs
+++ b/crates/e2e/tests/site.rs
@@ -303,6 +303,12 @@
     block_on(async {
         let deployment = Deployment::open("site-metrics", 2, 1).await.unwrap();
         let owner = owner(&deployment).await;
+        // A job that the owner loads with the cell has no times: it was accepted at an unknown time.
+        let answering = "cowslipchute_workers{contact=\"answering\"}";
+        await_until::some_async("the owner has loaded the cell", LIMIT, || async {
+            deployment.metric(&owner, answering).await.filter(|found| *found >= 1.0)
+        })
+        .await;
         let job = chain(1, 2, WORK);
         assert_eq!(deployment.submit(&owner, 0xa1, &job).await, Some(StatusCode::OK));
         deployment.await_state(&owner, 0xa1, "completed").await;
