--- a/crates/planner/tests/interleavings.rs
+++ b/crates/planner/tests/interleavings.rs
@@ -52,6 +52,9 @@
 /// Time after the repair within which every job has to reach a final state.
 const COMPLETION_TIME: Duration = Duration::from_secs(60);
 
+/// Upper bound on the time from a restart to the directory entry, in milliseconds, exclusive.
+const MAX_ENTRY_DELAY_MS: u64 = 600;
+
 #[derive(Clone, Debug)]
 enum Step {
     Wait(u64),
@@ -349,7 +352,10 @@
             world.disturb();
         }
         Step::Resize(at, processors) => world.resize(&name(*at), capacity(*processors)),
-        Step::Restart(at, down) => world.restart(&name(*at), Duration::from_millis(*down)),
+        Step::Restart(at, down) => {
+            world.restarts.entry_delay = Duration::from_millis(down * 7 % MAX_ENTRY_DELAY_MS);
+            world.restart(&name(*at), Duration::from_millis(*down));
+        }
         Step::RestartRack(first, down) => {
             let rack = if *first { 0..WORKERS / 2 } else { WORKERS / 2..WORKERS };
             rack.for_each(|at| world.restart(&name(at), Duration::from_millis(*down)));
