Scheduler: an entry with an impossible start time costs a worker for good (red)

Another writer stored an entry over that of a live worker, once, with a born of 2^63, 2^64-1 or 2^53+1 and another address. The worker wrote its own entry again 500 ms later, and it was ignored from then on: each looked older than the one known. At its own address the answers put that right within 0.5 s, but its six running tasks were started again.

--- a/crates/e2e/tests/site.rs
+++ b/crates/e2e/tests/site.rs
@@ -136,6 +136,45 @@
     });
 }
 
+/// The entry of a live worker with some text replaced, stored once over its own; the worker writes its own again soon.
+/// Guards against a worker whose later entries all look old, and against a reader that ends or stops at an odd one.
+#[parameterized(
+    nested = { "\"slots\":8", "\"slots\":DEPTH" },
+    a_number_too_large = { "8000", "1e400" },
+    a_port_out_of_range = { "127.0.0.1:", "127.0.0.1:9" },
+    a_start_too_late_elsewhere = { "BORN", "18446744073709551615" },
+)]
+fn an_odd_entry_over_that_of_a_live_worker_holds_up_nothing_for_good(from: &str, to: &str) {
+    block_on(async {
+        let deployment = Deployment::open("site-over", 2, 1).await.unwrap();
+        owner(&deployment).await;
+        assert_eq!(
+            deployment.submit("m0", 0xa1, &chain(1, 4, WORK * 4)).await,
+            Some(StatusCode::OK)
+        );
+        deployment.await_state("m0", 0xa1, "active").await;
+        {
+            let mut state = deployment.site.lock();
+            let key = state.store.keys("servers/").remove(0);
+            let own = String::from_utf8(state.store.value(&key).unwrap().to_vec()).unwrap();
+            let born = state.workers["w0"].start_time_ms.to_string();
+            let address = deployment.workers["w0"].address.to_string();
+            let odd = match from {
+                "BORN" => own.replace(&born, to).replace(&address, "127.0.0.1:9"),
+                from => own.replace(from, &to.replace("DEPTH", &"[".repeat(200_000))),
+            };
+            assert_ne!(odd, own, "the case changes something");
+            state.store.put(&key, odd.into_bytes(), 0);
+        }
+        deployment.await_state("m1", 0xa1, "completed").await;
+        assert_eq!(deployment.submit("m1", 0xa2, &chain(2, 4, WORK)).await, Some(StatusCode::OK));
+        deployment.await_state("m0", 0xa2, "completed").await;
+        let state = deployment.site.lock();
+        assert_eq!(state.violations, Vec::<String>::new());
+        assert!(state.workers["w0"].highest_attempts.values().all(|attempt| *attempt == 1));
+    });
+}
+
 #[test]
 fn a_store_that_is_down_refuses_at_once_and_all_goes_on_when_it_is_back() {
     block_on(async {
