--- a/crates/planner/tests/listing.rs
+++ b/crates/planner/tests/listing.rs
@@ -14,6 +14,7 @@
 use cowslipchute_ports::deployment::Config;
 use cowslipchute_ports::deployment::Limits;
 use cowslipchute_ports::deployment::Service;
+use cowslipchute_ports::executor::Failure;
 use cowslipchute_ports::executor::Registration;
 use cowslipchute_ports::executor::Report;
 
@@ -92,3 +93,31 @@
     planner.step(now, Event::Listed { registration: changed }, &mut Vec::new());
     assert!(planner.next_due().is_some_and(|due| due <= now));
 }
+
+/// Guards against a worker that is asked nothing any more since its entries look older than one that another writer
+/// left with a later start and another address.
+#[test]
+fn a_worker_is_asked_where_its_own_entry_says_though_another_claims_a_later_start() {
+    let mut planner = owner();
+    let address = SocketAddr::from(([10, 0, 0, 9], 80));
+    let started_at = STARTED_AT.map(|start| start + 60_000);
+    let odd = Registration { started_at, address, ..registration() };
+    let now = NOW + Duration::from_secs(3);
+    for registration in [odd, registration()] {
+        planner.step(now, Event::Listed { registration }, &mut Vec::new());
+    }
+    let mut asked = Vec::new();
+    for second in 0..5 {
+        let now = now + Duration::from_secs(second);
+        let mut actions = Vec::new();
+        planner.advance(now, &mut actions);
+        for action in actions {
+            if let Action::Heartbeat { target, .. } = action {
+                asked.push(target.address);
+                let outcome = Err(Failure::Unsent);
+                planner.step(now, Event::HeartbeatResult { target, outcome }, &mut Vec::new());
+            }
+        }
+    }
+    assert!(asked.contains(&registration().address), "{asked:?}");
+}
