Planner: a worker that doesn't answer is asked where its own entry says

An entry of an earlier start than the one known is still not believed, but a worker that doesn't answer is asked at its address, and the report tells which incarnation runs there. A stale entry that arrives late sends some heartbeats to the former address, until the next entry; both are refused or unanswered there, as commands carry the name and a higher epoch. Ruled out: believing the latest entry, since after a takeover a record may know a later incarnation than the directory, whose runs it would end.

Left: the entry itself still ends the runs on the worker for the owner.

--- a/crates/planner/src/owner/takeover.rs
+++ b/crates/planner/src/owner/takeover.rs
@@ -240,6 +240,7 @@
         let known =
             self.workers_by_name.get(&registration.name).map(|&worker| &self.workers[worker]);
         if known.is_some_and(|worker| worker.is_newer_than(registration)) {
+            self.correct_address(registration);
             return;
         }
         let is_known = known.is_some();
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -155,6 +155,17 @@
         worker
     }
 
+    /// Takes the address of a worker that doesn't answer from an entry of an earlier start. The later start may be a
+    /// claim of another writer, and the report from there shows which incarnation runs. Nothing else of the entry is
+    /// used, since it may be an old one that arrived late; the next one corrects the address then.
+    pub(crate) fn correct_address(&mut self, registration: &Registration) {
+        let Some(&worker) = self.workers_by_name.get(&registration.name) else { return };
+        let state = &mut self.workers[worker];
+        if !state.answers() && state.address.is_some() {
+            state.address = Some(registration.address);
+        }
+    }
+
     /// Replaces an incarnation by the later one that answers: all runs that the report doesn't list
     /// have ended, except those whose starts may still arrive, or have arrived if their ends may not
     /// be listed yet.
