Planner: an entry between two restarts doesn't end the run of the later incarnation

What callers saw: a task that runs twice. A worker restarts twice, and the second incarnation answers a start. The entry of the first one then arrives and is taken for that of the incarnation that has answered; the entry of the second one ended the run as if it had been begun on the first.

A run that a later incarnation has begun keeps its place over the next restart too, until a report of its incarnation lists it or shows that it began after the answer. The start that a report gives for its incarnation is a millisecond earlier, since clocks are rounded down. restarted_answered_by_third.test failed with "runs twice" before.

--- a/crates/planner/src/workers/command.rs
+++ b/crates/planner/src/workers/command.rs
@@ -244,7 +244,8 @@
             hosted.starts_in_flight = hosted.starts_in_flight.saturating_sub(1);
         }
         let Some(hosted) = self.workers[worker].runs.get_mut(&run) else { return };
-        if outcome.is_ok() && responder == Responder::Undetermined {
+        // A later incarnation than the known one need not be the next one that becomes known.
+        if outcome.is_ok() && responder != Responder::Current {
             hosted.undetermined_since = Some(now);
         }
         let unsettled = match (stage, outcome) {
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -322,7 +322,8 @@
     /// answered, by the incarnation before.
     pub(crate) fn end_runs_begun_before(&mut self, worker: WorkerId, began: Time, listed: &[Run]) {
         let is_over = |hosted: &Hosted| {
-            matches!(hosted.stage, Stage::Inherited) && hosted.was_begun_before(began)
+            let is_there = matches!(hosted.stage, Stage::Inherited | Stage::Running { .. });
+            is_there && hosted.was_begun_before(began)
         };
         for run in self.workers[worker].runs_where(is_over) {
             if !listed.contains(&run) {
--- a/crates/planner/src/workers/responder.rs
+++ b/crates/planner/src/workers/responder.rs
@@ -39,7 +39,8 @@
 
 /// Returns the earliest time at which the incarnation that has sent a report may have begun.
 pub(crate) fn earliest_start(sent: Time, report: &Report) -> Time {
-    let age = Duration::from_millis(report.clock).div_f64(1.0 - CLOCK_DRIFT);
+    // The clock is rounded down to milliseconds.
+    let age = Duration::from_millis(report.clock + 1).div_f64(1.0 - CLOCK_DRIFT);
     sent.saturating_sub(age)
 }
 
