Planner: a start that the next incarnation refuses is refused there

What callers may see: a task that is accused of a crash, and waits for about two seconds beside room. The refusal of a later incarnation replaced the known one, and the start was carried over as one that may have been carried out: it was counted as a crash, and neither the refusal nor its reason (no room, no ticket, unhealthy) had an effect.

--- a/crates/planner/src/workers/command.rs
+++ b/crates/planner/src/workers/command.rs
@@ -208,9 +208,7 @@
         let Some(clock) = clock else { return Some((known, Responder::Undetermined)) };
         let responder = self.workers[known].responder(target.clock, clock, self.now);
         let worker = match responder {
-            Responder::Later => {
-                self.replace_from_answer(known, started.filter(|_| outcome.is_ok()))
-            }
+            Responder::Later => self.replace_from_answer(known, started),
             Responder::Current | Responder::Undetermined => known,
         };
         if outcome.is_ok() {
@@ -248,10 +246,11 @@
         if outcome.is_ok() && responder != Responder::Current {
             hosted.undetermined_since = Some(now);
         }
-        let unsettled = match (stage, outcome) {
-            (Stage::Starting { command: Command::Sent, unsettled }, _) => unsettled,
+        let is_settled = outcome.is_ok() || hosted.has_single_start();
+        let unsettled = match stage {
+            Stage::Starting { command: Command::Sent, unsettled } => unsettled,
             // The run was carried over to the incarnation that has responded.
-            (Stage::Inherited, Ok(_)) if responder == Responder::Later => false,
+            Stage::Inherited if responder == Responder::Later && is_settled => false,
             // A report has listed the run already, or a stop of the run resolves the start.
             _ => return,
         };
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -56,8 +56,9 @@
     Gone,
     /// Its start may have been carried out by either incarnation, or by none.
     Possible,
-    /// The next incarnation alone has carried its start out, after the incarnation before had ended.
-    Begun,
+    /// The next incarnation alone has carried its start out or refused it, after the incarnation
+    /// before had ended.
+    Certain,
 }
 
 impl Worker {
@@ -184,8 +185,8 @@
         worker
     }
 
-    /// Replaces an incarnation by the later one that has responded to a command, and has started
-    /// this run if the command was a start.
+    /// Replaces an incarnation by the later one that has responded to a command: to the start of this
+    /// run, if it was a start.
     pub(crate) fn replace_from_answer(
         &mut self,
         worker: WorkerId,
@@ -204,7 +205,7 @@
         let now = self.now;
         self.replace_incarnation(worker, started_at, |state, run, hosted| {
             if started == Some(run) && hosted.has_single_start() {
-                Holding::Begun
+                Holding::Certain
             } else if state.next_may_hold(hosted, now) {
                 Holding::Possible
             } else {
@@ -240,7 +241,7 @@
         self.replace_incarnation(worker, report.started_at, |state, run, hosted| {
             let is_gone = (fenced && lists_all_ends) || hosted.was_begun_before(next_began);
             match held.contains(&run) {
-                true if hosted.has_single_start() => Holding::Begun,
+                true if hosted.has_single_start() => Holding::Certain,
                 true => Holding::Possible,
                 false if !is_gone && state.next_may_hold(hosted, now) => Holding::Possible,
                 false => Holding::Gone,
@@ -267,9 +268,9 @@
         successor.started_at = started_at;
         let next = self.workers.insert(successor);
         self.workers_by_name.insert(self.workers[next].name.clone(), next);
-        let (begun, possible): (Vec<_>, Vec<_>) =
-            kept.into_iter().partition(|(_, holding)| *holding == Holding::Begun);
-        for (run, _) in begun {
+        let (certain, possible): (Vec<_>, Vec<_>) =
+            kept.into_iter().partition(|(_, holding)| *holding == Holding::Certain);
+        for (run, _) in certain {
             self.carry_over(worker, next, run);
         }
         let crashed_jobs = self.count_crash(worker);
