Planner: an acknowledgement that was answered isn't repeated

What callers may see: an end that nobody has read is forgotten, and its task runs again. Each heartbeat repeated the number of the last acknowledged end, so one that was delayed over a restart acknowledged the ends of the next incarnation by the numbers of the one before.

A heartbeat acknowledges a number until it is answered, and nothing afterwards. What remains is a heartbeat with a new number that is itself delayed over the restart. restarted_late_ack.test failed before: acknowledged, but not in the store.

--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -57,7 +57,11 @@
         let wait = self.heartbeat_wait(&self.workers[worker]);
         let state = &mut self.workers[worker];
         state.heartbeat = Heartbeat::Sent(self.now);
-        let acknowledged = if answers { state.acknowledged } else { 0 };
+        // An acknowledgement isn't repeated once it was answered: it may reach the next incarnation,
+        // whose ends are numbered from one again.
+        let is_due = answers && state.acknowledged > state.acknowledgement_answered;
+        let acknowledged = if is_due { state.acknowledged } else { 0 };
+        state.acknowledgement_sent = acknowledged;
         let heartbeat = cowslipchute_ports::executor::Heartbeat { deadline, acknowledged, wait };
         self.actions.push(Action::Heartbeat { target, heartbeat });
     }
@@ -169,6 +173,8 @@
         state.confirm_start(report.started_at);
         state.clock_reading =
             Some(ClockReading { stamp: report.clock, requested_at: sent, at: now });
+        state.acknowledgement_answered =
+            state.acknowledgement_answered.max(state.acknowledgement_sent);
         state.last_answer = Some(now);
         state.end_maintenance_if_outlived(sent);
         if let Contact::Unfenced { .. } = previous {
--- a/crates/planner/src/workers/worker.rs
+++ b/crates/planner/src/workers/worker.rs
@@ -158,6 +158,10 @@
     pub(crate) last_end_seen: EndNumber,
     /// Highest number of an end that may be acknowledged.
     pub(crate) acknowledged: EndNumber,
+    /// The number that the latest heartbeat acknowledges, and the highest one whose heartbeat was
+    /// answered. Zero acknowledges nothing.
+    pub(crate) acknowledgement_sent: EndNumber,
+    pub(crate) acknowledgement_answered: EndNumber,
     pub(crate) unacknowledged: VecDeque<Unacknowledged>,
     pub(crate) heartbeat: Heartbeat,
     /// Time up to which all ends are known ([`crate::workers::missing`]).
@@ -225,6 +229,8 @@
             lease_deadline: 0,
             last_end_seen: 0,
             acknowledged: 0,
+            acknowledgement_sent: 0,
+            acknowledgement_answered: 0,
             unacknowledged: VecDeque::new(),
             heartbeat: Heartbeat::Due(now),
             ends_known_until: Time::ZERO,
