Scheduler: connections of clients are bounded, and descriptors are left for its own calls

What callers saw: clients that send nothing, or half a head, take every descriptor of a process, at any of its ports, and stay. No other client is answered, and the process can neither call the store and workers nor take a cell over: with 400 descriptors and 400 such clients, none in 60 s.

Cause: listeners accepted without a bound and knew no order in which connections give way.

--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -18,6 +18,7 @@
 use cowslipchute_base::panic;
 use cowslipchute_planner::action::Note;
 use cowslipchute_planner::planner::Census;
+use cowslipchute_platform::server::listener::Usage;
 use cowslipchute_ports::job::JobId;
 use prometheus::Gauge;
 use prometheus::GaugeVec;
@@ -58,6 +59,8 @@
     events: IntCounterVec,
     requests: IntCounterVec,
     request_seconds: HistogramVec,
+    client_connections: IntGauge,
+    client_closed: IntGauge,
     store_calls: IntCounterVec,
     store_seconds: HistogramVec,
     start_seconds: Histogram,
@@ -153,6 +156,8 @@
             events: counters(&registry, family::EVENTS)?,
             requests: counters(&registry, family::REQUESTS)?,
             request_seconds: histograms(&registry, family::REQUEST_SECONDS, CALL_BUCKETS_SECONDS)?,
+            client_connections: gauge(&registry, family::CLIENT_CONNECTIONS)?,
+            client_closed: gauge(&registry, family::CLIENT_CLOSED)?,
             store_calls: counters(&registry, family::STORE_CALLS)?,
             store_seconds: histograms(&registry, family::STORE_SECONDS, CALL_BUCKETS_SECONDS)?,
             start_seconds: histogram(&registry, family::START_SECONDS, JOB_BUCKETS_SECONDS)?,
@@ -248,6 +253,13 @@
         self.lag.observe(late.as_secs_f64());
     }
 
+    /// Sets the gauges of what clients hold.
+    pub fn set_clients(&self, usage: Usage) {
+        let value = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.client_connections.set(value(usage.connections as u64));
+        self.client_closed.set(value(usage.closed));
+    }
+
     /// Records that a configuration came into force.
     pub fn config_applied(&self, now: Time, version: u64) {
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
--- a/bin/scheduler/src/metrics/family.rs
+++ b/bin/scheduler/src/metrics/family.rs
@@ -55,6 +55,10 @@
         "Clients' requests by kind and by the name of the result, as in RESULTS.md.";
     REQUEST_SECONDS Histogram "cowslipchute_request_seconds" ["request"]
         "Time from a client's request to its response.";
+    CLIENT_CONNECTIONS Gauge "cowslipchute_client_connections" []
+        "Clients' connections that are open.";
+    CLIENT_CLOSED Gauge "cowslipchute_client_connections_closed" []
+        "Clients' connections that were closed since the start to stay within their limit.";
     STORE_CALLS Counter "cowslipchute_store_calls_total" ["call", "answer"]
         "Calls to the platform's store by kind and outcome.";
     STORE_SECONDS Histogram "cowslipchute_store_call_seconds" ["call"]
--- a/bin/scheduler/src/process.rs
+++ b/bin/scheduler/src/process.rs
@@ -17,6 +17,7 @@
 use cowslipchute_platform::executor::HttpFleet;
 use cowslipchute_platform::machine::HttpMachines;
 use cowslipchute_platform::server;
+use cowslipchute_platform::server::listener::Listener;
 use cowslipchute_platform::settings::Settings;
 use cowslipchute_platform::store::HttpStore;
 use tokio::signal::unix::SignalKind;
@@ -118,8 +119,7 @@
     let (stop, stopping) = watch::channel(false);
     let (accepting_sender, accepting) = watch::channel(true);
     let clients = settings.listen.clients;
-    server::serve(clients, api.clone(), stopping.clone())
-        .await
+    let listener = server::serve(clients, api.clone(), settings.limits.intake(), stopping.clone())
         .with_context(|| format!("can't bind {clients}"))?;
     let readiness = settings.listen.readiness;
     let is_ready = move || {
@@ -127,13 +127,11 @@
         async move { *accepting.borrow() && api.is_ready().await }
     };
     server::serve_readiness(readiness, is_ready, stopping.clone())
-        .await
         .with_context(|| format!("can't bind {readiness}"))?;
     if let Some(port) = own.metrics_port {
         let address = SocketAddr::new(settings.ip, port);
-        let text = render_metrics(planner.clone(), log.clone());
+        let text = render_metrics(planner.clone(), listener, log.clone());
         server::serve_text(address, METRICS_PATH, text, stopping)
-            .await
             .with_context(|| format!("can't bind {address}"))?;
     }
     event!(log, Event::Started, "clients" => clients.to_string(), "peers" => rpc_address.to_string());
@@ -190,6 +188,7 @@
 /// it.
 fn render_metrics(
     planner: owner::SharedPlanner,
+    listener: Listener,
     log: Log,
 ) -> impl Fn() -> Option<String> + Clone + Send {
     move || {
@@ -200,6 +199,7 @@
             (owns.then(|| planner.census()), owns.then(|| planner.forecast(now, true)))
         };
         log.metrics().set_backlogs(forecast.as_deref());
+        log.metrics().set_clients(listener.usage());
         match log.metrics().render(now, census) {
             Ok(text) => Some(text),
             Err(error) => {
