--- a/bin/scheduler/src/metrics.rs
+++ b/bin/scheduler/src/metrics.rs
@@ -60,6 +60,7 @@
     requests: IntCounterVec,
     request_seconds: HistogramVec,
     client_connections: IntGauge,
+    client_body_bytes: IntGauge,
     client_closed: IntGauge,
     store_calls: IntCounterVec,
     store_seconds: HistogramVec,
@@ -157,6 +158,7 @@
             requests: counters(&registry, family::REQUESTS)?,
             request_seconds: histograms(&registry, family::REQUEST_SECONDS, CALL_BUCKETS_SECONDS)?,
             client_connections: gauge(&registry, family::CLIENT_CONNECTIONS)?,
+            client_body_bytes: gauge(&registry, family::CLIENT_BODY_BYTES)?,
             client_closed: gauge(&registry, family::CLIENT_CLOSED)?,
             store_calls: counters(&registry, family::STORE_CALLS)?,
             store_seconds: histograms(&registry, family::STORE_SECONDS, CALL_BUCKETS_SECONDS)?,
@@ -257,6 +259,7 @@
     pub fn set_clients(&self, usage: Usage) {
         let value = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
         self.client_connections.set(value(usage.connections as u64));
+        self.client_body_bytes.set(value(usage.body_bytes as u64));
         self.client_closed.set(value(usage.closed));
     }
 
--- a/bin/scheduler/src/metrics/family.rs
+++ b/bin/scheduler/src/metrics/family.rs
@@ -57,6 +57,8 @@
         "Time from a client's request to its response.";
     CLIENT_CONNECTIONS Gauge "cowslipchute_client_connections" []
         "Clients' connections that are open.";
+    CLIENT_BODY_BYTES Gauge "cowslipchute_client_body_bytes" []
+        "Memory that the large bodies of clients' requests in progress take.";
     CLIENT_CLOSED Gauge "cowslipchute_client_connections_closed" []
         "Clients' connections that were closed since the start to stay within their limit.";
     STORE_CALLS Counter "cowslipchute_store_calls_total" ["call", "answer"]
