Planner: a lease that a late command extends on the next incarnation is waited for

What callers saw: a task that runs twice. A start that was meant for an incarnation which has ended reaches the next one seconds later and extends its lease there, up to the longest lease on a clock that has started anew. The owner counted the lease of an incarnation that it can't reach from the moment at which it learned of the restart, and started the tasks elsewhere up to 3.5 s early.

A lease that isn't known now counts from the latest time at which a command with a deadline for an earlier incarnation may be carried out, 12 s after it was sent. It concerns runs that the next incarnation may hold, and only while it can't be reached: its first response makes it refuse such commands. restarted_answered_lease and restarted_unheard_lease failed with "runs twice" before.

--- a/crates/planner/src/workers/command.rs
+++ b/crates/planner/src/workers/command.rs
@@ -86,6 +86,7 @@
         let state = &mut self.workers[worker];
         let deadline = state.clock(self.now)? + max_lease.as_millis() as Timestamp;
         state.lease_deadline = state.lease_deadline.max(deadline);
+        state.lease_sent_at = self.now;
         Some(deadline)
     }
 
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -32,6 +32,7 @@
 use smallvec::SmallVec;
 
 use crate::owner::takeover::EXPIRY_CHECK_INTERVAL;
+use crate::placement::pin::START_EXPIRY;
 use crate::planner::Planner;
 use crate::queue::task::Place;
 use crate::queue::task::Task;
@@ -108,6 +109,7 @@
     /// Returns the next incarnation at the same address, whose directory entry has yet to arrive.
     fn successor(&self, generation: u32, now: Time) -> Worker {
         Worker {
+            late_lease_until: self.late_lease_until.max(self.lease_sent_at + START_EXPIRY),
             predecessor_started_at: self.started_at.or(self.predecessor_started_at),
             has_predecessor_with_start: self.may_restart(),
             address: self.address,
--- a/crates/planner/src/workers/worker.rs
+++ b/crates/planner/src/workers/worker.rs
@@ -154,6 +154,11 @@
     pub(crate) last_answer: Option<Time>,
     /// The latest lease deadline that was sent to it, on its clock.
     pub(crate) lease_deadline: Timestamp,
+    /// When a lease deadline was last sent to it.
+    pub(crate) lease_sent_at: Time,
+    /// Until when a command with a lease deadline for an earlier incarnation may be carried out by
+    /// this one, unless it has responded: the deadline counts on its own clock.
+    pub(crate) late_lease_until: Time,
     /// Highest number of an end that was handled.
     pub(crate) last_end_seen: EndNumber,
     /// Highest number of an end that may be acknowledged.
@@ -227,6 +232,8 @@
             clock_reading: None,
             last_answer: None,
             lease_deadline: 0,
+            lease_sent_at: Time::ZERO,
+            late_lease_until: Time::ZERO,
             last_end_seen: 0,
             acknowledged: 0,
             acknowledgement_sent: 0,
@@ -319,7 +326,9 @@
         match (self.contact, self.clock_reading) {
             (Contact::Unfenced { since }, _) | (Contact::Silent { at: since }, None) => {
                 // The deadlines of previous owners are unknown, except for how late they can be.
-                now >= since + settings.max_lease.mul_f64(1.0 + CLOCK_DRIFT) + slack
+                now >= since.max(self.late_lease_until)
+                    + settings.max_lease.mul_f64(1.0 + CLOCK_DRIFT)
+                    + slack
             }
             (_, Some(reading)) => {
                 let elapsed = now.saturating_sub(reading.at).saturating_sub(slack);
