Entry: the bodies of requests in progress share a budget

What callers saw: an entry that runs out of memory among callers who stop short of the end of large bodies. It received a whole body before its limit on requests counted it, so that 400 callers took 590 to 635 MB of 256.

--- a/bin/entry/src/entry.rs
+++ b/bin/entry/src/entry.rs
@@ -16,6 +16,7 @@
 use cowslipchute_daemon::stop::Stop;
 use cowslipchute_follow::Follower;
 use cowslipchute_follow::Handle;
+use cowslipchute_intake::bytes::Budget;
 use cowslipchute_peer::identity::Identity;
 use cowslipchute_peer::node;
 use cowslipchute_peer::node::Node;
@@ -173,6 +174,7 @@
 
 fn open_fronts(shared: &Shared, local: SocketAddr) -> io::Result<Fronts> {
     let mut fronts = Fronts::default();
+    let budget = Budget::open(shared.settings.limits.bodies);
     for number in 0..shared.settings.fronts {
         let (reports, reports_in) = ring::open_with_notifier(RING_CAPACITY, shared.bell.clone());
         let (commands, commands_in) = ring::open(RING_CAPACITY);
@@ -188,6 +190,7 @@
             accepted,
             origin: shared.settings.origin(),
             limits: shared.settings.limits.clone(),
+            budget: budget.clone(),
             reports,
             peer_commands,
             commands: commands_in,
--- a/bin/entry/src/front/handler.rs
+++ b/bin/entry/src/front/handler.rs
@@ -1,5 +1,6 @@
 //! The HTTP endpoint for callers' requests.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -7,11 +8,15 @@
 use bytes::Bytes;
 use cowslipchute_base::code::Code;
 use cowslipchute_base::id;
+use cowslipchute_intake::bytes::Budget;
+use cowslipchute_intake::bytes::Buffer;
+use cowslipchute_intake::bytes::Charge;
+use cowslipchute_intake::bytes::Refusal;
+use futures_util::StreamExt as _;
 use poem::Body;
 use poem::Endpoint;
 use poem::Request;
 use poem::Response;
-use poem::error::ReadBodyError;
 use poem::http::HeaderMap;
 use poem::http::header;
 
@@ -25,12 +30,14 @@
 pub struct Handler {
     pending: Arc<Pending>,
     limits: Limits,
+    /// Memory for the bodies at all fronts.
+    budget: Budget,
 }
 
 impl Handler {
     /// Opens the handler of a front.
-    pub fn open(pending: Arc<Pending>, limits: Limits) -> Handler {
-        Handler { pending, limits }
+    pub fn open(pending: Arc<Pending>, limits: Limits, budget: Budget) -> Handler {
+        Handler { pending, limits, budget }
     }
 
     /// Counts a request that could not be parsed.
@@ -46,8 +53,8 @@
             Err(code) => return Served::rejected(code),
         };
         let label = self.pending.label(&head.service, head.class);
-        let body = match self.body(body, declared).await {
-            Ok(body) => body,
+        let (body, _charge) = match self.body(body, declared).await {
+            Ok(received) => received,
             Err(code) => return Served { label: Some(label), last: Final::own(code) },
         };
         let last = match self.pending.take(head, body, began) {
@@ -64,20 +71,31 @@
     }
 
     /// Reads the whole body, within the limits on size and time.
-    async fn body(&self, body: Body, declared: u64) -> Result<Bytes, Code> {
+    async fn body(&self, body: Body, declared: u64) -> Result<(Bytes, Charge), Code> {
         if declared > self.limits.body as u64 {
             return Err(Code::TooLarge);
         }
         if body.is_empty() {
-            return Ok(Bytes::new());
-        }
-        let whole = body.into_bytes_limit(self.limits.body);
-        match tokio::time::timeout(self.limits.body_within(), whole).await {
-            Ok(Ok(body)) => Ok(body),
-            Ok(Err(ReadBodyError::PayloadTooLarge)) => Err(Code::TooLarge),
-            Ok(Err(_)) | Err(_) => Err(Code::BadRequest),
+            return Ok((Bytes::new(), self.budget.charge()));
         }
+        let buffer = Buffer::open(&self.budget, self.limits.body);
+        let whole = tokio::time::timeout(self.limits.body_within(), receive(body, buffer)).await;
+        whole.unwrap_or(Err(Code::BadRequest))
+    }
+}
+
+/// Receives a whole body; returns it with its charge.
+async fn receive(body: Body, mut buffer: Buffer) -> Result<(Bytes, Charge), Code> {
+    let mut chunks = pin!(body.into_bytes_stream());
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk.map_err(|_| Code::BadRequest)?;
+        buffer.push(&chunk).map_err(|refusal| match refusal {
+            Refusal::TooLarge => Code::TooLarge,
+            Refusal::Exhausted => Code::Busy,
+        })?;
     }
+    let (body, charge) = buffer.finish();
+    Ok((body.into(), charge))
 }
 
 /// A final answer with its metric labels.
--- a/bin/entry/src/front/mod.rs
+++ b/bin/entry/src/front/mod.rs
@@ -25,6 +25,7 @@
 use cowslipchute_daemon::stop::Stage;
 use cowslipchute_daemon::stop::Stop;
 use cowslipchute_gateway::http::Origin;
+use cowslipchute_intake::bytes::Budget;
 
 pub use crate::front::pending::Label;
 pub use crate::front::pending::front_of;
@@ -53,6 +54,8 @@
     pub origin: Origin,
     /// Limits on sizes and times.
     pub limits: Limits,
+    /// Memory for the bodies at all fronts.
+    pub budget: Budget,
     /// To the decision thread.
     pub reports: ring::Sender<Report>,
     /// To the peer thread.
@@ -82,6 +85,7 @@
         accepted,
         origin,
         limits,
+        budget,
         reports,
         peer_commands,
         commands,
@@ -90,7 +94,7 @@
     } = front;
     let pending = Pending::open(number, &origin, limits.clone(), reports, peer_commands, metrics);
     let pending = Arc::new(pending);
-    let handler = Handler::open(pending.clone(), limits.clone());
+    let handler = Handler::open(pending.clone(), limits.clone(), budget);
     let serving = serve::run(accepted, local, handler, limits.idle_within());
     tokio::select! {
         () = serving => {}
--- a/bin/entry/src/front/serve.rs
+++ b/bin/entry/src/front/serve.rs
@@ -34,6 +34,9 @@
 use crate::front::handler::Handler;
 use crate::front::stream::Stream;
 
+/// Largest read buffer of a connection, which has to hold the largest head.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Serves connections until their ring is closed, then closes each as soon as its current request
 /// is answered, and returns.
 pub async fn run(
@@ -43,7 +46,7 @@
     idle: Duration,
 ) {
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(idle);
+    builder.timer(TokioTimer::new()).header_read_timeout(idle).max_buf_size(MAX_BUFFER_BYTES);
     let server = Arc::new(Server { handler, builder, local });
     let (ending, ended) = watch::channel(());
     let mut connections = JoinSet::new();
--- a/bin/entry/src/settings.rs
+++ b/bin/entry/src/settings.rs
@@ -122,6 +122,15 @@
         display_fallback
     )]
     pub body: usize,
+    /// Memory for the bodies of all requests in progress, in bytes; the first 16 KiB of each are free
+    #[bpaf(
+        long("bodies-max"),
+        env("COWSLIPCHUTE_BODIES_MAX"),
+        argument("BYTES"),
+        fallback(64 << 20),
+        display_fallback
+    )]
+    pub bodies: usize,
     /// Timeout for reading a request's body, in milliseconds
     #[bpaf(
         long("body-within"),
--- a/crates/intake/src/bytes.rs
+++ b/crates/intake/src/bytes.rs
@@ -8,10 +8,22 @@
 /// refused. Their sum is bounded by the number of connections.
 pub const FREE_BYTES: usize = 16 << 10;
 
+/// Capacity of a buffer when the first bytes arrive.
+const INITIAL_BYTES: usize = 4 << 10;
+
 /// The budget is used up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Exhausted;
 
+/// Reason for which a body isn't received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// It is larger than allowed.
+    TooLarge,
+    /// The budget is used up.
+    Exhausted,
+}
+
 /// Memory for all bodies together.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -69,3 +81,44 @@
         self.budget.used.fetch_sub(self.charged, Ordering::Relaxed);
     }
 }
+
+/// One body, received into one buffer that is charged as it grows. A list of its chunks would hold
+/// the connection's read buffer once for each of them.
+#[derive(Debug)]
+pub struct Buffer {
+    bytes: Vec<u8>,
+    limit: usize,
+    charge: Charge,
+}
+
+impl Buffer {
+    /// Opens a buffer for a body of at most `limit` bytes.
+    pub fn open(budget: &Budget, limit: usize) -> Buffer {
+        Buffer { bytes: Vec::new(), limit, charge: budget.charge() }
+    }
+
+    /// Appends bytes that have arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body becomes larger than allowed, or the budget is used up.
+    pub fn push(&mut self, data: &[u8]) -> Result<(), Refusal> {
+        let size = self.bytes.len() + data.len();
+        if size > self.limit {
+            return Err(Refusal::TooLarge);
+        }
+        if size > self.bytes.capacity() {
+            let doubled = (self.bytes.capacity() * 2).max(INITIAL_BYTES).min(self.limit);
+            let capacity = size.max(doubled);
+            self.charge.grow_to(capacity).map_err(|_| Refusal::Exhausted)?;
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Returns the body, and its charge, to be kept for as long as the body or what was made of it.
+    pub fn finish(self) -> (Vec<u8>, Charge) {
+        (self.bytes, self.charge)
+    }
+}
