--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -292,7 +292,7 @@
             return;
         };
         let was_running = matches!(hosted.stage, Stage::Running { .. });
-        let is_start_news = hosted.awaits_start_answer();
+        let shows_start = hosted.awaits_start_answer();
         match hosted.stage {
             Stage::Starting { .. } | Stage::Inherited => {
                 if matches!(hosted.stage, Stage::Inherited) {
@@ -329,7 +329,7 @@
         if !was_running {
             self.mark_started(running.run.task.job);
         }
-        if is_start_news {
+        if shows_start {
             self.log_reported_start(worker, running.run);
         }
         if began_after_crash {
