--- a/crates/e2e/tests/hostile_clients.rs
+++ b/crates/e2e/tests/hostile_clients.rs
@@ -48,7 +48,7 @@
 const TINY_CHUNK_BYTES: usize = 16;
 /// Time limit for a body, which leaves a slow machine time to read those of a crowd.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long a task of an ordinary job works, and one during which a crowd gathers and settles.
+/// Work of a task of an ordinary job, and of one during which a crowd gathers and settles.
 const WORK: Duration = Duration::from_millis(400);
 const LONG_WORK: Duration = Duration::from_secs(4);
 const JOB_PATH: &str = "/q/00000000000000a1";
