Tests of clients that stop short of their end; known red

A crowd of 400 connections at one process of the system: bodies of the largest legal size, sized and in chunks of 64 KiB and of 16 bytes, all but the last byte, piece by piece and whole; half heads, and connections that send nothing, at the ports for clients, readiness and metrics; a takeover beside the latter; bodies at an entry.

Bounds are the machine's: memory-mb of the settings (64, with the bytes that wait in sockets), max-fds less the 200 that are reserved for files (400 - 200; prlimit holds the process to its max-fds), and for an entry the 256 MB of docs/CAPACITY.md. No check depends on time: memory is the kernel's peak, the crowd is held until nothing changes, then an ordinary request is answered, and served once the crowd has left. Tests run one at a time.

--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod await_until;
 pub mod cluster;
+pub mod crowd;
 pub mod http;
 pub mod load;
 pub mod port;
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -41,6 +41,15 @@
 /// How long a client waits for an answer.
 const CLIENT_TIME: Duration = Duration::from_millis(2500);
 
+/// Resources that the machine of one of our processes gives it.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Memory in megabytes.
+    pub memory_mb: usize,
+    /// Descriptors, of which a part is reserved for files.
+    pub max_fds: usize,
+}
+
 /// One of our processes.
 #[derive(Debug)]
 pub struct Member {
@@ -167,17 +176,37 @@
     ///
     /// As [`Deployment::open`].
     pub async fn add_member(&mut self, name: &str) -> Result<()> {
+        self.prepare_member(name, None).await?;
+        self.start(name)
+    }
+
+    /// Adds a process of ours whose settings name other limits, and starts it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Deployment::open`].
+    pub async fn add_limited_member(&mut self, name: &str, limits: Limits) -> Result<()> {
+        self.prepare_member(name, Some(limits)).await?;
+        self.start(name)
+    }
+
+    async fn prepare_member(&mut self, name: &str, limits: Option<Limits>) -> Result<()> {
         let store = proxy::open(self.site.store).await?;
         let (clients, readiness, metrics) = (port::free()?, port::free()?, port::free()?);
         let peers = port::free()?.port();
         let text = self.site.settings(name, store.address, clients, readiness, peers);
+        let mut content: Value = serde_json::from_str(&text)?;
+        if let Some(Limits { memory_mb, max_fds }) = limits {
+            content["limits"]["memory-mb"] = json!(memory_mb);
+            content["limits"]["max-fds"] = json!(max_fds);
+        }
         let settings = self.directory.join(format!("{name}.json"));
-        fs::write(&settings, text)?;
+        fs::write(&settings, content.to_string())?;
         let member =
             Member { process: None, clients, readiness, metrics, store, settings, starts: 0 };
         self.members.insert(name.to_owned(), member);
         self.caller.add_member(name, clients);
-        self.start(name)
+        Ok(())
     }
 
     /// Starts a member that isn't running.
