Planner: a clock that is too far ahead is another incarnation's

An answer was taken for one of the known incarnation, since its clock hadn't gone back.

Cause: a new incarnation's clock was taken to start at zero.

No clock runs fast, so one that has advanced by a second more than the time since the latest report was requested is another one; up to that second it isn't attributed, and the run keeps its place. The stand-in's clocks may start ahead (restart ... ahead=MS), which a third of the restarts in the interleavings do. restarted_answered_ahead.test ran a task twice before. What is left is a clock that starts within the second or so since the latest report.

--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -114,7 +114,7 @@
         let Heartbeat::Sent(sent) = self.workers[worker].heartbeat else { return };
         self.raise_epoch(worker);
         match outcome {
-            Ok(report) if self.workers[worker].is_older_than(&report) => {
+            Ok(report) if self.workers[worker].is_older_than(&report, self.now) => {
                 self.replace_from_report(worker, sent, &report);
             }
             Ok(report) => {
--- a/crates/planner/src/workers/incarnations.rs
+++ b/crates/planner/src/workers/incarnations.rs
@@ -5,7 +5,8 @@
 //! that wait again, so that service tasks may wait for twenty seconds. Three sources show earlier
 //! that an incarnation has ended:
 //!
-//! - a report of another start of the worker, or a response whose clock has gone back;
+//! - a report of another start of the worker, or a response whose clock has gone back or is
+//!   too far ahead;
 //! - a directory entry of a later start;
 //! - the machine list, which names the worker on each machine: a silent worker that it doesn't name
 //!   has ended. A worker that is only partitioned is named there and waited for. While the list is
@@ -88,11 +89,14 @@
     }
 
     /// Returns `true` if a report is from a later incarnation. Each report was requested after the
-    /// previous one had arrived, so a clock that has gone back belongs to another incarnation.
-    pub(crate) fn is_older_than(&self, report: &Report) -> bool {
+    /// previous one had arrived, so a clock that has gone back, or forward by more than the time that
+    /// has passed, belongs to another incarnation.
+    pub(crate) fn is_older_than(&self, report: &Report, now: Time) -> bool {
         match (self.started_at, report.started_at) {
             (Some(known), Some(reported)) => known != reported,
-            _ => self.clock_reading.is_some_and(|reading| report.clock < reading.stamp),
+            _ => self.clock_reading.is_some_and(|reading| {
+                report.clock < reading.stamp || reading.is_outrun_by(report.clock, now)
+            }),
         }
     }
 
--- a/crates/planner/src/workers/responder.rs
+++ b/crates/planner/src/workers/responder.rs
@@ -13,8 +13,12 @@
 
 use crate::workers::host::Hosted;
 use crate::workers::worker::CLOCK_DRIFT;
+use crate::workers::worker::ClockReading;
 use crate::workers::worker::Worker;
 
+/// How far a clock may be ahead of what is possible before it counts as another one.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(1);
+
 /// The incarnation that has sent a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Responder {
@@ -37,7 +41,8 @@
     }
 }
 
-/// Returns the earliest time at which the incarnation that has sent a report may have begun.
+/// Returns the earliest time at which the incarnation that has sent a report may have begun: its
+/// clock shows its age at least.
 pub(crate) fn earliest_start(sent: Time, report: &Report) -> Time {
     // The clock is rounded down to milliseconds.
     let age = Duration::from_millis(report.clock + 1).div_f64(1.0 - CLOCK_DRIFT);
@@ -53,24 +58,43 @@
     }
 }
 
+impl ClockReading {
+    /// Returns the latest time that the same clock can show now, if it doesn't run fast.
+    fn latest(&self, now: Time) -> Timestamp {
+        let elapsed = now.saturating_sub(self.requested_at).as_millis() as Timestamp;
+        self.stamp.saturating_add(elapsed)
+    }
+
+    /// Returns `true` if a clock is too far ahead to be the same one.
+    pub(crate) fn is_outrun_by(&self, clock: Timestamp, now: Time) -> bool {
+        clock > self.latest(now).saturating_add(MAX_CLOCK_LEAD.as_millis() as Timestamp)
+    }
+}
+
 impl Worker {
     /// Returns the incarnation that has sent a response with this time on its clock, given the
     /// clock in the latest report before the command.
     ///
-    /// An incarnation that has begun since the latest report is younger than the request for that
-    /// report, and clocks never run fast. The comparison needs no assumption on how slow they run.
+    /// Each incarnation's clock starts anew, at zero or anywhere else, and no clock runs fast. So one
+    /// that has gone back, or has advanced by more than the time that has passed, is another one. One
+    /// that has advanced by less is the same, unless the incarnation is so young that another one
+    /// which has begun at zero since the latest report could show it.
     pub(crate) fn responder(
         &self,
         before: Option<Timestamp>,
         clock: Timestamp,
         now: Time,
     ) -> Responder {
-        if before.is_some_and(|before| clock < before) {
+        let Some(reading) = self.clock_reading else { return Responder::Undetermined };
+        if before.is_some_and(|before| clock < before) || reading.is_outrun_by(clock, now) {
             return Responder::Later;
         }
-        let is_older_than_report = self.clock_reading.is_some_and(|reading| {
-            u128::from(clock) > now.saturating_sub(reading.requested_at).as_millis()
-        });
-        if is_older_than_report { Responder::Current } else { Responder::Undetermined }
+        let since_report = now.saturating_sub(reading.requested_at);
+        let is_older_than_report = u128::from(clock) > since_report.as_millis();
+        if is_older_than_report && clock <= reading.latest(now) {
+            Responder::Current
+        } else {
+            Responder::Undetermined
+        }
     }
 }
--- a/crates/planner/tests/interleavings.rs
+++ b/crates/planner/tests/interleavings.rs
@@ -354,6 +354,7 @@
         Step::Resize(at, processors) => world.resize(&name(*at), capacity(*processors)),
         Step::Restart(at, down) => {
             world.restarts.entry_delay = Duration::from_millis(down * 7 % MAX_ENTRY_DELAY_MS);
+            world.restarts.clock_lead = (down % 3 == 0).then(|| Duration::from_millis(down * 5));
             world.restart(&name(*at), Duration::from_millis(*down));
         }
         Step::RestartRack(first, down) => {
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -45,8 +45,9 @@
 //! - `late_holds name=w [holds=N] [by=MS]`: heartbeats go unanswered and are handled late.
 //! - `slow name=w x=N`: slows a worker down.
 //! - `list_ends name=w most=N`: the worker lists no more ends at a time.
-//! - `restart name=w|(w, ..)|rack=R [down=MS] [gap=MS] [entry=MS]`: workers crash and restart under
-//!   their names, and write their directory entries this much later.
+//! - `restart name=w|(w, ..)|rack=R [down=MS] [gap=MS] [entry=MS] [ahead=MS]`: workers crash and
+//!   restart under their names, and write their directory entries this much later; their clocks start
+//!   at zero, or this much ahead of before.
 //! - `untold name=w`: the worker doesn't report its start time.
 //! - `former name=w`: the directory entry of the worker's previous incarnation is delivered again.
 //! - `foreign name=e at=w [service=S]`: an entry of another writer at a worker's address.
@@ -266,6 +267,7 @@
     restarted_accused = { "restarted_accused" },
     restarted_accused_third = { "restarted_accused_third" },
     restarted_answered = { "restarted_answered" },
+    restarted_answered_ahead = { "restarted_answered_ahead" },
     restarted_answered_again = { "restarted_answered_again" },
     restarted_answered_by_third = { "restarted_answered_by_third" },
     restarted_answered_cut = { "restarted_answered_cut" },
@@ -510,6 +512,7 @@
     let down = Duration::from_millis(number(case, "down").unwrap_or(0));
     let gap = Duration::from_millis(number(case, "gap").unwrap_or(0));
     world.restarts.entry_delay = Duration::from_millis(number(case, "entry").unwrap_or(2));
+    world.restarts.clock_lead = number(case, "ahead").map(Duration::from_millis);
     let names: Vec<String> = match (arg(case, "rack"), case.args.get("name")) {
         (Some(rack), _) => {
             let of = world.workers.iter().filter(|(_, worker)| &*worker.rack == rack);
--- a/crates/planner/tests/world/restarts.rs
+++ b/crates/planner/tests/world/restarts.rs
@@ -17,6 +17,9 @@
 #[derive(Debug, Default)]
 pub struct Restarts {
     up_at: BTreeMap<String, Time>,
+    /// How far the clock of a worker's next incarnation starts ahead of the one before; it starts at
+    /// zero if this is `None`.
+    pub clock_lead: Option<Duration>,
     /// Time after a worker's start until its entry is in the directory.
     pub entry_delay: Duration,
     former_entries: BTreeMap<String, Registration>,
@@ -52,7 +55,11 @@
                 continue;
             };
             self.restarts.former_entries.insert(machine.clone(), registration(worker));
+            let clock = worker.clock(now);
             *worker = worker.restarted(now);
+            if let Some(lead) = self.restarts.clock_lead {
+                worker.clock_start = clock + lead.as_millis() as u64;
+            }
             let registration = registration(worker);
             self.bounds.remove(&machine);
             let at = now + self.restarts.entry_delay;
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -72,6 +72,9 @@
     pub reports_start: bool,
     /// Its start time, in the caller's time.
     started_at: Time,
+    /// The reading of its clock at its start, which may be behind or ahead of that of the incarnation
+    /// before.
+    pub clock_start: Timestamp,
     /// Its capacity.
     pub capacity: Amount,
     /// Its rack.
@@ -131,6 +134,7 @@
             start_time_ms: INITIAL_START_MS,
             reports_start: true,
             started_at: Time::ZERO,
+            clock_start: CLOCK_START,
             capacity,
             rack: rack.into(),
             domain: DEFAULT_DOMAIN.into(),
@@ -164,6 +168,7 @@
         Worker {
             start_time_ms: INITIAL_START_MS + now.as_millis() as id::Incarnation,
             started_at: now,
+            clock_start: 0,
             reports_start: self.reports_start,
             checks_capacity: self.checks_capacity,
             max_listed_ends: self.max_listed_ends,
@@ -183,8 +188,7 @@
     /// Returns the reading of the worker's clock, which runs 2 percent slow.
     pub fn clock(&self, now: Time) -> Timestamp {
         let since = now.saturating_sub(self.started_at).mul_f64(0.98).as_millis() as Timestamp;
-        // Only the initial incarnation was started before time zero.
-        if self.started_at.is_zero() { CLOCK_START + since } else { since }
+        self.clock_start + since
     }
 
     fn end(&mut self, run: Run, how: EndReason) {
