--- a/crates/planner/src/workers/heartbeat.rs
+++ b/crates/planner/src/workers/heartbeat.rs
@@ -166,7 +166,7 @@
         let max_lease = self.settings.max_lease;
         let state = &mut self.workers[worker];
         let previous = state.contact;
-        state.started_at = state.started_at.or(report.started_at);
+        state.confirm_start(report.started_at);
         state.clock_reading =
             Some(ClockReading { stamp: report.clock, requested_at: sent, at: now });
         state.last_answer = Some(now);
@@ -261,8 +261,15 @@
         }
         let job = ended.run.task.job;
         self.mark_started(job);
-        if hosted.is_none() {
-            self.log_late_start(worker, ended.run);
+        match &hosted {
+            Some(hosted) if hosted.carried_over && hosted.has_single_start() => {
+                self.withdraw_crash(ended.run);
+            }
+            Some(_) => {}
+            None => self.log_late_start(worker, ended.run),
+        }
+        if hosted.is_some_and(|hosted| hosted.awaits_start_answer()) {
+            self.log_reported_start(worker, ended.run);
         }
         let detail = how_text(ended.reason);
         self.note(LogEvent::RunEnded, Some(job), Some(ended.run), Some(name), detail);
@@ -279,6 +286,7 @@
             return;
         };
         let was_running = matches!(hosted.stage, Stage::Running { .. });
+        let is_start_news = hosted.awaits_start_answer();
         match hosted.stage {
             Stage::Starting { .. } | Stage::Inherited => {
                 if matches!(hosted.stage, Stage::Inherited) {
@@ -293,6 +301,7 @@
             // in flight; its stage stays.
             Stage::Intended { .. } | Stage::Running { .. } | Stage::Stopping { .. } => {}
         }
+        let began_after_crash = hosted.carried_over && hosted.has_single_start();
         hosted.carried_over = false;
         // This incarnation was there after the answer had arrived, so it has sent the answer.
         hosted.undetermined_since.take_if(|at| *at <= sent);
@@ -314,11 +323,24 @@
         if !was_running {
             self.mark_started(running.run.task.job);
         }
+        if is_start_news {
+            self.log_reported_start(worker, running.run);
+        }
+        if began_after_crash {
+            self.withdraw_crash(running.run);
+        }
         if needs_record {
             self.plan_rewrite(running.run.task.job, SETTLED_START_DELAY);
         }
     }
 
+    /// Logs the start of a run that a report shows before an answer does.
+    fn log_reported_start(&mut self, worker: WorkerId, run: Run) {
+        let name = self.workers[worker].name.clone();
+        let detail = "its worker has reported it";
+        self.note(LogEvent::RunStarted, Some(run.task.job), Some(run), Some(name), detail);
+    }
+
     /// Stops a run that isn't assigned to the worker: its job has ended, or an old start was
     /// carried out late.
     fn stop_orphan(&mut self, worker: WorkerId, run: Run) {
--- a/crates/planner/src/workers/host.rs
+++ b/crates/planner/src/workers/host.rs
@@ -274,11 +274,24 @@
         }
     }
 
+    /// Returns `true` if its start was sent only once, so that one incarnation at most has carried it
+    /// out. A previous owner may have sent more.
+    pub(crate) fn has_single_start(&self) -> bool {
+        self.starts_sent == 1 && self.inherited_until.is_zero()
+    }
+
     /// Returns `true` if its start is due again after it went unanswered.
     pub(crate) fn is_start_retry(&self) -> bool {
         matches!(self.stage, Stage::Starting { command: Command::Due(_), unsettled: true })
     }
 
+    /// Returns `true` if this owner has sent its start, and neither an answer nor a report has shown
+    /// that it has begun.
+    pub(crate) fn awaits_start_answer(&self) -> bool {
+        let is_waiting = matches!(self.stage, Stage::Starting { .. } | Stage::Inherited);
+        is_waiting && self.start_first_sent.is_some()
+    }
+
     pub(crate) fn is_latency_critical(&self) -> bool {
         self.latency_target.is_some()
     }
