--- a/crates/planner/src/workers/worker.rs
+++ b/crates/planner/src/workers/worker.rs
@@ -154,10 +154,19 @@
     pub(crate) last_answer: Option<Time>,
     /// The latest lease deadline that was sent to it, on its clock.
     pub(crate) lease_deadline: Timestamp,
+    /// When a lease deadline was last sent to it.
+    pub(crate) lease_sent_at: Time,
+    /// Until when a command with a lease deadline for an earlier incarnation may be carried out by
+    /// this one, unless it has responded: the deadline counts on its own clock.
+    pub(crate) late_lease_until: Time,
     /// Highest number of an end that was handled.
     pub(crate) last_end_seen: EndNumber,
     /// Highest number of an end that may be acknowledged.
     pub(crate) acknowledged: EndNumber,
+    /// The number that the latest heartbeat acknowledges, and the highest one whose heartbeat was
+    /// answered. Zero acknowledges nothing.
+    pub(crate) acknowledgement_sent: EndNumber,
+    pub(crate) acknowledgement_answered: EndNumber,
     pub(crate) unacknowledged: VecDeque<Unacknowledged>,
     pub(crate) heartbeat: Heartbeat,
     /// Time up to which all ends are known ([`crate::workers::missing`]).
@@ -223,8 +232,12 @@
             clock_reading: None,
             last_answer: None,
             lease_deadline: 0,
+            lease_sent_at: Time::ZERO,
+            late_lease_until: Time::ZERO,
             last_end_seen: 0,
             acknowledged: 0,
+            acknowledgement_sent: 0,
+            acknowledgement_answered: 0,
             unacknowledged: VecDeque::new(),
             heartbeat: Heartbeat::Due(now),
             ends_known_until: Time::ZERO,
@@ -313,7 +326,9 @@
         match (self.contact, self.clock_reading) {
             (Contact::Unfenced { since }, _) | (Contact::Silent { at: since }, None) => {
                 // The deadlines of previous owners are unknown, except for how late they can be.
-                now >= since + settings.max_lease.mul_f64(1.0 + CLOCK_DRIFT) + slack
+                now >= since.max(self.late_lease_until)
+                    + settings.max_lease.mul_f64(1.0 + CLOCK_DRIFT)
+                    + slack
             }
             (_, Some(reading)) => {
                 let elapsed = now.saturating_sub(reading.at).saturating_sub(slack);
