Planner: log what withholds room, and how the capacity of the cell is used

StepWaits gave the free millicores in total and the most on one worker. That fits capacity in pieces, capacity that is withheld and capacity that isn't there alike, and memory wasn't logged at all. It now gives the room in tasks of the step, what of it is reserved or isolated for others, what lacks memory, and what is on closed workers and why; service tasks had that line already, so both use one module. Event 326 (CellCapacity) gives each second what service tasks and others hold, the free capacity by size of the pieces, what waits, and the starts of service tasks by way.

No decision changes.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -179,4 +179,5 @@
     323 StartOutstanding Info "A task has completed while one of its starts is unanswered; the worker that may still carry it out and for how long are given.";
     324 StartedLate Warning "A worker has carried out a start after its task had completed; how long ago that was, and since when the worker's incarnation is known, are given.";
     325 CrashWithdrawn Info "A crash no longer counts against a task: the run of the task has begun after it, on the worker's next incarnation.";
+    326 CellCapacity Info "How the capacity of the cell's workers is used: what is held by service tasks and by others, reserved, free by size of the pieces, and free on closed workers.";
 }
--- a/crates/planner/src/capacity.rs
+++ b/crates/planner/src/capacity.rs
@@ -4,3 +4,4 @@
 pub(crate) mod quota;
 pub(crate) mod reservation;
 pub(crate) mod reserve;
+pub(crate) mod usage;
--- a/crates/planner/src/capacity/reservation.rs
+++ b/crates/planner/src/capacity/reservation.rs
@@ -243,7 +243,7 @@
     }
 
     /// Returns the millicores that are reserved.
-    fn reserved_milli(&self) -> f64 {
+    pub(crate) fn reserved_milli(&self) -> f64 {
         let reserved = self.reservations.iter().map(|reservation| {
             let job = self.jobs.get(&reservation.step.job);
             job.map_or(0.0, |job| f64::from(job.spec(reservation.step.step).demand.cpu_milli))
--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -10,3 +10,5 @@
 pub(crate) mod pin;
 pub(crate) mod place;
 pub(crate) mod refused;
+pub(crate) mod room;
+pub(crate) mod wait;
--- a/crates/planner/src/placement/place.rs
+++ b/crates/planner/src/placement/place.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslipchute_base::event::Event as LogEvent;
 use cowslipchute_base::id;
 use cowslipchute_base::id::Time;
 use cowslipchute_ports::deployment::Queue;
@@ -24,7 +23,6 @@
 use crate::placement::fit::Request;
 use crate::placement::refused::Refused;
 use crate::planner::Planner;
-use crate::queue::bypass::BYPASS_INTERVAL;
 use crate::queue::bypass::Placement;
 use crate::queue::task::Place;
 use crate::service::decision::Decision;
@@ -149,7 +147,7 @@
         let decision = self.decide_step(step, spec, pass);
         if spec.long_running {
             self.record_decision(step, decision);
-            self.log_service_wait(step, spec, &pass.open);
+            self.log_service_wait(step, spec);
         }
     }
 
@@ -170,7 +168,7 @@
             && let Some(refused) = refused.find(|seen| seen.covers(spec))
         {
             decision.refuse(Gate::Covered(refused.demand));
-            self.log_wait(step, spec, &pass.open);
+            self.log_wait(step, spec);
             pass.unplaced.extend(Unplaced::of(self, step, spec));
             if spec.long_running {
                 self.update_idle(step, 0);
@@ -190,7 +188,7 @@
         if spec.gang {
             if let Some(gate) = self.place_gang(step, spec, &open, is_starving) {
                 decision.refuse(gate);
-                self.log_wait(step, spec, &pass.open);
+                self.log_wait(step, spec);
                 pass.unplaced.extend(Unplaced::of(self, step, spec));
             }
             return decision;
@@ -201,10 +199,10 @@
         if decision.outcome.gate != Some(Gate::NoWorker) {
             if let Some(since) = self.probation_since(step) {
                 self.isolate_workers(step, spec, since, &open);
-                self.log_wait(step, spec, &pass.open);
+                self.log_wait(step, spec);
             }
         } else {
-            self.log_wait(step, spec, &pass.open);
+            self.log_wait(step, spec);
             if !is_constrained {
                 pass.refused.push(Refused::new(spec));
             }
@@ -232,38 +230,6 @@
         services
     }
 
-    /// Logs that a step's tasks wait and what is free, and at an interval that they still wait.
-    fn log_wait(&mut self, step: StepId, spec: &Step, open: &[(id::Service, Vec<WorkerId>)]) {
-        let now = self.now;
-        let state = self.jobs.get_mut(&step.job).and_then(|job| job.step_mut(step));
-        let Some(state) = state else { return };
-        if let Some(logged_at) = state.waiting_logged_at {
-            if now >= logged_at + BYPASS_INTERVAL && !spec.best_effort {
-                state.waiting_logged_at = Some(now);
-                self.log_bypass(step, spec);
-            }
-            return;
-        }
-        state.waiting_logged_at = Some(now);
-        let waiting = state.waiting;
-        let on_probation = state.tasks.iter().filter(|task| task.is_on_probation());
-        let probation = match on_probation.count() {
-            0 => String::new(),
-            count => format!("; {count} on probation"),
-        };
-        let workers = || open.iter().flat_map(|(_, ids)| ids).map(|&id| &self.workers[id]);
-        let free: u64 = workers().map(|worker| u64::from(worker.room().cpu_milli)).sum();
-        let max_free = workers().map(|worker| worker.room().cpu_milli).max().unwrap_or(0);
-        let kind = if spec.best_effort { "best-effort" } else { "reserving" };
-        let detail = format!(
-            "step {}: {waiting} waiting {kind} tasks of {} millicores each; {free} millicores free in total, at most {max_free} on one of {} workers{probation}",
-            step.step,
-            spec.demand.cpu_milli,
-            workers().count()
-        );
-        self.note(LogEvent::StepWaits, Some(step.job), None, None, detail);
-    }
-
     fn is_mostly_free(&self, open: &[(id::Service, Vec<WorkerId>)]) -> bool {
         let workers = || open.iter().flat_map(|(_, ids)| ids).map(|&id| &self.workers[id]);
         let capacity: u64 = workers().map(|worker| u64::from(worker.capacity.cpu_milli)).sum();
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -24,6 +24,7 @@
 use crate::capacity::quota::Quota;
 use crate::capacity::reservation::Reservation;
 use crate::capacity::reserve::Reserve;
+use crate::capacity::usage::ServiceStarts;
 use crate::colocation::forecast_error::Factors;
 use crate::colocation::interference::Model;
 use crate::colocation::load::Periodicity;
@@ -119,6 +120,10 @@
     pub(crate) service_waits: Waits,
     /// When service tasks on silent workers are logged next.
     pub(crate) held_log_due: Time,
+    /// When the use of the cell's capacity is logged next.
+    pub(crate) usage_log_due: Time,
+    /// Starts of service tasks since then.
+    pub(crate) service_starts: ServiceStarts,
     /// Workers reserved for waiting tasks.
     pub(crate) reservations: Vec<Reservation>,
     /// The step on probation that needs more isolated workers than the usual fraction of the cell,
@@ -204,6 +209,8 @@
             short_starts: Starts::default(),
             service_waits: Waits::default(),
             held_log_due: Time::ZERO,
+            usage_log_due: Time::ZERO,
+            service_starts: ServiceStarts::default(),
             reservations: Vec::new(),
             isolation_priority: None,
             interference: Model::default(),
@@ -248,6 +255,7 @@
             self.run_timers();
             self.log_due_waits();
             self.log_held();
+            self.log_usage();
             self.forget_ended();
         }
         actions.append(&mut self.actions);
--- a/crates/planner/src/service.rs
+++ b/crates/planner/src/service.rs
@@ -7,6 +7,5 @@
 pub(crate) mod order;
 pub(crate) mod overdue;
 pub(crate) mod reclaim;
-pub(crate) mod room;
 pub(crate) mod service_wait;
 pub(crate) mod way;
--- a/crates/planner/src/service/decision.rs
+++ b/crates/planner/src/service/decision.rs
@@ -17,10 +17,10 @@
 
 use crate::capacity::idle::Spare;
 use crate::placement::fit::Misfit;
+use crate::placement::room::Room;
+use crate::placement::room::misfit_text;
 use crate::planner::Planner;
 use crate::queue::task::Task;
-use crate::service::room::Room;
-use crate::service::room::misfit_text;
 
 /// A gate that kept a step's tasks waiting in a placement pass.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/planner/src/service/service_wait.rs
+++ b/crates/planner/src/service/service_wait.rs
@@ -129,10 +129,9 @@
         if due.is_empty() {
             return;
         }
-        let open = self.open_workers();
         for step in due {
             let accepted = self.jobs[&step.job].accepted.clone();
-            self.log_service_wait(step, &accepted.spec.steps[usize::from(step.step)], &open);
+            self.log_service_wait(step, &accepted.spec.steps[usize::from(step.step)]);
         }
     }
 
@@ -169,22 +168,14 @@
     }
 
     /// Logs why a service step has waiting tasks, if that is due.
-    pub(crate) fn log_service_wait(
-        &mut self,
-        step: StepId,
-        spec: &Step,
-        open: &[(id::Service, Vec<WorkerId>)],
-    ) {
+    pub(crate) fn log_service_wait(&mut self, step: StepId, spec: &Step) {
         let now = self.now;
         let Some((index, task)) = self.due_task(step) else { return };
         let run = Run { task: step.task(index), attempt: task.attempt };
         if !self.service_waits.take_line(now) {
             return;
         }
-        let service = self.service(step.job);
-        let known = open.iter().find(|(name, _)| *name == service);
-        let open = known.map_or(&[][..], |(_, open)| open);
-        let detail = self.describe_wait(run.task, spec, open);
+        let detail = self.describe_wait(run.task, spec);
         let pinned_to = self.pinned_name(run.task);
         self.note(LogEvent::ServiceTaskWaits, Some(step.job), Some(run), pinned_to, detail);
         if let Some(state) = self.jobs.get_mut(&step.job).and_then(|job| job.step_mut(step)) {
@@ -192,14 +183,14 @@
         }
     }
 
-    fn describe_wait(&self, id: TaskId, spec: &Step, open: &[WorkerId]) -> String {
+    fn describe_wait(&self, id: TaskId, spec: &Step) -> String {
         let job = &self.jobs[&id.job];
         let (Some(state), Some(task)) = (job.step(id.step_id()), job.task(id)) else {
             return String::new();
         };
         let undecided = Decision::default();
         let decision = state.decision.as_deref().unwrap_or(&undecided);
-        let room = self.service_room(id, spec, open);
+        let room = self.room_for(id, spec, &self.service(id.job));
         let reason = self.wait_reason(id, spec, task, decision, &room);
         let waiting = state.tasks.iter().filter(|task| task.place == Place::Waiting);
         let returning = waiting.filter(|task| task.attempt > 0).count();
@@ -259,6 +250,8 @@
         let run = Run { task, attempt: state.attempt };
         let has_run = state.attempt > 1;
         let start = self.wait_start(state, has_run);
+        let milli = job.spec(task.step).demand.cpu_milli;
+        self.service_starts.count(way, has_run, milli);
         if has_run {
             self.service_waits.returned.count(waited);
         }
--- a/crates/planner/src/service/way.rs
+++ b/crates/planner/src/service/way.rs
@@ -1,7 +1,7 @@
 //! Ways by which service tasks come to be placed.
 
 /// How a service task came to be placed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Way {
     /// On the fraction of the cell that service tasks held ([`crate::capacity::quota`]).
     Quota,
