Failing test: short jobs starve beside service jobs that go on arriving

In a cell whose short tasks need 113 of the 156 CPUs that are left to them, 278 of 300 jobs of small tasks and 30 of 60 of large ones are served; without the arriving service jobs all are. The bounds are the users': large ones are served at least three quarters as often as their kind, and nine in ten of the small ones within the reserve.

--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -261,6 +261,7 @@
     rack_lost = { "rack_lost" },
     rebirth = { "rebirth" },
     reserve = { "reserve" },
+    reserve_new_services = { "reserve_new_services" },
     reserved_worker_ends = { "reserved_worker_ends" },
     restarted = { "restarted" },
     restarted_absent_inherited = { "restarted_absent_inherited" },
