Planner: new service tasks take no capacity that short tasks use by turns

Capacity beyond the reserve is lost once and never comes back: with no service task waiting to return, 500 to 1,800 cores of new ones are placed in three seconds, 'overdue beside free capacity', and each keeps its place for a minute.

Cause: what an observer, or a window of 150 ms, sees free for a moment counts as free for good. Between two short tasks each piece is free until the next start arrives, so in a cell that short tasks use by turns there is always room for two. For a task that has run before that is on purpose, since it is owed its capacity; for one that has never run it isn't.

Now a service task that has never run takes only what is beyond the reserve while, in the last two seconds, a short task that can still be of use found no worker and another was placed. Where no short task waits, or none starts, nothing changes (lasting_many_new, lasting_new_beside_reserved).

Test: reserve_new_services, 30 of 60 large jobs before, 60 of 60 after.

--- a/crates/planner/src/capacity/idle.rs
+++ b/crates/planner/src/capacity/idle.rs
@@ -200,7 +200,8 @@
         if urgency != Urgency::New && self.quota.allows(spec) {
             return Some(Way::Quota);
         }
-        spare.way(spec, urgency)
+        let way = spare.way(spec, urgency);
+        way.filter(|&way| way == Way::BeyondReserve || !self.is_held_back(urgency))
     }
 
     /// Schedules another check for service tasks on capacity that short tasks leave.
--- a/crates/planner/src/capacity/reserve.rs
+++ b/crates/planner/src/capacity/reserve.rs
@@ -5,6 +5,8 @@
 //! no capacity for the rest of the day. So the CPU that short tasks have needed recently, and some
 //! more for their bursts, stays free of service tasks for a while. The reserve decays where no
 //! short task comes, and a service task never waits for long beside capacity that stays free.
+//! Capacity that short tasks use by turns doesn't: a new service task that took a gap between two
+//! of them would keep it for good.
 
 use std::time::Duration;
 
@@ -29,11 +31,14 @@
     work: f64,
     updated: Time,
     opened: Time,
+    /// When a short task last found no worker, and when one was last placed.
+    unplaced_at: Option<Time>,
+    placed_at: Option<Time>,
 }
 
 impl Reserve {
     pub(crate) fn open(now: Time) -> Reserve {
-        Reserve { work: 0.0, updated: now, opened: now }
+        Reserve { work: 0.0, updated: now, opened: now, unplaced_at: None, placed_at: None }
     }
 
     fn decayed_work(&self, now: Time) -> f64 {
@@ -51,6 +56,23 @@
         self.updated = now;
     }
 
+    /// Records that a short task which can still be of use found no worker.
+    pub(crate) fn record_unplaced(&mut self, now: Time) {
+        self.unplaced_at = Some(now);
+    }
+
+    /// Records that a short task was placed.
+    pub(crate) fn record_placed(&mut self, now: Time) {
+        self.placed_at = Some(now);
+    }
+
+    /// Returns `true` if short tasks use the capacity that is left to them by turns: in the time
+    /// `span` some found no worker and others were placed.
+    pub(crate) fn is_contended(&self, now: Time, span: Duration) -> bool {
+        let is_recent = |at: Option<Time>| at.is_some_and(|at| now < at + span);
+        is_recent(self.unplaced_at) && is_recent(self.placed_at)
+    }
+
     /// Returns `true` if no job has arrived for the time `span`.
     pub(crate) fn is_idle_for(&self, now: Time, span: Duration) -> bool {
         now >= self.updated + span
--- a/crates/planner/src/placement/place.rs
+++ b/crates/planner/src/placement/place.rs
@@ -105,6 +105,7 @@
                 None => drop(self.waiting.remove(&job)),
             }
         }
+        self.record_contention(&pass.unplaced);
         self.place_returning(&pass.reclaiming, &pass.open, &pass.unplaced);
         for (service, open) in &pass.open {
             let own = |unplaced: &&Unplaced| self.service(unplaced.step.job) == *service;
@@ -119,6 +120,17 @@
         }
     }
 
+    /// Records whether short tasks that can still finish before they count as lost found no worker.
+    fn record_contention(&mut self, unplaced: &[Unplaced]) {
+        let is_contended = unplaced.iter().any(|&Unplaced { step, .. }| {
+            let job = &self.jobs[&step.job];
+            !job.spec(step.step).long_running && !self.is_lost(job)
+        });
+        if is_contended {
+            self.reserve.record_unplaced(self.now);
+        }
+    }
+
     /// Prepares a pass that places best-effort tasks, and sets the time of the next one.
     fn begin_best_effort(&mut self, open: &[(id::Service, Vec<WorkerId>)]) {
         let mut count = 0;
@@ -396,6 +408,7 @@
         self.writes.add_intent(worker, run);
         self.start_window.push(worker, run);
         if is_short {
+            self.reserve.record_placed(now);
             self.record_short_start(worker, run);
         }
     }
--- a/crates/planner/src/service/overdue.rs
+++ b/crates/planner/src/service/overdue.rs
@@ -42,6 +42,9 @@
 /// Time for which capacity counts for an owed task that was free for a moment: most of it is free
 /// between two passes, or before the owner hears that a run has ended.
 const SAMPLED_TIME: Duration = Duration::from_millis(500);
+/// Time for which capacity counts as used by turns after a short task has waited for it, as long as
+/// capacity has to stay free otherwise before a new service task takes it.
+const CONTENTION_TIME: Duration = Duration::from_secs(2);
 /// Number of pending starts up to which settled ones aren't removed.
 const MIN_PRUNED_STARTS: usize = 64;
 
@@ -187,7 +190,15 @@
     pub(crate) fn is_overdue_beside_room(&self, step: StepId, task: &Task) -> bool {
         let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
         let span = Restriction::reserve_for(task).pair_time();
-        self.is_overdue(task) && state.is_some_and(|state| state.watch.has_pair_for(span, self.now))
+        self.is_overdue(task)
+            && !self.is_held_back(self.urgency(task))
+            && state.is_some_and(|state| state.watch.has_pair_for(span, self.now))
+    }
+
+    /// Returns `true` for a task that has never run while short tasks use the reserve by turns:
+    /// what is free for the moment isn't free for good.
+    pub(crate) fn is_held_back(&self, urgency: Urgency) -> bool {
+        urgency == Urgency::New && self.reserve.is_contended(self.now, CONTENTION_TIME)
     }
 
     /// Returns how many times the demand of a task overdue tasks may take in this pass before it.
