Planner: the reserve for short tasks counts only capacity that they can use

Now what is left beside the service tasks of a worker counts for the reserve only if a short task of the mean demand fits, as long as short tasks come. This decides about service tasks that have never run; one that returns gets its capacity as before, since a longer wait of those breaks a promise.

--- a/crates/planner/src/capacity/idle.rs
+++ b/crates/planner/src/capacity/idle.rs
@@ -48,6 +48,9 @@
 pub(crate) struct Spare {
     /// Millicores beyond the reserve for short tasks.
     milli: f64,
+    /// The same for a task that has never run, where the reserve has to be capacity that short tasks
+    /// can use.
+    new_milli: f64,
     /// Number of tasks for which there has been free capacity all the time.
     slots: u64,
     /// `true` if there has been free capacity for two for much of the time, so that a returning
@@ -58,7 +61,11 @@
 impl Spare {
     /// Returns which of this capacity a task may take, if any.
     fn way(&self, spec: &Step, urgency: Urgency) -> Option<Way> {
-        if self.milli >= f64::from(spec.demand.cpu_milli) {
+        let milli = match urgency {
+            Urgency::Returning => self.milli,
+            Urgency::New => self.new_milli,
+        };
+        if milli >= f64::from(spec.demand.cpu_milli) {
             return Some(Way::BeyondReserve);
         }
         if self.slots > 0 {
@@ -72,6 +79,11 @@
         self.milli
     }
 
+    /// Returns the same for a task that has never run.
+    pub(crate) fn new_milli(&self) -> f64 {
+        self.new_milli
+    }
+
     /// Returns the number of tasks for which there has been free capacity all the time.
     pub(crate) fn slots(&self) -> u64 {
         self.slots
@@ -80,6 +92,7 @@
     /// Takes capacity for one task. Returns `true` if it belonged to the reserve for short tasks.
     pub(crate) fn take(&mut self, spec: &Step) -> bool {
         self.milli -= f64::from(spec.demand.cpu_milli);
+        self.new_milli -= f64::from(spec.demand.cpu_milli);
         if self.milli >= 0.0 {
             return false;
         }
@@ -224,7 +237,8 @@
         let slots = self.update_idle(step, slots);
         let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
         let has_frequent_pair = state.is_some_and(|state| state.idle.has_frequent_pair());
-        Spare { milli: self.spare_milli(choice.workers), slots, has_frequent_pair }
+        let (milli, new_milli) = self.spare_milli(choice.workers);
+        Spare { milli, new_milli, slots, has_frequent_pair }
     }
 
     /// Records that a service task was placed on the reserve for short tasks. For its step the
@@ -238,16 +252,20 @@
         }
     }
 
-    /// Returns the millicores that service tasks may still take.
-    fn spare_milli(&self, open: &[WorkerId]) -> f64 {
+    /// Returns the millicores that returning and new service tasks may still take.
+    fn spare_milli(&self, open: &[WorkerId]) -> (f64, f64) {
         let mut capacity = 0.0;
-        let mut taken = 0.0;
+        let mut available = 0.0;
+        let mut usable = 0.0;
         for &worker in open {
             let worker = &self.workers[worker];
+            let milli = f64::from(worker.capacity.minus(worker.reserved_by_services).cpu_milli);
             capacity += f64::from(worker.capacity.cpu_milli);
-            taken += f64::from(worker.reserved_by_services.cpu_milli);
+            available += milli;
+            usable += self.reserve.usable_milli(self.now, milli);
         }
-        capacity - taken - self.reserve.milli(self.now, capacity)
+        let reserve = self.reserve.milli(self.now, capacity);
+        (available - reserve, usable - reserve)
     }
 
     /// Returns the free capacity of each open worker, the most CPU first.
--- a/crates/planner/src/capacity/reserve.rs
+++ b/crates/planner/src/capacity/reserve.rs
@@ -6,7 +6,8 @@
 //! more for their bursts, stays free of service tasks for a while. The reserve decays where no
 //! short task comes, and a service task never waits for long beside capacity that stays free.
 //! Capacity that short tasks use by turns doesn't: a new service task that took a gap between two
-//! of them would keep it for good.
+//! of them would keep it for good. Nor does what is left beside service tasks count for the reserve
+//! where it is too small for a short task, since a new service task may take any other capacity.
 
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 
 /// Time constant of the recent work: a few times the duration of a short job.
 const DECAY_TIME: Duration = Duration::from_secs(8);
-/// Ratio of the reserve to the mean need, for bursts and for gaps that are too small to use.
+/// Ratio of the reserve to the mean need, for bursts and for gaps that are left between short tasks.
 const BURST_FACTOR: f64 = 1.7;
 /// Fraction of the cell reserved before anything is known about short tasks.
 const INITIAL_FRACTION: f64 = 0.12;
@@ -29,6 +30,8 @@
 pub(crate) struct Reserve {
     /// Decaying sum of core-seconds.
     work: f64,
+    /// Decaying sum of task-seconds.
+    task_time: f64,
     updated: Time,
     opened: Time,
     /// When a short task last found no worker, and when one was last placed.
@@ -38,22 +41,40 @@
 
 impl Reserve {
     pub(crate) fn open(now: Time) -> Reserve {
-        Reserve { work: 0.0, updated: now, opened: now, unplaced_at: None, placed_at: None }
+        Reserve {
+            work: 0.0,
+            task_time: 0.0,
+            updated: now,
+            opened: now,
+            unplaced_at: None,
+            placed_at: None,
+        }
     }
 
-    fn decayed_work(&self, now: Time) -> f64 {
-        self.work * decay(now.saturating_sub(self.updated), DECAY_TIME)
+    /// Returns what is left now of the sums.
+    fn remainder(&self, now: Time) -> f64 {
+        decay(now.saturating_sub(self.updated), DECAY_TIME)
     }
 
     /// Adds the work of a job that has arrived.
     pub(crate) fn add_job(&mut self, now: Time, spec: &Spec) {
-        let short = spec.steps.iter().filter(|step| !step.long_running && !step.best_effort);
-        let work = short.map(|step| {
-            let cores = f64::from(step.demand.cpu_milli) / 1e3;
-            f64::from(step.count) * cores * step.estimate.as_secs_f64()
-        });
-        self.work = self.decayed_work(now) + work.sum::<f64>();
+        let remainder = self.remainder(now);
+        self.work *= remainder;
+        self.task_time *= remainder;
         self.updated = now;
+        for step in spec.steps.iter().filter(|step| !step.long_running && !step.best_effort) {
+            let task_time = f64::from(step.count) * step.estimate.as_secs_f64();
+            self.task_time += task_time;
+            self.work += task_time * f64::from(step.demand.cpu_milli) / 1e3;
+        }
+    }
+
+    /// Returns how much of a worker's capacity beside its service tasks counts for the reserve: none
+    /// if it is too small for a short task of the mean demand, as long as such tasks come.
+    pub(crate) fn usable_milli(&self, now: Time, milli: f64) -> f64 {
+        let mean_milli = self.work * 1e3 / self.task_time;
+        let is_too_small = milli < mean_milli && !self.is_idle_for(now, DECAY_TIME);
+        if is_too_small { 0.0 } else { milli }
     }
 
     /// Records that a short task which can still be of use found no worker.
@@ -80,7 +101,7 @@
 
     /// Returns the millicores of `capacity` to keep free of service tasks.
     pub(crate) fn milli(&self, now: Time, capacity: f64) -> f64 {
-        let need = self.decayed_work(now) / DECAY_TIME.as_secs_f64() * 1e3 * BURST_FACTOR;
+        let need = self.work * self.remainder(now) / DECAY_TIME.as_secs_f64() * 1e3 * BURST_FACTOR;
         let first = INITIAL_FRACTION
             * capacity
             * decay(now.saturating_sub(self.opened), INITIAL_DECAY_TIME);
--- a/crates/planner/src/service/decision.rs
+++ b/crates/planner/src/service/decision.rs
@@ -158,8 +158,9 @@
             Reason::StartWindow => f.write_str("starts in flight"),
             Reason::Reserve(spare, lack) => write!(
                 f,
-                "reserve ({lack}, {:.0} millicores beyond it, {} slots through all windows)",
+                "reserve ({lack}, {:.0} millicores beyond it, {:.0} for new tasks, {} slots through all windows)",
                 spare.milli(),
+                spare.new_milli(),
                 spare.slots()
             ),
             Reason::Probation => f.write_str("probation"),
--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -261,6 +261,7 @@
     rack_lost = { "rack_lost" },
     rebirth = { "rebirth" },
     reserve = { "reserve" },
+    reserve_pieces = { "reserve_pieces" },
     reserve_new_services = { "reserve_new_services" },
     reserved_worker_ends = { "reserved_worker_ends" },
     restarted = { "restarted" },
