--- a/crates/planner/tests/scenarios.rs
+++ b/crates/planner/tests/scenarios.rs
@@ -223,6 +223,7 @@
     lasting_probation_late = { "lasting_probation_late" },
     lasting_probation_many = { "lasting_probation_many" },
     lasting_rack_full = { "lasting_rack_full" },
+    lasting_sampled_reserved = { "lasting_sampled_reserved" },
     lasting_same_rack_full = { "lasting_same_rack_full" },
     lasting_scopes = { "lasting_scopes" },
     lasting_settled_over_owner = { "lasting_settled_over_owner" },
