--- a/crates/planner/src/capacity/usage.rs
+++ b/crates/planner/src/capacity/usage.rs
@@ -170,10 +170,10 @@
             }
         }
         let waiting = self.waiting_tasks();
-        let reserved = self.reserved_milli() / 1e3;
+        let reserved = self.reserved_milli() as u64 / 1_000;
         let (_, quota) = self.quota.usage();
         let detail = format!(
-            "{usage}; {} reserved workers for {reserved:.0} cores; quota of service tasks {:.0} cores, reserve for short ones {:.0}; waiting: {} returning, {} new, {} short{}",
+            "{usage}; {} reserved workers for {reserved} cores; quota of service tasks {:.0} cores, reserve for short ones {:.0}; waiting: {} returning, {} new, {} short{}",
             self.reservations.len(),
             quota / 1e3,
             self.reserve.milli(self.now, usage.capacity.cpu_milli as f64) / 1e3,
