Planner: owed service tasks take freed capacity before reservations, also between passes

Reservations were used first, in a pass and between passes, so the owner's count of what an observer may have seen never saw that capacity, and an owed task couldn't take it, since reservations give way only after 1.5 s on end.

Now the watches are updated and overdue tasks placed before reservations are used, also between passes, and for an owed task slow workers and reservations give way as if it had been seen for long enough. What keeps a task from running twice is untouched, and capacity for one is left to short tasks.

--- a/crates/planner/src/placement/place.rs
+++ b/crates/planner/src/placement/place.rs
@@ -78,9 +78,9 @@
         self.update_quota(open.iter().flat_map(|(_, workers)| workers).copied());
         self.place_pinned();
         self.drop_reservations();
-        self.use_reservations();
         self.update_watches();
         self.place_overdue();
+        self.use_reservations();
         let mut pass = Pass {
             refused: Vec::new(),
             open,
--- a/crates/planner/src/service/freed.rs
+++ b/crates/planner/src/service/freed.rs
@@ -49,6 +49,9 @@
         if freed.is_empty() {
             return 0;
         }
+        // An observer may look before the reservations are used.
+        self.update_watches();
+        self.place_overdue();
         // What is left of a worker that is reserved for another step is free once that is placed.
         // The task that is placed may itself be a returning one.
         self.use_reservations();
--- a/crates/planner/src/service/order.rs
+++ b/crates/planner/src/service/order.rs
@@ -26,6 +26,7 @@
 use crate::placement::fit::Request;
 use crate::planner::Planner;
 use crate::queue::task::Task;
+use crate::service::overdue::Watch;
 use crate::service::way::Way;
 use crate::workers::command::Timer;
 use crate::workers::worker::Worker;
@@ -186,7 +187,7 @@
             overdue.extend(due.map(|(id, task)| Overdue {
                 since: task.waiting_since,
                 task: id,
-                pair_time: state.watch.pair_time(self.now),
+                pair_time: self.overdue_pair_time(task, &state.watch),
                 limit: self.overdue_limit(task, &state.watch),
             }));
         }
@@ -194,6 +195,17 @@
         overdue
     }
 
+    /// Returns for how long capacity for two counts as seen beside a task. For an owed task a moment
+    /// is as good as the time after which reservations give way: in a full cell they are made and
+    /// used all the time.
+    fn overdue_pair_time(&self, task: &Task, watch: &Watch) -> Duration {
+        let seen = watch.pair_time(self.now);
+        match self.is_owed(task) {
+            true => seen.max(Restriction::Reservation.pair_time()),
+            false => seen,
+        }
+    }
+
     /// Returns the workers of a service on which an overdue task may be placed that an observer has
     /// seen beside capacity for two for `pair_time`.
     fn workers_open_to(&self, service: &id::Service, pair_time: Duration) -> Vec<WorkerId> {
