--- a/crates/planner/src/capacity/reserve.rs
+++ b/crates/planner/src/capacity/reserve.rs
@@ -5,9 +5,9 @@
 //! no capacity for the rest of the day. So the CPU that short tasks have needed recently, and some
 //! more for their bursts, stays free of service tasks for a while. The reserve decays where no
 //! short task comes, and a service task never waits for long beside capacity that stays free.
-//! Capacity that short tasks use by turns doesn't: a new service task that took a gap between two
-//! of them would keep it for good. Nor does what is left beside service tasks count for the reserve
-//! where it is too small for a short task, since a new service task may take any other capacity.
+//! New service tasks may not use capacity that is only free between two short tasks, since they run
+//! for much longer. Capacity beside service tasks that is too small for a short task doesn't count
+//! towards the reserve.
 
 use std::time::Duration;
 
--- a/crates/planner/src/placement/room.rs
+++ b/crates/planner/src/placement/room.rs
@@ -1,5 +1,5 @@
-//! Free capacity of a service's workers for the tasks of a step, as the log gives it: withheld
-//! capacity is told from capacity that isn't there.
+//! Summary for the log of the workers that could run a step's tasks: free capacity, and the
+//! restrictions that prevent its use.
 
 use std::fmt;
 
--- a/crates/planner/src/service/overdue.rs
+++ b/crates/planner/src/service/overdue.rs
@@ -195,8 +195,8 @@
             && state.is_some_and(|state| state.watch.has_pair_for(span, self.now))
     }
 
-    /// Returns `true` for a task that has never run while short tasks use the reserve by turns:
-    /// what is free for the moment isn't free for good.
+    /// Returns `true` for a task that has never run while short tasks contend for the reserve, as
+    /// the free capacity is then about to be used.
     pub(crate) fn is_held_back(&self, urgency: Urgency) -> bool {
         urgency == Urgency::New && self.reserve.is_contended(self.now, CONTENTION_TIME)
     }
